--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -71,15 +71,15 @@
 
 // Execute implements flags.Commander.
 func (pc *platformCommand) Execute([]string) error {
-	pl := &standin.Platform{WeightsPerMinute: pc.WeightsPerMinute}
+	var vms []platform.VM
 	for _, text := range pc.VMs {
 		parts := strings.Split(text, ",")
 		if len(parts) != 4 {
 			return fmt.Errorf("--vm %q: want NAME,IP:PORT,DATA-CENTER,FABRIC-DOMAIN", text)
 		}
-		pl.VMs = append(pl.VMs, platform.VM{Name: parts[0], Address: parts[1], DataCenter: parts[2], FabricDomain: parts[3], State: platform.VMLive})
+		vms = append(vms, platform.VM{Name: parts[0], Address: parts[1], DataCenter: parts[2], FabricDomain: parts[3], State: platform.VMLive})
 	}
-	return pc.serve(pc.ctx, pl.Handler(), wait)
+	return pc.serve(pc.ctx, standin.NewPlatform(vms, pc.WeightsPerMinute).Handler(), wait)
 }
 
 type engineCommand struct {
--- a/internal/core/control/action.go
+++ b/internal/core/control/action.go
@@ -10,8 +10,12 @@
 // Probe asks the engine on a VM for its report.
 type Probe struct{ VM fleet.VM }
 
-// Pull asks a peer for its digest.
-type Pull struct{ Peer string }
+// Pull asks a peer for its digest. Revision is that of this daemon's own
+// document, by which the peer sees whether it knows this daemon.
+type Pull struct {
+	Peer     string
+	Revision uint64
+}
 
 // FetchDocs asks a peer for documents newer than Have.
 type FetchDocs struct {
--- a/internal/core/control/control.go
+++ b/internal/core/control/control.go
@@ -161,6 +161,8 @@
 		co.pulled(ev)
 	case PullFailed:
 		co.pullFailed(ev)
+	case Asked:
+		co.asked(ev)
 	case DocsArrived:
 		co.docsArrived(ev)
 	case ConfigArrived:
--- a/internal/core/control/event.go
+++ b/internal/core/control/event.go
@@ -64,6 +64,13 @@
 	Entries  []chain.Entry
 }
 
+// Asked says that a peer has pulled from this daemon.
+type Asked struct {
+	Peer string
+	// Revision is that of the peer's own document.
+	Revision uint64
+}
+
 // Revoked is another daemon's direct evidence that a group is not whole.
 type Revoked struct{ Group string }
 
@@ -125,6 +132,7 @@
 func (PullFailed) isEvent()       {}
 func (DocsArrived) isEvent()      {}
 func (ConfigArrived) isEvent()    {}
+func (Asked) isEvent()            {}
 func (Revoked) isEvent()          {}
 func (SightingsArrived) isEvent() {}
 func (LeaseWon) isEvent()         {}
--- a/internal/core/control/members.go
+++ b/internal/core/control/members.go
@@ -70,7 +70,7 @@
 		return
 	}
 	co.state = gossip.Leaving
-	co.publishSelf(co.docs.Get(gossip.DaemonPrefix+co.set.Name).Revision + 1)
+	co.publishSelf(co.SelfRevision() + 1)
 	co.stepDown()
 }
 
@@ -120,7 +120,7 @@
 	picked = append(picked, sample(far, 1)...)
 	for _, addr := range picked {
 		if addr != co.set.Peer {
-			co.emitOnce(flyPull+addr, Pull{Peer: addr})
+			co.emitOnce(flyPull+addr, Pull{Peer: addr, Revision: co.SelfRevision()})
 		}
 	}
 }
@@ -149,6 +149,21 @@
 	return addrs[:min(num, len(addrs))]
 }
 
+// asked pulls back from a daemon that is not known, or known as it was before.
+// Documents flow only towards the one who pulls: without this, a daemon that
+// nobody tells of the others would never hear of them.
+func (co *Core) asked(ev Asked) {
+	known := co.docs.Get(gossip.DaemonPrefix + co.daemonAt(ev.Peer)).Revision
+	if known < ev.Revision && ev.Peer != co.set.Peer {
+		co.emitOnce(flyPull+ev.Peer, Pull{Peer: ev.Peer, Revision: co.SelfRevision()})
+	}
+}
+
+// SelfRevision returns the revision of this daemon's own document.
+func (co *Core) SelfRevision() uint64 {
+	return co.docs.Get(gossip.DaemonPrefix + co.set.Name).Revision
+}
+
 func (co *Core) pulled(ev Pulled) {
 	delete(co.flying, flyPull+ev.Peer)
 	delete(co.fails, ev.Peer)
--- a/internal/core/control/probing.go
+++ b/internal/core/control/probing.go
@@ -18,6 +18,9 @@
 	change uint64
 	// probedAt is when the last probe was emitted.
 	probedAt time.Time
+	// sameSince is when the first of the answers arrived that all showed the
+	// VM in the state of the last one.
+	sameSince time.Time
 }
 
 // assignment says why this daemon probes a VM.
@@ -215,6 +218,9 @@
 		co.changes++
 		si.change = co.changes
 	}
+	if si.sameSince.IsZero() || !si.FailingSince.IsZero() || !sameMembership(si.Report, *ev.Report) {
+		si.sameSince = co.now
+	}
 	si.Report = *ev.Report
 	si.At = ev.SentAt
 	si.FailingSince = time.Time{}
@@ -234,20 +240,37 @@
 		return
 	}
 	co.rings[gr.ID] = ring
-	oldest := co.seen[ring[0]].At
+	oldest, newest := co.seen[ring[0]].At, time.Time{}
 	load := fleet.Load{}
 	for _, vm := range ring {
 		si := co.seen[vm]
 		if si.At.Before(oldest) {
 			oldest = si.At
 		}
+		if si.sameSince.After(newest) {
+			newest = si.sameSince
+		}
 		load.PendingTokens += si.Report.Load.PendingTokens
 		load.ResidentTokens += si.Report.Load.ResidentTokens
 		load.Requests += si.Report.Load.Requests
 	}
+	// The members were probed one after the other. One may have died before
+	// another became ready, so that the group never was whole at one moment.
+	// Each member served from its first such answer to its last probe: the
+	// group was whole at a moment that lies within all of these times.
+	if oldest.Before(newest) {
+		return
+	}
 	co.permits.Add(permit.Evidence{Group: gr.ID, Fence: gr.Fence, Leader: ring[0], At: oldest, Load: load})
 }
 
+// sameMembership tells whether a VM has stayed in one state between two
+// reports: it can't leave a ring and come back to it with the same turn.
+func sameMembership(re, next fleet.Report) bool {
+	re.Load, next.Load = fleet.Load{}, fleet.Load{}
+	return re.Same(next)
+}
+
 // fresh returns the report of a VM that was seen within a permit's lifetime
 // and has not failed since.
 func (co *Core) fresh(vm string) (fleet.Report, bool) {
--- a/internal/core/control/steward.go
+++ b/internal/core/control/steward.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"reflect"
+	"slices"
 	"strings"
 	"time"
 
@@ -64,6 +65,8 @@
 	budget  float64
 	spentAt time.Time
 	account fleet.Account
+	// servingSince tells since when each group has been whole.
+	servingSince map[string]time.Time
 	// who is the steward that was announced last.
 	who stewardDoc
 }
@@ -76,9 +79,12 @@
 	vms    map[string]fleet.Sighting
 }
 
+// stewardDoc tells the daemons of a data center who its steward is. Name is
+// empty when there is none; Former then should not be the next.
 type stewardDoc struct {
-	Name  string `json:"name"`
-	Epoch uint64 `json:"epoch"`
+	Name   string `json:"name"`
+	Former string `json:"former,omitempty"`
+	Epoch  uint64 `json:"epoch"`
 }
 
 func newSteward() stewardState {
@@ -86,6 +92,8 @@
 		stored:  make(map[string]StoredDomain),
 		ordered: make(map[string]time.Time),
 		sources: make(map[string]*source),
+
+		servingSince: make(map[string]time.Time),
 	}
 }
 
@@ -111,18 +119,30 @@
 	if st.standing == holder {
 		co.emit(DropLease{Lease: st.lease})
 	}
-	epoch, who, rev := st.epoch, st.who, co.docs.Get(co.stewardDocName()).Revision
+	who := st.who
 	*st = newSteward()
 	st.who = who
-	if who.Name == co.set.Name {
-		co.publish(co.stewardDocName(), rev+1, stewardDoc{Epoch: epoch})
+	co.disclaim()
+}
+
+// disclaim contradicts the document that names this daemon as steward when it
+// is none. It also does so after a restart: the others, who see the daemon
+// alive, would wait for it and nobody would go for the lease.
+func (co *Core) disclaim() {
+	if who := co.steward.who; who.Name == co.set.Name && co.steward.standing != holder {
+		co.publishSteward(stewardDoc{Former: co.set.Name, Epoch: who.Epoch})
 	}
 }
 
+func (co *Core) publishSteward(sd stewardDoc) {
+	co.publish(co.stewardDocName(), co.docs.Get(co.stewardDocName()).Revision+1, sd)
+}
+
 func (co *Core) stewardRound() {
 	co.forgetDead()
 	st := &co.steward
 	if st.standing == follower {
+		co.disclaim()
 		co.tryAcquire()
 		return
 	}
@@ -142,7 +162,7 @@
 	if co.state != gossip.Serving || co.stewardLives() || !co.cfgKnown {
 		return
 	}
-	if !co.ranked(co.near(), "steward/"+co.set.DataCenter, 1) {
+	if !co.ranked(co.candidates(), "steward/"+co.set.DataCenter, 1) {
 		return
 	}
 	if co.every("acquire", acquirePause) {
@@ -150,6 +170,16 @@
 	}
 }
 
+// candidates returns the daemons that may become steward: not the former one,
+// which may be cut off from the platform, unless it is the only one.
+func (co *Core) candidates() []gossip.Daemon {
+	near := co.near()
+	if len(near) < 2 {
+		return near
+	}
+	return slices.DeleteFunc(near, func(dm gossip.Daemon) bool { return dm.Name == co.steward.who.Former })
+}
+
 func (co *Core) stewardLives() bool {
 	name := co.steward.who.Name
 	return name != "" && name != co.set.Name && co.daemons[name].State == gossip.Serving
@@ -162,8 +192,11 @@
 	case LeaseWon:
 		co.becomeSteward(ev)
 	case LeaseRenewed:
-		st.standing = holder
 		st.until = ev.SentAt.Add(co.set.Timing.Lease)
+		if st.standing == caretaker {
+			st.standing = holder
+			co.publishSteward(stewardDoc{Name: co.set.Name, Epoch: st.epoch})
+		}
 	case LeaseFailed:
 		// Only a failure met after the lease ran out shows that the platform
 		// is down for others too. A steward that was frozen has not met one
@@ -171,6 +204,9 @@
 		if st.standing != follower && ev.SentAt.After(st.until) {
 			st.standing = caretaker
 			st.until = ev.SentAt.Add(co.set.Timing.Lease)
+			// It may be this daemon alone that can't reach the platform: the
+			// others must not wait for it.
+			co.disclaim()
 		}
 	case LeaseLost:
 		if st.standing != follower {
@@ -377,9 +413,11 @@
 		Seen:       co.merged(),
 		Ordered:    st.ordered,
 		Epoch:      st.epoch,
-		LoadBudget: int(st.budget),
-		DrainAfter: co.set.Timing.Permit,
-		Policy:     co.set.Policy,
+
+		ServingSince: st.servingSince,
+		LoadBudget:   int(st.budget),
+		DrainAfter:   co.set.Timing.Permit,
+		Policy:       co.set.Policy,
 	}
 	for name, sd := range st.stored {
 		in.Domains[name] = sd.Domain
@@ -396,6 +434,7 @@
 	co.refill()
 	in := co.input()
 	st.account = fleet.Count(in)
+	co.noteServing()
 	if co.now.Before(st.quiet) && !co.allCheckFencing() {
 		return
 	}
@@ -410,6 +449,19 @@
 	}
 }
 
+// noteServing keeps since when each group has been whole.
+func (co *Core) noteServing() {
+	st := &co.steward
+	since := make(map[string]time.Time)
+	for _, group := range st.account.Whole {
+		since[group] = co.now
+		if at, ok := st.servingSince[group]; ok {
+			since[group] = at
+		}
+	}
+	st.servingSince = since
+}
+
 // taken tells whether this steward's epoch is written in the domain, or the
 // domain has no key yet.
 func (co *Core) taken(domain string) bool {
--- a/internal/core/fleet/plan.go
+++ b/internal/core/fleet/plan.go
@@ -48,7 +48,9 @@
 	Seen map[string]Sighting
 	// Ordered tells when each VM was last sent an order.
 	Ordered map[string]time.Time
-	Epoch   uint64
+	// ServingSince tells since when each group has been whole.
+	ServingSince map[string]time.Time
+	Epoch        uint64
 	// LoadBudget is how many weight loads may start now.
 	LoadBudget int
 	// DrainAfter is how long a draining group may still be sent requests by a
@@ -216,6 +218,13 @@
 	return ok
 }
 
+// settled tells whether gr has been whole for long enough that all daemons
+// have heard of it and send to it.
+func (pl *planner) settled(gr Group) bool {
+	since, ok := pl.in.ServingSince[gr.ID]
+	return ok && pl.serving(gr) && pl.in.Now.Sub(since) >= pl.in.DrainAfter
+}
+
 // idle tells whether the group has no request left, by its leader's word.
 func (pl *planner) idle(gr Group) bool {
 	for _, me := range gr.Members {
--- a/internal/core/fleet/repair.go
+++ b/internal/core/fleet/repair.go
@@ -279,7 +279,7 @@
 		pl.shrink(current, old, -missing)
 		return
 	}
-	if len(old) > 0 && draining == 0 && pl.allServing(current) {
+	if len(old) > 0 && draining == 0 && pl.allSettled(current) {
 		pl.roll(spec, old)
 	}
 	for _, lo := range current {
@@ -293,9 +293,9 @@
 	return gr.Model == mo.Name && gr.Version == mo.Version && gr.Size == mo.VMs && gr.Role == spec.Role
 }
 
-func (pl *planner) allServing(found []located) bool {
+func (pl *planner) allSettled(found []located) bool {
 	for _, lo := range found {
-		if !pl.serving(*lo.group()) {
+		if !pl.settled(*lo.group()) {
 			return false
 		}
 	}
@@ -335,7 +335,7 @@
 		return cmp.Compare(toInt(pl.serving(*a.group())), toInt(pl.serving(*b.group())))
 	})
 	candidates := append(old, current...)
-	if len(old) > 0 && !pl.allServing(current) {
+	if len(old) > 0 && !pl.allSettled(current) {
 		// A surge replica is not serving yet: what it replaces stays.
 		return
 	}
@@ -359,7 +359,7 @@
 // roll replaces one outdated replica: by a new one first where there is room,
 // else by draining one, and that only while all others serve.
 func (pl *planner) roll(spec intent.Group, old []located) {
-	if pl.form(spec) {
+	if pl.form(spec) || pl.roomSoon(spec) {
 		return
 	}
 	for _, lo := range old {
@@ -371,6 +371,25 @@
 	pl.drain(old[0])
 }
 
+// roomSoon tells whether a domain has room for spec once the VMs that were
+// told to leave their former group have done so.
+func (pl *planner) roomSoon(spec intent.Group) bool {
+	room := make(map[string]int)
+	for _, vm := range pl.in.VMs {
+		_, owned := pl.owner[vm.Name]
+		_, answers := pl.report(vm.Name)
+		if answers && !owned && !pl.leaving(vm.Name) {
+			room[vm.Domain]++
+		}
+	}
+	for _, num := range room {
+		if num >= pl.in.Config.Size(spec) {
+			return true
+		}
+	}
+	return false
+}
+
 // adapt puts changed adapters into the assignment. The ring stays as it is:
 // engines load adapters while they serve.
 func (pl *planner) adapt(spec intent.Group, lo located) {
@@ -391,6 +410,8 @@
 	Serving map[string]int
 	// Stranded is how many powered VMs belong to no serving group.
 	Stranded int
+	// Whole names the groups that serve.
+	Whole []string
 	// Powered is how many VMs answer.
 	Powered int
 }
@@ -402,6 +423,7 @@
 	busy := 0
 	for _, lo := range pl.groups(pl.serving) {
 		ac.Serving[lo.group().Spec]++
+		ac.Whole = append(ac.Whole, lo.group().ID)
 		busy += lo.group().Size
 	}
 	for _, vm := range in.VMs {
--- a/internal/daemon/act.go
+++ b/internal/daemon/act.go
@@ -83,8 +83,9 @@
 
 func (da *Daemon) pull(ctx context.Context, ac control.Pull) control.Event {
 	ev := control.Pulled{Peer: ac.Peer, SentAt: da.Clock.Now()}
-	if err := da.node.Call(ctx, ac.Peer, peer.PullRequest{}, &ev.Answer); err != nil {
-		return control.PullFailed(ac)
+	req := peer.PullRequest{From: da.Settings.Listen.Peer, Revision: ac.Revision}
+	if err := da.node.Call(ctx, ac.Peer, req, &ev.Answer); err != nil {
+		return control.PullFailed{Peer: ac.Peer}
 	}
 	return ev
 }
@@ -278,6 +279,9 @@
 		da.loop.Post(control.Revoked{Group: req.Group})
 		return peer.Done{}, nil
 	case peer.PullRequest:
+		if req.From != "" {
+			da.loop.Post(control.Asked{Peer: req.From, Revision: req.Revision})
+		}
 		da.loop.ask(ctx, func() { answer = da.loop.core.PullAt(da.Clock.Now()) })
 	case peer.DocsRequest:
 		da.loop.ask(ctx, func() { answer = peer.DocsAnswer{Docs: da.loop.core.Newer(req.Have)} })
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -28,7 +28,12 @@
 )
 
 // PullRequest asks for the digest: control.PullAnswer.
-type PullRequest struct{}
+type PullRequest struct {
+	// From is the peer address of the daemon that asks, Revision that of its
+	// own document; both are empty in a question for status pages.
+	From     string `cbor:"1,keyasint,omitempty"`
+	Revision uint64 `cbor:"2,keyasint,omitempty"`
+}
 
 // DocsRequest asks for newer documents: DocsAnswer.
 type DocsRequest struct {
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -4,74 +4,60 @@
 package standin
 
 import (
-	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
-	"sort"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 
 	"golang.org/x/time/rate"
 
+	"corianderhub.dev/corianderhub/internal/clock"
 	"corianderhub.dev/corianderhub/internal/platform"
 )
 
 // PlatformFaults are the faults a Platform can be told to show.
 type PlatformFaults struct {
-	// Down refuses every call.
-	Down bool `json:"down"`
+	StoreFaults
 	// Slow delays every call.
 	Slow time.Duration `json:"slow"`
-	// LoseAnswers is how many writes take effect without an answer.
-	LoseAnswers int `json:"lose-answers"`
-	// WatchGap makes the next watch report a gap instead of changes.
-	WatchGap bool `json:"watch-gap"`
 	// StaleList freezes the list of VMs.
 	StaleList bool `json:"stale-list"`
 }
 
-type storedValue struct {
-	value    []byte
-	revision uint64
-	lease    string
-}
+// Platform is the stand-in for the platform's API: a Store, the list of VMs
+// and the weight store. Make it with NewPlatform.
+type Platform struct {
+	Store *Store
 
-type lease struct {
-	ttl     time.Duration
-	expires time.Time
+	mu      sync.Mutex
+	vms     []platform.VM
+	frozen  []platform.VM
+	faults  PlatformFaults
+	weights *rate.Limiter
 }
 
-// Platform is the stand-in for the key-value service, the list of VMs and
-// the weight store. It keeps everything in memory. Set the fields before use.
-type Platform struct {
-	// VMs is the list of live and leaving VMs.
-	VMs []platform.VM
-	// WeightsPerMinute limits the weight store; zero means no limit.
-	WeightsPerMinute int
-	// Faults are the faults shown now; change them with SetFaults.
-	Faults PlatformFaults
-
-	mu       sync.Mutex
-	values   map[string]storedValue
-	leases   map[string]lease
-	revision uint64
-	changed  chan struct{}
-	frozen   []platform.VM
-	calls    map[string]int
-	weights  *rate.Limiter
+// NewPlatform returns a platform with that list of VMs, whose weight store
+// allows so many loads a minute; zero means no limit.
+func NewPlatform(vms []platform.VM, weightsPerMinute int) *Platform {
+	pl := &Platform{Store: NewStore(clock.System{}), vms: vms, weights: rate.NewLimiter(rate.Inf, 1)}
+	if weightsPerMinute > 0 {
+		pl.weights = rate.NewLimiter(rate.Every(time.Minute/time.Duration(weightsPerMinute)), weightsPerMinute)
+	}
+	return pl
 }
 
 // SetFaults replaces the faults shown.
 func (pl *Platform) SetFaults(pf PlatformFaults) {
+	pl.Store.SetFaults(pf.StoreFaults)
 	pl.mu.Lock()
 	defer pl.mu.Unlock()
-	if pf.StaleList && !pl.Faults.StaleList {
-		pl.frozen = append([]platform.VM(nil), pl.VMs...)
+	if pf.StaleList && !pl.faults.StaleList {
+		pl.frozen = append([]platform.VM(nil), pl.vms...)
 	}
-	pl.Faults = pf
+	pl.faults = pf
 }
 
 // SetVM adds a VM or changes the one of that name; an empty state removes it.
@@ -79,7 +65,7 @@
 	pl.mu.Lock()
 	defer pl.mu.Unlock()
 	var vms []platform.VM
-	for _, old := range pl.VMs {
+	for _, old := range pl.vms {
 		if old.Name != vm.Name {
 			vms = append(vms, old)
 		}
@@ -87,46 +73,22 @@
 	if vm.State != "" {
 		vms = append(vms, vm)
 	}
-	pl.VMs = vms
-}
-
-// Calls returns the number of calls by kind since the start.
-func (pl *Platform) Calls() map[string]int {
-	pl.mu.Lock()
-	defer pl.mu.Unlock()
-	calls := make(map[string]int, len(pl.calls))
-	for kind, num := range pl.calls {
-		calls[kind] = num
-	}
-	return calls
-}
-
-func (pl *Platform) init() {
-	if pl.values == nil {
-		pl.values = make(map[string]storedValue)
-		pl.leases = make(map[string]lease)
-		pl.calls = make(map[string]int)
-		pl.changed = make(chan struct{})
-		pl.weights = rate.NewLimiter(rate.Inf, 1)
-		if pl.WeightsPerMinute > 0 {
-			pl.weights = rate.NewLimiter(rate.Limit(float64(pl.WeightsPerMinute)/60), pl.WeightsPerMinute)
-		}
-	}
+	pl.vms = vms
 }
 
 // Handler serves the platform's API.
 func (pl *Platform) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /kv/{key...}", pl.counted("get", pl.get))
-	mux.HandleFunc("PUT /kv/{key...}", pl.counted("put", pl.put))
-	mux.HandleFunc("DELETE /kv/{key...}", pl.counted("delete", pl.delete))
-	mux.HandleFunc("GET /list", pl.counted("list", pl.list))
-	mux.HandleFunc("GET /watch", pl.counted("watch", pl.watch))
-	mux.HandleFunc("POST /leases", pl.counted("lease", pl.grant))
-	mux.HandleFunc("PUT /leases/{id}", pl.counted("lease", pl.renew))
-	mux.HandleFunc("DELETE /leases/{id}", pl.counted("lease", pl.revoke))
-	mux.HandleFunc("GET /vms", pl.counted("vms", pl.listVMs))
-	mux.HandleFunc("GET /weights/{model}/{version}", pl.counted("weights", pl.weight))
+	mux.HandleFunc("GET /kv/{key...}", pl.faulty(pl.get))
+	mux.HandleFunc("PUT /kv/{key...}", pl.faulty(pl.put))
+	mux.HandleFunc("DELETE /kv/{key...}", pl.faulty(pl.delete))
+	mux.HandleFunc("GET /list", pl.faulty(pl.list))
+	mux.HandleFunc("GET /watch", pl.faulty(pl.watch))
+	mux.HandleFunc("POST /leases", pl.faulty(pl.grant))
+	mux.HandleFunc("PUT /leases/{id}", pl.faulty(pl.renew))
+	mux.HandleFunc("DELETE /leases/{id}", pl.faulty(pl.revoke))
+	mux.HandleFunc("GET /vms", pl.faulty(pl.listVMs))
+	mux.HandleFunc("GET /weights/{model}/{version}", pl.faulty(pl.weight))
 	mux.HandleFunc("POST /vms", func(w http.ResponseWriter, req *http.Request) {
 		var vm platform.VM
 		if readJSON(w, req, &vm) {
@@ -139,21 +101,16 @@
 			pl.SetFaults(pf)
 		}
 	})
-	mux.HandleFunc("GET /calls", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, pl.Calls()) })
+	mux.HandleFunc("GET /calls", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, pl.Store.Calls()) })
 	return mux
 }
 
-func (pl *Platform) counted(kind string, next http.HandlerFunc) http.HandlerFunc {
+func (pl *Platform) faulty(next http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, req *http.Request) {
 		pl.mu.Lock()
-		pl.init()
-		pl.calls[kind]++
-		pl.lapse(time.Now())
-		pf := pl.Faults
+		pf := pl.faults
 		pl.mu.Unlock()
-		if pf.Slow > 0 {
-			time.Sleep(pf.Slow)
-		}
+		time.Sleep(pf.Slow)
 		if pf.Down {
 			http.Error(w, "down", http.StatusServiceUnavailable)
 			return
@@ -162,55 +119,32 @@
 	}
 }
 
-// lapse deletes the keys of leases that were not renewed. Callers hold mu.
-func (pl *Platform) lapse(now time.Time) {
-	for id, le := range pl.leases {
-		if now.After(le.expires) {
-			pl.drop(id)
-		}
-	}
-}
-
-func (pl *Platform) drop(id string) {
-	delete(pl.leases, id)
-	for key, sv := range pl.values {
-		if sv.lease == id {
-			delete(pl.values, key)
-			pl.bump()
-		}
-	}
-}
-
-func (pl *Platform) bump() uint64 {
-	pl.revision++
-	close(pl.changed)
-	pl.changed = make(chan struct{})
-	return pl.revision
-}
-
-// loseAnswer cuts the connection after a write took effect, if told to.
-func (pl *Platform) loseAnswer() {
-	pl.mu.Lock()
-	lose := pl.Faults.LoseAnswers > 0
-	if lose {
-		pl.Faults.LoseAnswers--
-	}
-	pl.mu.Unlock()
-	if lose {
+// failed answers for a call that failed and tells whether it did.
+func failed(w http.ResponseWriter, err error) bool {
+	switch {
+	case err == nil:
+		return false
+	case errors.Is(err, platform.ErrConflict):
+		http.Error(w, "conflict", http.StatusConflict)
+	case errors.Is(err, platform.ErrUnknown):
 		panic(http.ErrAbortHandler)
+	default:
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 	}
+	return true
 }
 
 func (pl *Platform) get(w http.ResponseWriter, req *http.Request) {
-	pl.mu.Lock()
-	sv, ok := pl.values[req.PathValue("key")]
-	pl.mu.Unlock()
-	if !ok {
+	en, err := pl.Store.Get(req.Context(), req.PathValue("key"))
+	if failed(w, err) {
+		return
+	}
+	if en.Revision == 0 {
 		http.NotFound(w, req)
 		return
 	}
-	w.Header().Set("Revision", strconv.FormatUint(sv.revision, 10))
-	w.Write(sv.value)
+	w.Header().Set("Revision", strconv.FormatUint(en.Revision, 10))
+	w.Write(en.Value)
 }
 
 func (pl *Platform) put(w http.ResponseWriter, req *http.Request) {
@@ -219,87 +153,33 @@
 		http.Error(w, "value too large", http.StatusRequestEntityTooLarge)
 		return
 	}
-	rev, ok := pl.swap(req.PathValue("key"), value, req.FormValue("if-revision"), req.FormValue("lease"))
-	if !ok {
-		http.Error(w, "conflict", http.StatusConflict)
-		return
+	rev, err := pl.Store.Put(req.Context(), req.PathValue("key"), value, revisionOf(req, "if-revision"), req.FormValue("lease"))
+	if !failed(w, err) {
+		w.Header().Set("Revision", strconv.FormatUint(rev, 10))
 	}
-	pl.loseAnswer()
-	w.Header().Set("Revision", strconv.FormatUint(rev, 10))
 }
 
-func (pl *Platform) swap(key string, value []byte, ifRev, leaseID string) (uint64, bool) {
-	pl.mu.Lock()
-	defer pl.mu.Unlock()
-	if strconv.FormatUint(pl.values[key].revision, 10) != ifRev {
-		return 0, false
-	}
-	if leaseID != "" {
-		if _, ok := pl.leases[leaseID]; !ok {
-			return 0, false
-		}
-	}
-	rev := pl.bump()
-	pl.values[key] = storedValue{value: value, revision: rev, lease: leaseID}
-	return rev, true
+func revisionOf(req *http.Request, name string) uint64 {
+	rev, _ := strconv.ParseUint(req.FormValue(name), 10, 64)
+	return rev
 }
 
 func (pl *Platform) delete(w http.ResponseWriter, req *http.Request) {
-	key := req.PathValue("key")
-	pl.mu.Lock()
-	ok := strconv.FormatUint(pl.values[key].revision, 10) == req.FormValue("if-revision")
-	if ok {
-		delete(pl.values, key)
-		pl.bump()
-	}
-	pl.mu.Unlock()
-	if !ok {
-		http.Error(w, "conflict", http.StatusConflict)
-		return
-	}
-	pl.loseAnswer()
-}
-
-func (pl *Platform) entries(prefix string, after uint64) []platform.Entry {
-	entries := []platform.Entry{}
-	for key, sv := range pl.values {
-		if strings.HasPrefix(key, prefix) && sv.revision > after {
-			entries = append(entries, platform.Entry{Key: key, Value: sv.value, Revision: sv.revision})
-		}
-	}
-	sort.Slice(entries, func(i, j int) bool { return entries[i].Key < entries[j].Key })
-	return entries
+	failed(w, pl.Store.Delete(req.Context(), req.PathValue("key"), revisionOf(req, "if-revision")))
 }
 
 func (pl *Platform) list(w http.ResponseWriter, req *http.Request) {
-	pl.mu.Lock()
-	entries := pl.entries(req.FormValue("prefix"), 0)
-	pl.mu.Unlock()
-	writeJSON(w, http.StatusOK, entries)
+	entries, err := pl.Store.List(req.Context(), req.FormValue("prefix"))
+	if !failed(w, err) {
+		writeJSON(w, http.StatusOK, entries)
+	}
 }
 
 func (pl *Platform) watch(w http.ResponseWriter, req *http.Request) {
-	after, _ := strconv.ParseUint(req.FormValue("after"), 10, 64)
 	wait, _ := time.ParseDuration(req.FormValue("wait"))
-	ctx, cancel := context.WithTimeout(req.Context(), wait)
-	defer cancel()
-	for {
-		pl.mu.Lock()
-		chs := platform.Changes{Entries: pl.entries(req.FormValue("prefix"), after), Revision: pl.revision, Gap: pl.Faults.WatchGap}
-		changed := pl.changed
-		pl.Faults.WatchGap = false
-		pl.mu.Unlock()
-		if chs.Gap {
-			chs.Entries = nil
-		}
-		if len(chs.Entries) > 0 || chs.Gap || ctx.Err() != nil {
-			writeJSON(w, http.StatusOK, chs)
-			return
-		}
-		select {
-		case <-ctx.Done():
-		case <-changed:
-		}
+	chs, err := pl.Store.Watch(req.Context(), req.FormValue("prefix"), revisionOf(req, "after"), wait)
+	if !failed(w, err) {
+		writeJSON(w, http.StatusOK, chs)
 	}
 }
 
@@ -309,37 +189,30 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	pl.mu.Lock()
-	id := "lease-" + strconv.FormatUint(pl.bump(), 10)
-	pl.leases[id] = lease{ttl: ttl, expires: time.Now().Add(ttl)}
-	pl.mu.Unlock()
-	io.WriteString(w, id)
+	id, err := pl.Store.Grant(req.Context(), ttl)
+	if !failed(w, err) {
+		io.WriteString(w, id)
+	}
 }
 
 func (pl *Platform) renew(w http.ResponseWriter, req *http.Request) {
-	pl.mu.Lock()
-	defer pl.mu.Unlock()
-	id := req.PathValue("id")
-	le, ok := pl.leases[id]
-	if !ok {
+	err := pl.Store.Renew(req.Context(), req.PathValue("id"))
+	if errors.Is(err, platform.ErrConflict) {
 		http.NotFound(w, req)
 		return
 	}
-	le.expires = time.Now().Add(le.ttl)
-	pl.leases[id] = le
+	failed(w, err)
 }
 
-func (pl *Platform) revoke(_ http.ResponseWriter, req *http.Request) {
-	pl.mu.Lock()
-	defer pl.mu.Unlock()
-	pl.drop(req.PathValue("id"))
+func (pl *Platform) revoke(w http.ResponseWriter, req *http.Request) {
+	failed(w, pl.Store.Revoke(req.Context(), req.PathValue("id")))
 }
 
 func (pl *Platform) listVMs(w http.ResponseWriter, req *http.Request) {
 	pl.mu.Lock()
 	defer pl.mu.Unlock()
-	vms := pl.VMs
-	if pl.Faults.StaleList {
+	vms := pl.vms
+	if pl.faults.StaleList {
 		vms = pl.frozen
 	}
 	picked := []platform.VM{}
