Resume broken answers through any group that is left

A stream that broke on every group once was given up although the groups still served; resuming spent the budget for retries, so that a dead engine with more streams than that lost answers; and a refusal after part of the answer was passed on as not-run.

Ruled out: lost or doubled tokens. The text was right up to the break.

Change: groups that were tried may be tried again, a resumed answer waits up to 5 s for a group, attempts that brought the answer forward are no charge to the budget, and an answer given in part never fails as not-run.

--- a/internal/caller/complete.go
+++ b/internal/caller/complete.go
@@ -24,8 +24,11 @@
 	bytesPerToken = 4
 	// defaultMaxTokens estimates an answer whose length is not limited.
 	defaultMaxTokens = 256
-	// maxAttempts bounds the groups tried for one completion.
-	maxAttempts = 4
+	// maxAttempts bounds the attempts at one completion.
+	maxAttempts = 6
+	// resumeWait is how long a broken answer waits for a group to go on with.
+	resumeWait  = 5 * time.Second
+	resumePause = 50 * time.Millisecond
 )
 
 var (
@@ -172,29 +175,25 @@
 func (se *Server) attempts(ctx context.Context, co *completion) error {
 	se.budget.Earn()
 	for try := 1; ; try++ {
-		gr := co.pool.router.Pick(co.rq)
+		had := co.count
+		gr := se.pick(ctx, co)
 		if gr == nil {
-			return errNoGroup()
+			return co.failed(errNoGroup())
 		}
-		co.rq.Except = append(co.rq.Except, gr)
-		err := se.attempt(ctx, co, gr)
-		if err == nil || co.finish != "" && ctx.Err() == nil {
+		ve := se.attempt(ctx, co, gr)
+		if ve == nil || co.finish != "" && ctx.Err() == nil {
 			// The engine said that the text is at its end; only what follows
 			// the text was lost, if anything.
 			return nil
 		}
-		ve := verdict.As(err)
-		co.ex.record.attempt(Attempt{At: se.Clock.Now(), Target: gr.ID, Reason: ve.Error(), Load: gr.Load()})
-		if co.count > 0 {
-			// Part of the answer was given: what the engine refused before does
-			// not make the whole request not run.
-			ve.Verdict = verdict.MayHaveRun
+		if !co.mayGoOn(ve) || ctx.Err() != nil || try == maxAttempts {
+			return co.failed(ve)
 		}
-		resumable := co.count == 0 || co.chat
-		final := ve.Code == verdict.CodeBadRequest || ve.Code == verdict.CodeCallerGone || ctx.Err() != nil || try == maxAttempts
-		again := resumable && !final && co.on.mayRetry(ve, true)
-		if !again || !se.budget.Spend() {
-			return ve
+		// An attempt that brought the answer forward costs the next one only
+		// what is left, so resuming it does not multiply load. One that did not
+		// is a retry, of which a fault must not cause too many.
+		if co.count == had && !se.budget.Spend() {
+			return co.failed(ve)
 		}
 		if co.count > 0 {
 			resumes.Inc()
@@ -202,8 +201,56 @@
 	}
 }
 
-// attempt sends the request to one group.
-func (se *Server) attempt(ctx context.Context, co *completion, gr *route.Group) error {
+// mayGoOn tells whether another attempt may follow the failure.
+func (co *completion) mayGoOn(ve *verdict.Error) bool {
+	if ve.Code == verdict.CodeBadRequest || ve.Code == verdict.CodeCallerGone {
+		return false
+	}
+	resumable := co.count == 0 || co.chat
+	return resumable && co.on.mayRetry(ve, true)
+}
+
+// failed returns the error for the caller. Once part of the answer was given,
+// what an engine refused since does not make the whole request not run.
+func (co *completion) failed(ve *verdict.Error) error {
+	if co.count > 0 {
+		ve.Verdict = verdict.MayHaveRun
+	}
+	return ve
+}
+
+// attempt sends the request to a group and returns nil once it is answered.
+func (se *Server) attempt(ctx context.Context, co *completion, gr *route.Group) *verdict.Error {
+	co.rq.Except = append(co.rq.Except, gr)
+	err := se.send(ctx, co, gr)
+	if err == nil {
+		return nil
+	}
+	ve := verdict.As(err)
+	co.ex.record.attempt(Attempt{At: se.Clock.Now(), Target: gr.ID, Reason: ve.Error(), Load: gr.Load()})
+	return ve
+}
+
+// pick returns a group that was not tried, or else one that was: a broken
+// stream does not mean that the group is gone. A caller who has part of the
+// answer waits a little for a group; others get their refusal at once.
+func (se *Server) pick(ctx context.Context, co *completion) *route.Group {
+	for waited := time.Duration(0); ; waited += resumePause {
+		if gr := co.pool.router.Pick(co.rq); gr != nil {
+			return gr
+		}
+		co.rq.Except = nil
+		if gr := co.pool.router.Pick(co.rq); gr != nil {
+			return gr
+		}
+		if co.count == 0 || waited >= resumeWait || se.Clock.Sleep(ctx, resumePause) != nil {
+			return nil
+		}
+	}
+}
+
+// send makes one attempt at a group.
+func (se *Server) send(ctx context.Context, co *completion, gr *route.Group) error {
 	ta, ok := se.Control.View().Find(gr.ID)
 	if !ok {
 		return notPermitted()
--- a/internal/caller/pools.go
+++ b/internal/caller/pools.go
@@ -180,7 +180,7 @@
 	}
 }
 
-func errNoGroup() error {
+func errNoGroup() *verdict.Error {
 	return &verdict.Error{Code: verdict.CodeNoGroup, Verdict: verdict.NotRun, RetryAfter: 2 * time.Second,
 		Message: "no group serves this model now"}
 }
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -58,6 +58,7 @@
 	faults EngineFaults
 	loads  int
 	served int
+	busy   int
 	slots  chan struct{}
 	// generation changes with each order, so that a load which an order has
 	// overtaken does not report ready.
@@ -313,6 +314,8 @@
 		return
 	}
 	defer en.exit()
+	en.work(1)
+	defer en.work(-1)
 	requestID := req.Header.Get(endpoint.HeaderRequestID)
 	if ef.Foreign {
 		requestID = "another-request"
@@ -337,6 +340,13 @@
 	}
 }
 
+// work counts what runs at this moment, for tests.
+func (en *Engine) work(num int) {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	en.busy += num
+}
+
 func (en *Engine) exit() {
 	if en.slots != nil {
 		<-en.slots
@@ -409,3 +419,24 @@
 	}
 	fmt.Fprintf(w, "data: {\"choices\":[{\"index\":0,\"text\":%q,\"finish_reason\":%s}]}\n\n", text, finish)
 }
+
+// Leads tells whether the engine leads a whole ring.
+func (en *Engine) Leads() bool {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	return en.whole
+}
+
+// Served returns how many completions ended whole.
+func (en *Engine) Served() int {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	return en.served
+}
+
+// Busy returns how many completions run now.
+func (en *Engine) Busy() int {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	return en.busy
+}
