Prove at most once and refusals as not run, in running processes

Cause: no test caused a lost claim, a silent service or a repeated key.

Found: a daemon that had refused a booking during an outage did not stop for two minutes, because giving a claim back that was never stored went on as long as one that was. A claim that is gone once no batch can be under way any more is now final, and a stop waits 15 s at most.

Ruled out: a claim kept by mistake.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -41,6 +41,9 @@
 	engineConns  = 64
 	serviceConns = 16
 	memberConns  = 1
+	// settleLimit bounds the wait for claims that are given back or recorded
+	// after their request was answered. One that is not stays claimed.
+	settleLimit = 15 * time.Second
 	// revisionTimeout bounds asking all daemons for their revisions.
 	revisionTimeout = 2 * time.Second
 )
@@ -56,7 +59,9 @@
 	// Planner selects the planner's decisions.
 	Planner fleet.Policy
 
+	// ctx is the context of all work; cancel ends it without draining.
 	ctx      context.Context
+	cancel   context.CancelFunc
 	loop     *loop
 	node     *peer.Node
 	platform *platform.Client
@@ -86,6 +91,7 @@
 	// Work goes on while the daemon drains, so it has a context of its own.
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
+	da.cancel = stop
 	da.build(work, tls, ls.peer)
 
 	var gr run.Group
@@ -182,7 +188,9 @@
 	if err := da.callers.Drain(limit); err != nil {
 		da.Log.Warn("Daemon: requests in flight were cut off.", "limit", time.Duration(ti.Drain))
 	}
-	da.claims.Wait(limit)
+	settle, cancel := context.WithTimeout(limit, settleLimit)
+	defer cancel()
+	da.claims.Wait(settle)
 	return nil
 }
 
--- a/internal/daemon/harness_test.go
+++ b/internal/daemon/harness_test.go
@@ -318,3 +318,8 @@
 	close(start)
 	wg.Wait()
 }
+
+// abort ends the daemon as SIGKILL would: nothing is drained or handed over.
+func (da *Daemon) abort() {
+	da.cancel()
+}
--- a/internal/platform/claims/book.go
+++ b/internal/platform/claims/book.go
@@ -68,9 +68,18 @@
 // Settle gives a claim back in the background, again and again if need be.
 func (bo *Book) Settle(op claim.Op) {
 	op.Kind = claim.Release
-	// An answer that the claim is gone is not taken as final: the acquire may
-	// still be on its way through the shard's owner.
-	bo.later(func(ctx context.Context) bool { return bo.Do(ctx, op).Answer == claim.Applied })
+	begin := bo.Clock.Now()
+	bo.later(func(ctx context.Context) bool {
+		switch bo.Do(ctx, op).Answer {
+		case claim.Applied:
+			return true
+		case claim.Gone:
+			// At first this is not final: the acquire may still be on its way
+			// through the shard's owner.
+			return bo.Clock.Now().Sub(begin) > batchTimeout
+		}
+		return false
+	})
 }
 
 // Record stores an outcome in the background.
