--- /dev/null
+++ b/internal/daemon/client_test.go
@@ -0,0 +1,62 @@
+package daemon
+
+import (
+	"context"
+	"strings"
+	"testing"
+
+	"github.com/openai/openai-go/v3"
+	"github.com/openai/openai-go/v3/option"
+)
+
+// A client library that knows nothing of corianderhub gets a streamed and a
+// plain answer, and its usual errors.
+func TestUnmodifiedClient(t *testing.T) {
+	sk := newStack(t, stackSize{daemons: 1, vms: 2, vmsPerGroup: 2, replicas: 1})
+	cl := openai.NewClient(option.WithBaseURL("http://"+sk.caller(0)+"/v1"), option.WithAPIKey(workspaceKey))
+	params := openai.ChatCompletionNewParams{
+		Model:     "linden",
+		MaxTokens: openai.Int(8),
+		Messages:  []openai.ChatCompletionMessageParamUnion{openai.UserMessage(question)},
+	}
+	t.Run("plain", func(t *testing.T) {
+		an, err := cl.Chat.Completions.New(context.Background(), params)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := an.Choices[0].Message.Content; got != want(8) || an.Choices[0].FinishReason != "stop" {
+			t.Errorf("answer = %q (%s), want %q", got, an.Choices[0].FinishReason, want(8))
+		}
+		if an.Usage.CompletionTokens != 8 {
+			t.Errorf("usage = %d tokens, want 8", an.Usage.CompletionTokens)
+		}
+	})
+	t.Run("streamed", func(t *testing.T) {
+		st := cl.Chat.Completions.NewStreaming(context.Background(), params)
+		var text strings.Builder
+		for st.Next() {
+			for _, cc := range st.Current().Choices {
+				text.WriteString(cc.Delta.Content)
+			}
+		}
+		if err := st.Err(); err != nil {
+			t.Fatal(err)
+		}
+		if text.String() != want(8) {
+			t.Errorf("answer = %q, want %q", text.String(), want(8))
+		}
+	})
+	t.Run("wrong key", func(t *testing.T) {
+		other := openai.NewClient(option.WithBaseURL("http://"+sk.caller(0)+"/v1"), option.WithAPIKey("wrong"), option.WithMaxRetries(0))
+		_, err := other.Chat.Completions.New(context.Background(), params)
+		if err == nil || !strings.Contains(err.Error(), "401") {
+			t.Errorf("error = %v, want 401", err)
+		}
+	})
+	t.Run("models", func(t *testing.T) {
+		page, err := cl.Models.List(context.Background())
+		if err != nil || len(page.Data) != 1 || page.Data[0].ID != "linden" {
+			t.Errorf("models = %+v, %v; want linden", page, err)
+		}
+	})
+}
--- a/internal/operator/file.go
+++ b/internal/operator/file.go
@@ -6,7 +6,9 @@
 import (
 	"errors"
 	"fmt"
+	"regexp"
 	"slices"
+	"strconv"
 	"strings"
 
 	"github.com/BurntSushi/toml"
@@ -66,8 +68,15 @@
 	return de, rd.problems
 }
 
+// typeError is how the TOML library words a value of the wrong type.
+var typeError = regexp.MustCompile(`^toml: line (\d+) \(last key "([^"]*)"\): (.*)$`)
+
 // tomlProblem keeps the position that the TOML library knows.
 func tomlProblem(file string, err error) admin.Problem {
+	if parts := typeError.FindStringSubmatch(err.Error()); parts != nil {
+		line, _ := strconv.Atoi(parts[1])
+		return admin.Problem{File: file, Line: line, Key: parts[2], Reason: parts[3]}
+	}
 	var pe toml.ParseError
 	if errors.As(err, &pe) {
 		return admin.Problem{File: file, Line: pe.Position.Line, Key: pe.LastKey, Reason: pe.Message}
