Order a load once, and load free VMs ahead

An order was repeated every 2 s until the weights were loaded, and an engine that starts a load anew with each order is never ready when loading takes longer. The stand-ins load in half a second, which hid it.

Ruled out: the weight store's pacing; the loads were not refused.

Change: a VM that follows its order is given three times its load time. Free VMs load the weights of their domain's most important group ahead (order prepare), so that a replacement needs no load; they are stranded either way.

Before (TestSlowLoadIsNotRepeated, failed first): not serving after 2 minutes at 30 s a load. After: serving, one order for each VM.

--- a/Makefile
+++ b/Makefile
@@ -18,5 +18,9 @@
 	go vet ./...
 	go tool staticcheck ./...
 
+# bench prints one row for each figure; it takes some minutes.
+bench:
+	go run ./cmd/bench
+
 test: lint
 	go test -race ./...
--- a/internal/core/control/hold_test.go
+++ b/internal/core/control/hold_test.go
@@ -590,6 +590,29 @@
 	}
 }
 
+// Loading takes far longer than the pause between orders. An engine that
+// starts a load anew with each order would never be ready: it is ordered once.
+func TestSlowLoadIsNotRepeated(t *testing.T) {
+	w := newWorld(t, 6)
+	w.addVMs("gent", "a", 4)
+	for _, en := range w.engines {
+		en.loadTime = 30 * time.Second
+	}
+	w.addDaemon("d1", "gent")
+	w.run(2 * time.Second)
+	mo := model
+	mo.LoadTime = intent.Duration(30 * time.Second)
+	if _, err := w.apply(w.daemons["d1"], "first", mo, spec); err != nil {
+		t.Fatal(err)
+	}
+	w.until("two groups serve", 2*time.Minute, w.allServe(2))
+	for _, vm := range w.vms {
+		if en := w.engines[vm.Name]; en.orders != 1 {
+			t.Errorf("%s got %d orders, want 1", vm.Name, en.orders)
+		}
+	}
+}
+
 // An operator raises a model's version. Each replica is replaced by a new one
 // first where there is room, so that the declared number serves throughout;
 // the world checks every step, and this test that at most one is ever away.
--- a/internal/core/control/steward.go
+++ b/internal/core/control/steward.go
@@ -484,8 +484,14 @@
 	if co.flying[flyOrder+vm.Name] || !co.taken(vm.Domain) {
 		return
 	}
-	if jo, ok := or.(fleet.Join); ok && jo.Loads {
+	switch or := or.(type) {
+	case fleet.Join:
+		if or.Loads {
+			st.budget--
+		}
+	case fleet.Prepare:
 		st.budget--
+	case fleet.Release:
 	}
 	st.ordered[vm.Name] = co.now
 	co.emitOnce(flyOrder+vm.Name, SendOrder{Order: or})
--- a/internal/core/control/world_test.go
+++ b/internal/core/control/world_test.go
@@ -389,6 +389,19 @@
 				re.Model, re.Version, re.Ready = or.Group.Model, or.Group.Version, true
 			}
 		})
+	case fleet.Prepare:
+		if or.Incarnation != en.incarnation || !en.unchecked && old(en.report, or.Fence, or.Turn) {
+			return
+		}
+		en.generation++
+		re, generation := &en.report, en.generation
+		re.Fence, re.Turn = or.Fence, or.Turn
+		w.at(en.loadTime, func() {
+			if en.generation == generation && !en.down {
+				en.loads++
+				re.Model, re.Version = or.Model, or.Version
+			}
+		})
 	case fleet.Release:
 		if or.Incarnation != en.incarnation || !en.unchecked && old(en.report, or.Fence, or.Turn) {
 			return
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -95,7 +95,7 @@
 	Leaving bool   `json:"leaving,omitempty"`
 }
 
-// Order tells an engine what to do. It is one of Join and Release.
+// Order tells an engine what to do. It is one of Join, Release and Prepare.
 type Order interface {
 	// Target is the VM that the order is for.
 	Target() VM
@@ -122,12 +122,27 @@
 	Turn        uint64
 }
 
+// Prepare makes a free VM load weights ahead, so that it can take a lost
+// member's place without the time of a load. The VM stays free.
+type Prepare struct {
+	VM          VM
+	Incarnation string
+	Fence       uint64
+	Turn        uint64
+	Model       string
+	Version     string
+}
+
+// Target implements Order.
+func (pr Prepare) Target() VM { return pr.VM }
+
 // Target implements Order.
 func (jo Join) Target() VM { return jo.VM }
 
 // Target implements Order.
 func (re Release) Target() VM { return re.VM }
 
+func (Prepare) isOrder() {}
 func (Join) isOrder()    {}
 func (Release) isOrder() {}
 
--- a/internal/core/fleet/plan.go
+++ b/internal/core/fleet/plan.go
@@ -19,6 +19,10 @@
 	OrderInterval = 2 * time.Second
 	// DrainLimit is how long a draining group may finish its requests.
 	DrainLimit = 5 * time.Minute
+	// A load is given up, and ordered again, after loadPatience times its usual
+	// time and minLoadPatience: the weight store may make engines wait.
+	loadPatience    = 3
+	minLoadPatience = 10 * time.Second
 	// blindShare is the share of VMs that may fail at once before the planner
 	// suspects its own connection rather than the VMs.
 	blindShare = 0.6
@@ -110,6 +114,7 @@
 		pl.adjust(gr)
 	}
 	pl.emitWrites()
+	pl.prepareFree()
 	return pl.out
 }
 
@@ -301,12 +306,12 @@
 	for i, rm := range ring {
 		names[i] = rm.VM
 	}
-	settled := re.Group == gr.ID && re.Fence == gr.Fence && re.Turn == turn && slices.Equal(re.Ring, names) &&
-		re.Model == gr.Model && re.Version == gr.Version && slices.Equal(re.Adapters, gr.Adapters)
-	if settled || !pl.due(me.VM) {
+	loads := re.Model != gr.Model || re.Version != gr.Version
+	follows := re.Group == gr.ID && re.Fence == gr.Fence && re.Turn == turn && slices.Equal(re.Ring, names) &&
+		slices.Equal(re.Adapters, gr.Adapters)
+	if follows && (!loads || pl.loading(gr, me.VM)) || !pl.due(me.VM) {
 		return
 	}
-	loads := re.Model != gr.Model || re.Version != gr.Version
 	if loads && pl.in.LoadBudget <= 0 {
 		return
 	}
@@ -317,6 +322,14 @@
 	pl.out.Orders = append(pl.out.Orders, Join{VM: target, Incarnation: me.Incarnation, Group: gr, Ring: ring, Turn: turn, Loads: loads})
 }
 
+// loading tells whether a VM that follows its order may still be loading. It
+// is not ordered again meanwhile: some engines would start the load anew.
+func (pl *planner) loading(gr Group, vm string) bool {
+	at, ok := pl.in.Ordered[vm]
+	patience := loadPatience*time.Duration(pl.in.Config.Models[gr.Model].LoadTime) + minLoadPatience
+	return ok && pl.in.Now.Sub(at) < patience
+}
+
 func (pl *planner) due(vm string) bool {
 	at, ok := pl.in.Ordered[vm]
 	return !ok || pl.in.Now.Sub(at) >= OrderInterval
--- a/internal/core/fleet/repair.go
+++ b/internal/core/fleet/repair.go
@@ -121,13 +121,69 @@
 	if re, ok := pl.report(me.VM); ok && re.Group == "" && re.Incarnation != me.Incarnation && !pl.leaving(me.VM) {
 		return pl.vms[me.VM], pl.vms[me.VM].Domain == domain
 	}
-	free := pl.freeIn(domain)
+	return pl.warmest(pl.freeIn(domain), pl.groupOf(me.VM))
+}
+
+// groupOf returns the group that the VM is assigned to.
+func (pl *planner) groupOf(vm string) Group {
+	for _, lo := range pl.groups(func(gr Group) bool { return gr.ID == pl.owner[vm] }) {
+		return *lo.group()
+	}
+	return Group{}
+}
+
+// warmest returns a VM that has the group's weights already, or else any.
+func (pl *planner) warmest(free []VM, gr Group) (VM, bool) {
+	for _, vm := range free {
+		if pl.warm(vm, gr) {
+			return vm, true
+		}
+	}
 	if len(free) == 0 {
 		return VM{}, false
 	}
 	return free[0], true
 }
 
+// prepareFree has free VMs load the weights of the most important group of
+// their domain, with what is left of the budget for loads. A replacement then
+// costs a group the time to re-form its ring and not that of a load. Free VMs
+// strand no more accelerators for having weights in them.
+func (pl *planner) prepareFree() {
+	if pl.in.Policy == FirstFit {
+		return
+	}
+	for _, name := range pl.names {
+		gr, ok := pl.mostImportant(name)
+		if !ok {
+			continue
+		}
+		for _, vm := range pl.freeIn(name) {
+			pl.prepare(vm, gr)
+		}
+	}
+}
+
+func (pl *planner) mostImportant(domain string) (Group, bool) {
+	var best Group
+	for _, gr := range pl.work[domain].Groups {
+		if gr.DrainingSince.IsZero() && (best.ID == "" || pl.priority(gr) > pl.priority(best)) {
+			best = gr
+		}
+	}
+	return best, best.ID != ""
+}
+
+func (pl *planner) prepare(vm VM, gr Group) {
+	re := pl.in.Seen[vm.Name].Report
+	if pl.warm(vm, gr) || pl.in.LoadBudget <= 0 || !pl.due(vm.Name) || pl.loading(gr, vm.Name) {
+		return
+	}
+	pl.in.LoadBudget--
+	pl.out.Orders = append(pl.out.Orders, Prepare{VM: vm, Incarnation: re.Incarnation,
+		Fence: pl.in.Domains[vm.Domain].Sequence, Turn: max(re.Turn, pl.in.Epoch<<turnBits), Model: gr.Model, Version: gr.Version})
+}
+
 // makeRoom drains a less important group of the same domain when its VMs can
 // complete this one, if the weights say that this costs less. The VMs are
 // used in a later plan, once they have been released.
@@ -312,7 +368,7 @@
 	mo := pl.in.Config.Models[spec.Model]
 	gr := Group{ID: pl.unusedID(spec, do), Spec: spec.Name, Model: mo.Name, Version: mo.Version,
 		Role: spec.Role, Adapters: mo.Adapters, Fence: unnumbered, Size: mo.VMs}
-	for _, vm := range pl.freeIn(name)[:pl.in.Config.Size(spec)] {
+	for _, vm := range pl.warmFirst(pl.freeIn(name), gr)[:pl.in.Config.Size(spec)] {
 		gr.Members = append(gr.Members, pl.member(vm, gr.ID))
 	}
 	do.Groups = append(do.Groups, gr)
@@ -320,6 +376,19 @@
 	return true
 }
 
+// warmFirst sorts VMs that have the group's weights to the front.
+func (pl *planner) warmFirst(free []VM, gr Group) []VM {
+	slices.SortStableFunc(free, func(a, b VM) int {
+		return cmp.Compare(toInt(!pl.warm(a, gr)), toInt(!pl.warm(b, gr)))
+	})
+	return free
+}
+
+func (pl *planner) warm(vm VM, gr Group) bool {
+	re := pl.in.Seen[vm.Name].Report
+	return re.Model == gr.Model && re.Version == gr.Version
+}
+
 func (pl *planner) unusedID(spec intent.Group, do *Domain) string {
 	id := groupID(spec.Name, do)
 	for slices.ContainsFunc(do.Groups, func(gr Group) bool { return gr.ID == id }) {
--- a/internal/endpoint/member.go
+++ b/internal/endpoint/member.go
@@ -32,7 +32,7 @@
 
 // OrderBody is an order on the wire.
 type OrderBody struct {
-	// Kind is "join" or "release".
+	// Kind is "join", "release" or "prepare".
 	Kind        string        `json:"kind"`
 	Incarnation string        `json:"incarnation"`
 	Fence       uint64        `json:"fence"`
@@ -55,6 +55,7 @@
 const (
 	KindJoin    = "join"
 	KindRelease = "release"
+	KindPrepare = "prepare"
 )
 
 const (
@@ -130,6 +131,8 @@
 			body.Ring = append(body.Ring, RingAddress{VM: me.VM, Address: me.Address})
 		}
 		return body
+	case fleet.Prepare:
+		return OrderBody{Kind: KindPrepare, Incarnation: or.Incarnation, Fence: or.Fence, Turn: or.Turn, Model: or.Model, Version: or.Version}
 	case fleet.Release:
 		return OrderBody{Kind: KindRelease, Incarnation: or.Incarnation, Fence: or.Fence, Turn: or.Turn}
 	}
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -63,6 +63,7 @@
 	// generation changes with each order, so that a load which an order has
 	// overtaken does not report ready.
 	generation int
+	loading    bool
 }
 
 const (
@@ -197,12 +198,21 @@
 		http.Error(w, "old order", http.StatusConflict)
 		return
 	}
+	if ob.Fence == en.report.Fence && ob.Turn == en.report.Turn && ob.Group == en.report.Group && en.loading {
+		return
+	}
 	en.generation++
+	en.loading = false
 	en.report.Fence, en.report.Turn = ob.Fence, ob.Turn
 	if ob.Kind == endpoint.KindRelease {
 		en.report.Group, en.report.Ready, en.report.Ring, en.ring, en.whole = "", false, nil, nil, false
 		return
 	}
+	if ob.Kind == endpoint.KindPrepare {
+		en.loading = true
+		go en.load(ob, en.generation)
+		return
+	}
 	en.join(ob)
 }
 
@@ -221,6 +231,7 @@
 		return
 	}
 	en.report.Ready = false
+	en.loading = true
 	go en.load(ob, en.generation)
 }
 
@@ -242,7 +253,8 @@
 		return
 	}
 	en.loads++
-	en.report.Model, en.report.Version, en.report.Ready = ob.Model, ob.Version, true
+	en.loading = false
+	en.report.Model, en.report.Version, en.report.Ready = ob.Model, ob.Version, ob.Kind == endpoint.KindJoin
 }
 
 // completionBody is what the stand-in reads of a request.
