Pull from a few partners instead of always new daemons

Each round pulled from three random daemons, so that nearly every pull of a large system pays a QUIC handshake with client certificates.

Ruled out: the digests. Without groups an answer has some 40 bytes.

Change: a daemon pulls from five ranked daemons of its data center, three of others and the next by name, whose connections stay open; a loss is told to the region, not to all.

--- a/cmd/bench/control.go
+++ b/cmd/bench/control.go
@@ -25,7 +25,7 @@
 )
 
 const (
-	settleTime  = 8 * time.Second
+	settleTime  = 15 * time.Second
 	measureTime = 8 * time.Second
 	firstPort   = 21000
 	benchToken  = "bench"
--- a/internal/caller/pools.go
+++ b/internal/caller/pools.go
@@ -84,8 +84,8 @@
 func capacity(groups []*route.Group, daemons int) int64 {
 	total := int64(0)
 	for _, gr := range groups {
-		part := gr.Capacity / int64(daemons)
-		free := max(0, gr.Capacity-gr.Load())
+		part := gr.Capacity() / int64(daemons)
+		free := max(0, gr.Capacity()-gr.Load())
 		total += max(part, gr.Open()+free/int64(daemons))
 	}
 	return total
--- a/internal/core/control/control.go
+++ b/internal/core/control/control.go
@@ -65,6 +65,10 @@
 const (
 	// pullPeers is how many peers are pulled from in a round.
 	pullPeers = 3
+	// nearPartners and farPartners are how many daemons of its own data center
+	// and of others a daemon pulls from, besides the next by name.
+	nearPartners = 5
+	farPartners  = 3
 	// probers is how many daemons probe a group.
 	probers = 2
 	// probeCost is what one probe takes on the wire, both ways, in bytes.
--- a/internal/core/control/members.go
+++ b/internal/core/control/members.go
@@ -102,9 +102,9 @@
 	return an
 }
 
-// pullRound pulls from a few peers: suspects first, then random ones, mostly
-// of this data center, and now and then a seed or a dead one, so that a cut
-// heals without anybody's help.
+// pullRound pulls from a few peers: suspects first, then random ones of this
+// daemon's partners, mostly of its data center, and now and then a seed or a
+// dead one, so that a cut heals without anybody's help.
 func (co *Core) pullRound() {
 	if !co.every("pull", co.set.Timing.Pull) {
 		return
@@ -114,10 +114,10 @@
 	co.suspect = nil
 	near, far, lost := co.peers()
 	if co.round%5 == 0 || len(near)+len(far) == 0 {
-		picked = append(picked, sample(append(lost, co.set.Seeds...), 1)...)
+		picked = append(picked, sample(append(addresses(lost), co.set.Seeds...), 1)...)
 	}
-	picked = append(picked, sample(near, pullPeers-1)...)
-	picked = append(picked, sample(far, 1)...)
+	picked = append(picked, sample(co.partners(near, nearPartners), pullPeers-1)...)
+	picked = append(picked, sample(co.partners(far, farPartners), 1)...)
 	for _, addr := range picked {
 		if addr != co.set.Peer {
 			co.emitOnce(flyPull+addr, Pull{Peer: addr, Revision: co.SelfRevision()})
@@ -125,19 +125,56 @@
 	}
 }
 
-// peers returns the other daemons' addresses: living ones of this data
-// center, living ones elsewhere, and dead ones.
-func (co *Core) peers() (near, far, lost []string) {
+// partners returns the addresses of the few daemons that this one pulls from:
+// num by their rendezvous hash, and the next by name, so that everybody is
+// pulled from by somebody. With always new partners the handshakes would cost
+// many times what the pulls do.
+func (co *Core) partners(dms []gossip.Daemon, num int) []string {
+	picked := gossip.Ranked(dms, co.set.Name, num)
+	if next := co.successor(dms); next >= 0 && !slices.Contains(picked, dms[next]) {
+		picked = append(picked, dms[next])
+	}
+	return addresses(picked)
+}
+
+// successor returns the place of the daemon whose name follows this one's.
+func (co *Core) successor(dms []gossip.Daemon) int {
+	if len(dms) == 0 {
+		return -1
+	}
+	next := slices.IndexFunc(dms, func(dm gossip.Daemon) bool { return dm.Name > co.set.Name })
+	return max(0, next)
+}
+
+func addresses(dms []gossip.Daemon) []string {
+	var addrs []string
+	for _, dm := range dms {
+		addrs = append(addrs, dm.Peer)
+	}
+	return addrs
+}
+
+// region returns the peer addresses of the living daemons of this region, who
+// may send to its groups.
+func (co *Core) region() []string {
+	near, far, _ := co.peers()
+	far = slices.DeleteFunc(far, func(dm gossip.Daemon) bool { return dm.Region != co.set.Region })
+	return addresses(append(near, far...))
+}
+
+// peers returns the other daemons: living ones of this data center, living
+// ones elsewhere, and dead ones, each in the order of their names.
+func (co *Core) peers() (near, far, lost []gossip.Daemon) {
 	for _, name := range sortedKeys(co.daemons) {
 		dm := co.daemons[name]
 		switch {
 		case name == co.set.Name:
 		case dm.State == gossip.Dead:
-			lost = append(lost, dm.Peer)
+			lost = append(lost, dm)
 		case dm.DataCenter == co.set.DataCenter:
-			near = append(near, dm.Peer)
+			near = append(near, dm)
 		default:
-			far = append(far, dm.Peer)
+			far = append(far, dm)
 		}
 	}
 	return near, far, lost
--- a/internal/core/control/probing.go
+++ b/internal/core/control/probing.go
@@ -230,8 +230,7 @@
 func (co *Core) judge(gr fleet.Group, ev Probed) {
 	if co.denies(gr, ev) {
 		if co.permits.Revoke(gr.ID, co.now) {
-			near, far, _ := co.peers()
-			co.emit(Announce{Group: gr.ID, Peers: append(near, far...)})
+			co.emit(Announce{Group: gr.ID, Peers: co.region()})
 		}
 		return
 	}
--- a/internal/core/control/steward.go
+++ b/internal/core/control/steward.go
@@ -23,12 +23,8 @@
 	quietTime = 2 * time.Second
 	// planPause is the pause between two plans.
 	planPause = 250 * time.Millisecond
-	// sightingsPause is the pause between two pulls of sightings.
-	sightingsPause = time.Second
 	// acquirePause is the pause between two tries for the lease.
 	acquirePause = time.Second
-	// sourceLimit is how long a prober's sightings count without an answer.
-	sourceLimit = 6 * time.Second
 	// revisionBits leaves room for a steward's documents within its epoch.
 	revisionBits = 20
 	// loadBurst is how many weight loads may start at once after a pause.
@@ -71,14 +67,6 @@
 	who stewardDoc
 }
 
-// source is one daemon's sightings.
-type source struct {
-	boot   int64
-	change uint64
-	at     time.Time
-	vms    map[string]fleet.Sighting
-}
-
 // stewardDoc tells the daemons of a data center who its steward is. Name is
 // empty when there is none; Former then should not be the next.
 type stewardDoc struct {
@@ -316,91 +304,6 @@
 	co.emitOnce(flyWrite+dom.Name, WriteDomain{Domain: dom, IfRevision: co.steward.stored[dom.Name].Revision})
 }
 
-func (co *Core) pullSightings() {
-	if !co.every("sightings", sightingsPause) {
-		return
-	}
-	for _, dm := range co.near() {
-		if dm.Name == co.set.Name {
-			co.takeSightings(dm.Name, co.now, co.SightingsAt(co.now, co.sourceOf(dm.Name).change))
-			continue
-		}
-		co.emitOnce(flySightings+dm.Name, PullSightings{Daemon: dm.Name, Peer: dm.Peer, Since: co.sourceOf(dm.Name).change})
-	}
-}
-
-func (co *Core) sourceOf(daemon string) *source {
-	so, ok := co.steward.sources[daemon]
-	if !ok {
-		so = &source{vms: make(map[string]fleet.Sighting)}
-		co.steward.sources[daemon] = so
-	}
-	return so
-}
-
-func (co *Core) sightingsArrived(ev SightingsArrived) {
-	delete(co.flying, flySightings+ev.Daemon)
-	if ev.Answer != nil && co.steward.standing != follower {
-		co.takeSightings(ev.Daemon, ev.SentAt, *ev.Answer)
-	}
-}
-
-func (co *Core) takeSightings(daemon string, sentAt time.Time, an SightingsAnswer) {
-	so := co.sourceOf(daemon)
-	restarted := an.Boot != so.boot
-	if restarted || an.Whole {
-		*so = source{boot: an.Boot, vms: make(map[string]fleet.Sighting)}
-	}
-	if restarted && !an.Whole {
-		// The changes continue a former run's count: ask for everything.
-		return
-	}
-	so.change = an.Change
-	so.at = sentAt
-	for _, vm := range an.Dropped {
-		delete(so.vms, vm)
-	}
-	for _, sa := range an.VMs {
-		so.vms[sa.VM] = fleet.Sighting{Report: sa.Report, At: aged(sentAt, sa.SeenAgeMS), FailingSince: aged(sentAt, sa.FailingAgeMS)}
-	}
-}
-
-func aged(from time.Time, ms int64) time.Time {
-	if ms < 0 {
-		return time.Time{}
-	}
-	return from.Add(-time.Duration(ms) * time.Millisecond)
-}
-
-// merged joins the probers' sightings. A VM fails only while every prober
-// that sees it says so: one prober that is cut off is no evidence of a death.
-func (co *Core) merged() map[string]fleet.Sighting {
-	seen := make(map[string]fleet.Sighting)
-	for _, name := range sortedKeys(co.steward.sources) {
-		so := co.steward.sources[name]
-		if co.now.Sub(so.at) > sourceLimit {
-			continue
-		}
-		for vm, si := range so.vms {
-			old, ok := seen[vm]
-			if !ok || better(si, old) {
-				seen[vm] = si
-			}
-		}
-	}
-	return seen
-}
-
-func better(si, than fleet.Sighting) bool {
-	if si.FailingSince.IsZero() != than.FailingSince.IsZero() {
-		return si.FailingSince.IsZero()
-	}
-	if !si.FailingSince.IsZero() {
-		return si.FailingSince.After(than.FailingSince)
-	}
-	return si.At.After(than.At)
-}
-
 // input returns what a plan depends on now.
 func (co *Core) input() fleet.Input {
 	st := &co.steward
--- a/internal/core/permit/permit.go
+++ b/internal/core/permit/permit.go
@@ -36,7 +36,7 @@
 
 // Table holds the newest evidence for each group. Make it with NewTable.
 type Table struct {
-	// Lifetime is how long evidence permits after it was gathered.
+	// lifetime is how long evidence permits after it was gathered.
 	lifetime time.Duration
 	newest   map[string]Evidence
 	revoked  map[string]time.Time
--- a/internal/core/route/route.go
+++ b/internal/core/route/route.go
@@ -31,9 +31,8 @@
 // are safe for use by several goroutines.
 type Group struct {
 	ID       string
-	Near     bool
-	Capacity int64
 	slot     uint32
+	capacity atomic.Int64
 	reported atomic.Int64
 	requests atomic.Int64
 	// open counts the tokens and requests of this daemon that have not ended.
@@ -54,6 +53,9 @@
 	return max(gr.reported.Load()+gr.current.Load()+gr.previous.Load(), gr.openTokens.Load())
 }
 
+// Capacity returns how many tokens the group holds.
+func (gr *Group) Capacity() int64 { return gr.capacity.Load() }
+
 // Open returns the tokens that this daemon has open on the group.
 func (gr *Group) Open() int64 { return gr.openTokens.Load() }
 
@@ -179,8 +181,7 @@
 		gr = &Group{ID: ta.ID, slot: ro.nextID}
 		ro.byID[ta.ID] = gr
 	}
-	gr.Near = ta.Near
-	gr.Capacity = ta.Capacity
+	gr.capacity.Store(ta.Capacity)
 	if ta.ReportedAt.After(gr.reportedAt) {
 		gr.reportedAt = ta.ReportedAt
 		gr.reported.Store(ta.Reported)
@@ -297,7 +298,7 @@
 func (gr *Group) cost(prefill int64) int64 {
 	co := gr.Load() + prefill
 	if gr.slow.Load() {
-		co = co*slowFactor + gr.Capacity/slowFactor
+		co = co*slowFactor + gr.capacity.Load()/slowFactor
 	}
 	return co
 }
--- a/internal/daemon/answer_test.go
+++ b/internal/daemon/answer_test.go
@@ -215,8 +215,8 @@
 		stop := make(chan struct{})
 		var wg sync.WaitGroup
 		for i := range 4 {
+			cl := sk.client(i % 3)
 			wg.Go(func() {
-				cl := sk.client(i % 3)
 				for {
 					select {
 					case <-stop:
