--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -13,7 +13,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -67,7 +66,7 @@
 
 	budget   *retry.Budget
 	picker   addressPicker
-	inFlight sync.WaitGroup
+	inFlight inFlight
 }
 
 // Handler returns the handler for callers.
@@ -84,20 +83,8 @@
 	return mux
 }
 
-// Drain returns when no request is in flight or ctx ends.
-func (se *Server) Drain(ctx context.Context) error {
-	done := make(chan struct{})
-	go func() {
-		se.inFlight.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
+// Drain refuses new requests and returns when none is in flight or ctx ends.
+func (se *Server) Drain(ctx context.Context) error { return se.inFlight.close(ctx) }
 
 // exchange is one authorized request of a caller.
 type exchange struct {
@@ -120,9 +107,13 @@
 // reports the error that next returns.
 func (se *Server) authorized(next exchangeHandler) http.HandlerFunc {
 	return func(w http.ResponseWriter, req *http.Request) {
-		se.inFlight.Add(1)
-		defer se.inFlight.Done()
 		ex := &exchange{id: uuid.NewString(), view: se.Control.View(), w: w, req: req}
+		if !se.inFlight.enter() {
+			writeError(w, ex.id, &verdict.Error{Code: verdict.CodeStopping, Verdict: verdict.NotRun, RetryAfter: time.Second,
+				Message: "this daemon is stopping; ask /v1/entries for another"})
+			return
+		}
+		defer se.inFlight.leave()
 		w.Header().Set(endpoint.HeaderRequestID, ex.id)
 		ex.record = se.Journal.open(ex.id, req.URL.Path, se.Clock.Now())
 		ctx, cancel, err := se.prepare(ex)
