Name the line of every wrong setting

Cause: settings named file, key and reason but no line, declarations all four.

Change: both use the same locator, and the same wording of the TOML library's own errors, which settings had a copy of.

--- a/internal/daemon/settings.go
+++ b/internal/daemon/settings.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/hex"
-	"errors"
 	"fmt"
 	"net"
 	"os"
@@ -13,6 +12,8 @@
 
 	"corianderhub.dev/corianderhub/internal/core/control"
 	"corianderhub.dev/corianderhub/internal/core/intent"
+	"corianderhub.dev/corianderhub/internal/operator"
+	"corianderhub.dev/corianderhub/pkg/admin"
 )
 
 // Settings are a daemon's own, read from a TOML file at its start. What all
@@ -106,14 +107,20 @@
 	var set Settings
 	md, err := toml.Decode(text, &set)
 	if err != nil {
-		return set, &SettingsError{[]string{tomlText(file, err)}}
+		return set, &SettingsError{[]string{operator.TOMLProblem(file, err).String()}}
 	}
+	lines := operator.NewLocator(text)
 	var problems []string
 	for _, key := range md.Undecoded() {
-		problems = append(problems, fmt.Sprintf("%s: %s: unknown key", file, key))
+		problems = append(problems, admin.Problem{File: file, Line: lines.Key(key), Key: key.String(), Reason: "unknown key"}.String())
 	}
-	for _, problem := range set.check() {
-		problems = append(problems, file+": "+problem)
+	for _, pr := range set.check() {
+		table, key, ok := strings.Cut(pr.key, ".")
+		line := lines.Top(pr.key)
+		if ok {
+			line = lines.Field(table, 0, key)
+		}
+		problems = append(problems, admin.Problem{File: file, Line: line, Key: pr.key, Reason: pr.reason}.String())
 	}
 	if len(problems) > 0 {
 		return set, &SettingsError{problems}
@@ -122,19 +129,14 @@
 	return set, nil
 }
 
-func tomlText(file string, err error) string {
-	var pe toml.ParseError
-	if errors.As(err, &pe) {
-		return fmt.Sprintf("%s:%d: %s: %s", file, pe.Position.Line, pe.LastKey, pe.Message)
-	}
-	return file + ": " + err.Error()
-}
+// problem is one setting that is wrong.
+type problem struct{ key, reason string }
 
-func (set Settings) check() []string {
-	var problems []string
+func (set Settings) check() []problem {
+	var problems []problem
 	want := func(ok bool, key, reason string) {
 		if !ok {
-			problems = append(problems, key+": "+reason)
+			problems = append(problems, problem{key, reason})
 		}
 	}
 	want(set.Name != "" && !strings.ContainsAny(set.Name, "/ "), "name", "must be a name without spaces and slashes")
@@ -157,8 +159,12 @@
 	digest, err := hex.DecodeString(set.Operator.TokenSHA256)
 	want(err == nil && len(digest) == 32, "operator.token-sha256", "must be the 64 hex digits of a SHA-256 digest")
 	ti := set.Timing
-	for _, du := range []intent.Duration{ti.Probe, ti.Sweep, ti.Permit, ti.Pull, ti.Lease, ti.List, ti.Entries, ti.Stall, ti.Drain} {
-		want(du >= 0, "timing", "must not be negative")
+	for _, du := range []struct {
+		key string
+		val intent.Duration
+	}{{"probe", ti.Probe}, {"sweep", ti.Sweep}, {"permit", ti.Permit}, {"pull", ti.Pull}, {"lease", ti.Lease},
+		{"list", ti.List}, {"entries", ti.Entries}, {"stall", ti.Stall}, {"drain", ti.Drain}} {
+		want(du.val >= 0, "timing."+du.key, "must not be negative")
 	}
 	want(ti.Permit == 0 || ti.Probe == 0 || ti.Permit >= 2*ti.Probe, "timing.permit", "must be at least twice timing.probe")
 	return problems
--- a/internal/operator/file.go
+++ b/internal/operator/file.go
@@ -4,12 +4,8 @@
 package operator
 
 import (
-	"errors"
 	"fmt"
-	"regexp"
 	"slices"
-	"strconv"
-	"strings"
 
 	"github.com/BurntSushi/toml"
 
@@ -33,7 +29,7 @@
 type Declaration struct {
 	Change intent.Change
 	file   string
-	lines  locator
+	lines  Locator
 	// places finds the table of an object.
 	places map[string]place
 }
@@ -47,19 +43,19 @@
 // the configuration are returned; the declaration is for use only if there
 // are none.
 func Parse(file, text string) (*Declaration, []admin.Problem) {
-	de := &Declaration{file: file, lines: newLocator(text), places: make(map[string]place)}
+	de := &Declaration{file: file, lines: NewLocator(text), places: make(map[string]place)}
 	if len(text) > chain.MaxEntryBytes {
 		return de, []admin.Problem{{File: file, Reason: fmt.Sprintf("the file has %d bytes; at most %d can be applied at once", len(text), chain.MaxEntryBytes)}}
 	}
 	var doc document
 	md, err := toml.Decode(text, &doc)
 	if err != nil {
-		return de, []admin.Problem{tomlProblem(file, err)}
+		return de, []admin.Problem{TOMLProblem(file, err)}
 	}
 	rd := &reader{de: de, md: md}
 	rd.read(doc)
 	for _, key := range md.Undecoded() {
-		rd.problem(de.lines.key(key), key.String(), "unknown key")
+		rd.problem(de.lines.Key(key), key.String(), "unknown key")
 	}
 	if len(rd.problems) == 0 && len(de.Change.IDs()) == 0 {
 		rd.problem(0, "", "the file declares nothing")
@@ -68,22 +64,6 @@
 	return de, rd.problems
 }
 
-// typeError is how the TOML library words a value of the wrong type.
-var typeError = regexp.MustCompile(`^toml: line (\d+) \(last key "([^"]*)"\): (.*)$`)
-
-// tomlProblem keeps the position that the TOML library knows.
-func tomlProblem(file string, err error) admin.Problem {
-	if parts := typeError.FindStringSubmatch(err.Error()); parts != nil {
-		line, _ := strconv.Atoi(parts[1])
-		return admin.Problem{File: file, Line: line, Key: parts[2], Reason: parts[3]}
-	}
-	var pe toml.ParseError
-	if errors.As(err, &pe) {
-		return admin.Problem{File: file, Line: pe.Position.Line, Key: pe.LastKey, Reason: pe.Message}
-	}
-	return admin.Problem{File: file, Reason: err.Error()}
-}
-
 // reader decodes the tables of one file.
 type reader struct {
 	de       *Declaration
@@ -113,7 +93,7 @@
 		readTable[intent.Endpoint](rd, "endpoint", i, pr)
 	}
 	for i, id := range doc.Delete {
-		line := rd.de.lines.top("delete")
+		line := rd.de.lines.Top("delete")
 		if slices.Contains(doc.Delete[:i], id) {
 			rd.problem(line, "delete", id+" stands twice")
 		}
@@ -126,9 +106,9 @@
 func readTable[T intent.Object](rd *reader, table string, nth int, pr toml.Primitive) {
 	var ob T
 	if err := rd.md.PrimitiveDecode(pr, &ob); err != nil {
-		problem := tomlProblem(rd.de.file, err)
+		problem := TOMLProblem(rd.de.file, err)
 		if problem.Line == 0 {
-			problem.Line = rd.de.lines.table(table, nth)
+			problem.Line = rd.de.lines.Table(table, nth)
 		}
 		if problem.Key == "" {
 			problem.Key = table
@@ -139,7 +119,7 @@
 	done := withDefaults(ob)
 	id := done.ID()
 	if _, ok := rd.de.places[id]; ok {
-		rd.problem(rd.de.lines.table(table, nth), id, "stands twice in the file")
+		rd.problem(rd.de.lines.Table(table, nth), id, "stands twice in the file")
 	}
 	rd.de.places[id] = place{table, nth}
 	rd.de.Change.Puts = append(rd.de.Change.Puts, done)
@@ -159,9 +139,9 @@
 	for _, fa := range faults {
 		pr := admin.Problem{File: de.file, Key: fa.ID + " " + fa.Key, Reason: fa.Reason}
 		if pl, ok := de.places[fa.ID]; ok {
-			pr.Line = de.lines.field(pl.table, pl.nth, fa.Key)
+			pr.Line = de.lines.Field(pl.table, pl.nth, fa.Key)
 		} else if fa.Key == "delete" {
-			pr.Line = de.lines.top("delete")
+			pr.Line = de.lines.Top("delete")
 		}
 		problems = append(problems, pr)
 	}
@@ -177,81 +157,3 @@
 	}
 	return de, de.Blame(cfg.CheckChange(de.Change))
 }
-
-// locator finds lines in a TOML text, which the TOML library forgets.
-type locator []string
-
-func newLocator(text string) locator { return strings.Split(text, "\n") }
-
-// table returns the line of the nth [[name]] or [name] header.
-func (lo locator) table(name string, nth int) int {
-	for i, line := range lo {
-		if header(line) != name {
-			continue
-		}
-		if nth == 0 {
-			return i + 1
-		}
-		nth--
-	}
-	return 0
-}
-
-// field returns the line of a key in a table, or of the table's header if the
-// key is not there.
-func (lo locator) field(table string, nth int, key string) int {
-	first := lo.table(table, nth)
-	for i := first; first > 0 && i < len(lo) && header(lo[i]) == ""; i++ {
-		if keyOf(lo[i]) == key {
-			return i + 1
-		}
-	}
-	return first
-}
-
-// top returns the line of a key before the first table.
-func (lo locator) top(key string) int {
-	for i, line := range lo {
-		if header(line) != "" {
-			return 0
-		}
-		if keyOf(line) == key {
-			return i + 1
-		}
-	}
-	return 0
-}
-
-// key returns the line of the first key of that path.
-func (lo locator) key(key toml.Key) int {
-	if len(key) == 1 {
-		return max(lo.top(key[0]), lo.table(key[0], 0))
-	}
-	inside := false
-	for i, line := range lo {
-		if name := header(line); name != "" {
-			inside = name == key[0]
-			continue
-		}
-		if inside && keyOf(line) == key[1] {
-			return i + 1
-		}
-	}
-	return lo.table(key[0], 0)
-}
-
-func header(line string) string {
-	line = strings.TrimSpace(line)
-	if !strings.HasPrefix(line, "[") || strings.Contains(line, "=") {
-		return ""
-	}
-	return strings.Trim(strings.SplitN(line, "#", 2)[0], "[] \t")
-}
-
-func keyOf(line string) string {
-	name, _, ok := strings.Cut(line, "=")
-	if !ok {
-		return ""
-	}
-	return strings.Trim(strings.TrimSpace(name), `"'`)
-}
