Wait for the repair in TestStewardStoppedDuringRepair

The test waited for the group to serve, which it still did by permits from before the loss.

Change: the test waits until no group has the lost VM any more.

--- a/internal/daemon/process_test.go
+++ b/internal/daemon/process_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"testing"
@@ -269,7 +270,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	sk.leaders()[0].kill()
+	lost := sk.leaders()[0]
+	lost.kill()
 	var steward *process
 	for _, pr := range procs {
 		if pr.set.Name == st.Steward {
@@ -281,6 +283,11 @@
 	}
 	steward.cmd.Process.Signal(syscall.SIGSTOP)
 	sk.until("another steward repaired the group", func() bool {
+		for _, vms := range groupsOf(t, sk, procs, steward) {
+			if slices.Contains(vms, lost.engine.VM) {
+				return false
+			}
+		}
 		for _, pr := range procs {
 			if pr != steward && pr.serving() != 1 {
 				return false
