--- a/cmd/bench/control.go
+++ b/cmd/bench/control.go
@@ -38,7 +38,7 @@
 // change takes to be in force everywhere. All daemons run in this process, so
 // processor time and memory include their listeners and the stand-in.
 func benchControl(ctx context.Context) error {
-	for _, num := range []int{3, 9, 30} {
+	for _, num := range []int{3, 9, 30, 100} {
 		if err := controlAt(ctx, num); err != nil {
 			return err
 		}
--- a/cmd/corianderhub/check.go
+++ b/cmd/corianderhub/check.go
@@ -68,7 +68,7 @@
 		}
 	}
 	if len(problems) > 0 {
-		return &exitError{exitRefused, fmt.Sprintf("%d problems", len(problems))}
+		return &exitError{exitRefused, fmt.Sprintf("refused; problems: %d", len(problems))}
 	}
 	return nil
 }
--- a/internal/core/fleet/adjust.go
+++ b/internal/core/fleet/adjust.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 
 	"corianderhub.dev/corianderhub/internal/core/intent"
@@ -94,12 +95,15 @@
 	return re.Model == gr.Model && re.Version == gr.Version
 }
 
+// unusedID names a new group for its declaration, its domain and the write
+// that makes it; groups of one write are numbered.
 func (pl *planner) unusedID(spec intent.Group, do *Domain) string {
-	id := groupID(spec.Name, do)
-	for slices.ContainsFunc(do.Groups, func(gr Group) bool { return gr.ID == id }) {
-		id += "x"
+	for num := 1; ; num++ {
+		id := fmt.Sprintf("%s.%s.%d-%d", spec.Name, do.Name, do.Sequence+1, num)
+		if !slices.ContainsFunc(do.Groups, func(gr Group) bool { return gr.ID == id }) {
+			return id
+		}
 	}
-	return id
 }
 
 // shrink drains replicas that are too many: outdated ones first, then those
--- a/internal/core/fleet/plan.go
+++ b/internal/core/fleet/plan.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -421,7 +420,3 @@
 
 // unnumbered marks a group that gets its fencing number when it is written.
 const unnumbered = 0
-
-func groupID(spec string, do *Domain) string {
-	return fmt.Sprintf("%s.%s.%d", spec, do.Name, do.Sequence+1)
-}
