Let the replay of failures end when it is told to

Cause: two replays went on for 44 and 34 minutes after their time had run out. The bench takes signals into its context, and the replay never looked at it. Its own limit of five minutes did not hold for it either.

--- a/cmd/bench/fleet.go
+++ b/cmd/bench/fleet.go
@@ -39,7 +39,7 @@
 
 // benchFleet replays the same trace of failures under the planner's own
 // decisions and under the baseline, and counts what the users measure.
-func benchFleet(context.Context) error {
+func benchFleet(ctx context.Context) error {
 	for _, fs := range []fleetSize{
 		{"today", 3, 16, 4, 10, 14, 4, 1},
 		{"letter", 16, 64, 16, 62, 1, 4, 1},
@@ -50,7 +50,10 @@
 		}{{"repairing", fleet.Repairing}, {"first-fit", fleet.FirstFit}} {
 			re := newReplay(fs, po.policy)
 			began := time.Now()
-			re.run()
+			re.run(ctx)
+			if ctx.Err() != nil {
+				return ctx.Err()
+			}
 			name := fs.name + "." + po.name
 			row("fleet.downtime "+name, re.down.Seconds()/float64(fs.days), "group-s/day")
 			row("fleet.stranded "+name, re.stranded.Hours()/float64(fs.days), "accelerator-h/day")
@@ -183,8 +186,8 @@
 
 // run replays the trace. Between events nothing changes once a plan has
 // nothing left to do, so that time is counted and passed over.
-func (re *replay) run() {
-	for re.now.Before(re.end) {
+func (re *replay) run(ctx context.Context) {
+	for re.now.Before(re.end) && ctx.Err() == nil {
 		for len(re.events) > 0 && !re.events[0].at.After(re.now) {
 			heap.Pop(&re.events).(event).run()
 		}
