Ask a daemon for its serving groups in one place

The tests of whole daemons and of processes each counted serving groups, and two tests waited alike for every process to serve.

Change: servingAt and declareTo do it once; assertions are as they were.

--- a/internal/daemon/harness_test.go
+++ b/internal/daemon/harness_test.go
@@ -220,8 +220,15 @@
 
 // serving returns how many groups the daemon may send to.
 func (sk *stack) serving(dh *daemonHost) int {
-	cl := &admin.Client{Address: dh.daemon.Settings.Listen.Operator, Token: operatorToken}
-	st, err := cl.Status(context.Background())
+	return servingAt(&admin.Client{Address: dh.daemon.Settings.Listen.Operator, Token: operatorToken})
+}
+
+// servingAt asks a daemon how many groups it may send to; none if it does not
+// answer.
+func servingAt(cl *admin.Client) int {
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	st, err := cl.Status(ctx)
 	if err != nil {
 		return 0
 	}
--- a/internal/daemon/process_test.go
+++ b/internal/daemon/process_test.go
@@ -115,21 +115,7 @@
 }
 
 // serving returns how many groups the process may send to.
-func (pr *process) serving() int {
-	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
-	defer cancel()
-	st, err := pr.admin().Status(ctx)
-	if err != nil {
-		return 0
-	}
-	num := 0
-	for _, gr := range st.Groups {
-		if gr.Serving {
-			num++
-		}
-	}
-	return num
-}
+func (pr *process) serving() int { return servingAt(pr.admin()) }
 
 const declarations = `
 [[model]]
@@ -156,13 +142,17 @@
 timeout = "2s"
 `
 
-func declareTo(t *testing.T, sk *stack, pr *process) {
+// declareTo applies the declarations and waits until every process serves.
+func declareTo(t *testing.T, sk *stack, procs []*process) {
 	t.Helper()
 	text := fmt.Sprintf(declarations, digest(workspaceKey), sk.services[0])
 	sk.until("the declarations are accepted", func() bool {
-		_, err := pr.admin().Apply(context.Background(), admin.Apply{File: "test.toml", Text: text})
+		_, err := procs[0].admin().Apply(context.Background(), admin.Apply{File: "test.toml", Text: text})
 		return err == nil
 	})
+	for _, pr := range procs {
+		sk.until("every process serves", func() bool { return pr.serving() == 1 })
+	}
 }
 
 // Callers send bookings with keys and repeat each until it is answered, while
@@ -174,10 +164,7 @@
 	sk := newStack(t, stackSize{vms: 3})
 	program := buildProgram(t)
 	procs := newProcesses(t, sk, program, 3)
-	declareTo(t, sk, procs[0])
-	for _, pr := range procs {
-		sk.until("every process serves", func() bool { return pr.serving() == 1 })
-	}
+	declareTo(t, sk, procs)
 	const bookings, callers = 240, 24
 	stop := make(chan struct{})
 	var faults sync.WaitGroup
@@ -262,10 +249,7 @@
 	sk := newStack(t, stackSize{vms: 3})
 	program := buildProgram(t)
 	procs := newProcesses(t, sk, program, 3)
-	declareTo(t, sk, procs[0])
-	for _, pr := range procs {
-		sk.until("every process serves", func() bool { return pr.serving() == 1 })
-	}
+	declareTo(t, sk, procs)
 	st, err := procs[0].admin().Status(context.Background())
 	if err != nil {
 		t.Fatal(err)
