--- /dev/null
+++ b/cmd/corianderhub/front.go
@@ -0,0 +1,94 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"corianderhub.dev/corianderhub/internal/clock"
+	"corianderhub.dev/corianderhub/internal/entry"
+	"corianderhub.dev/corianderhub/internal/logqueue"
+	"corianderhub.dev/corianderhub/platform"
+)
+
+const frontUsage = `Runs the daemon of an entry VM on the platform until it is told to stop.
+
+The platform's settings file is named by CORIANDERHUB_SETTINGS. SIGTERM stops
+the daemon gracefully, SIGHUP makes it read the file again.`
+
+type frontCommand struct {
+	ctx         context.Context
+	MetricsPort int    `long:"metrics-port" default:"9464" description:"port of /metrics, 0 for none"`
+	Log         string `long:"log" choice:"text" choice:"json" default:"text" description:"form of log lines"`
+	Verbose     bool   `long:"verbose" description:"log every attempt"`
+}
+
+// heapPart is the part of the memory limit that the heap may fill before the
+// collector runs all the time; stacks, buffers and the runtime take the rest.
+const heapPart = 0.7
+
+// Execute implements flags.Commander.
+func (fc *frontCommand) Execute([]string) error {
+	file := os.Getenv(platform.SettingsVariable)
+	if file == "" {
+		return &exitError{exitUsage, platform.SettingsVariable + " must name the settings file"}
+	}
+	set, err := platform.ReadSettings(file)
+	var se *platform.SettingsError
+	if errors.As(err, &se) {
+		return &exitError{exitRefused, se.Error()}
+	}
+	if set.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(heapPart * float64(set.MemoryBytes)))
+	}
+	qu := logqueue.New(os.Stdout)
+	log := slog.New(fc.handler(qu))
+	logs, stopLogs := context.WithCancel(context.WithoutCancel(fc.ctx))
+	flushed := make(chan struct{})
+	go func() {
+		defer close(flushed)
+		_ = qu.Run(logs) // It returns no error.
+	}()
+	defer func() {
+		stopLogs()
+		<-flushed
+	}()
+	go rereadOnHangup(logs, file, log)
+	da := &entry.Daemon{Settings: set, Clock: clock.System{}, Log: log, MetricsPort: fc.MetricsPort}
+	return da.Run(fc.ctx)
+}
+
+func (fc *frontCommand) handler(qu *logqueue.Queue) slog.Handler {
+	opts := &slog.HandlerOptions{Level: slog.LevelInfo}
+	if fc.Verbose {
+		opts.Level = slog.LevelDebug
+	}
+	if fc.Log == "json" {
+		return slog.NewJSONHandler(qu, opts)
+	}
+	return slog.NewTextHandler(qu, opts)
+}
+
+// rereadOnHangup checks the settings file at each SIGHUP. Addresses hold until
+// the process ends; what is wrong is logged and the last good settings stay.
+func rereadOnHangup(ctx context.Context, file string, log *slog.Logger) {
+	hups := make(chan os.Signal, 1)
+	signal.Notify(hups, syscall.SIGHUP)
+	defer signal.Stop(hups)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hups:
+		}
+		if _, err := platform.ReadSettings(file); err != nil {
+			log.Error("daemon: settings can't be used; the last ones stay.", "cause", err.Error())
+			continue
+		}
+		log.Info("daemon: settings read again.", "file", file)
+	}
+}
--- a/cmd/corianderhub/main.go
+++ b/cmd/corianderhub/main.go
@@ -66,6 +66,7 @@
 func commands(ctx context.Context) []command {
 	return []command{
 		{"serve", "run a daemon", serveUsage, &serveCommand{ctx: ctx}},
+		{"front", "run the daemon of an entry VM on the platform", frontUsage, &frontCommand{ctx: ctx}},
 		{"check", "check files of declarations", checkUsage, &checkCommand{ctx: ctx}},
 		{"plan", "show what an apply would change", planUsage, &planCommand{ctx: ctx}},
 		{"apply", "put a file of declarations in force", applyUsage, &applyCommand{ctx: ctx}},
--- /dev/null
+++ b/internal/core/catalog/fold.go
@@ -0,0 +1,88 @@
+package catalog
+
+import (
+	"maps"
+	"slices"
+)
+
+// Fold builds a view from the endpoints' entries alone, for a daemon that no
+// steward tells what to use. Entries lag, so a group of the previous view
+// stays while its head is registered and does not say otherwise.
+func Fold(endpoints map[string]Endpoint, cfg *Config, previous *View, revision int64) *View {
+	vi := &View{Revision: revision, Plain: PlainEndpoints(endpoints, cfg)}
+	if previous != nil {
+		for _, gr := range previous.Groups {
+			if gr.stillOpen(endpoints) {
+				vi.Groups = append(vi.Groups, gr)
+			}
+		}
+	}
+	for _, gr := range openGroups(endpoints, cfg) {
+		if !slices.ContainsFunc(vi.Groups, func(have Group) bool { return have.Name == gr.Name && have.Epoch == gr.Epoch }) {
+			vi.Groups = append(vi.Groups, gr)
+		}
+	}
+	return vi
+}
+
+func (gr *Group) stillOpen(endpoints map[string]Endpoint) bool {
+	head, ok := endpoints[gr.Head().ID]
+	if !ok || head.Leaving {
+		return false
+	}
+	mb := head.Member
+	return mb == nil || mb.Group == gr.Name && mb.Epoch == gr.Epoch && (mb.State == Open || mb.State == Ready)
+}
+
+// openGroups returns the whole groups whose heads say that they are open.
+func openGroups(endpoints map[string]Endpoint, cfg *Config) []Group {
+	var groups []Group
+	for _, id := range slices.Sorted(maps.Keys(endpoints)) {
+		head := endpoints[id]
+		if mb := head.Member; mb == nil || mb.State != Open || mb.Rank != 0 || head.Leaving {
+			continue
+		}
+		if gr, ok := wholeGroup(head, endpoints, cfg); ok {
+			groups = append(groups, gr)
+		}
+	}
+	return groups
+}
+
+func wholeGroup(head Endpoint, endpoints map[string]Endpoint, cfg *Config) (Group, bool) {
+	se := cfg.Services[head.Service]
+	if se.Engine == nil {
+		return Group{}, false
+	}
+	mo, ok := se.Engine.Model(head.Loaded)
+	if !ok {
+		return Group{}, false
+	}
+	gr := Group{Name: head.Member.Group, Epoch: head.Member.Epoch, Service: head.Service, Model: mo.Name,
+		DataCenter: head.DataCenter, Members: make([]Member, mo.Size)}
+	found := 0
+	for _, ep := range endpoints {
+		mb := ep.Member
+		if mb == nil || mb.Group != gr.Name || mb.Epoch != gr.Epoch || mb.Rank < 0 || mb.Rank >= mo.Size {
+			continue
+		}
+		gr.Members[mb.Rank] = Member{ID: ep.ID, Address: ep.Address}
+		gr.Leaving = gr.Leaving || ep.Leaving
+		found++
+	}
+	return gr, found == mo.Size
+}
+
+// PlainEndpoints returns the endpoints of services without groups.
+func PlainEndpoints(endpoints map[string]Endpoint, cfg *Config) []PlainEndpoint {
+	var plain []PlainEndpoint
+	for _, id := range slices.Sorted(maps.Keys(endpoints)) {
+		ep := endpoints[id]
+		if se, ok := cfg.Services[ep.Service]; ok && se.Engine != nil {
+			continue
+		}
+		plain = append(plain, PlainEndpoint{ID: ep.ID, Service: ep.Service, Address: ep.Address,
+			DataCenter: ep.DataCenter, Slots: ep.Slots, Leaving: ep.Leaving})
+	}
+	return plain
+}
--- /dev/null
+++ b/internal/core/dispatch/group.go
@@ -0,0 +1,115 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"corianderhub.dev/corianderhub/internal/core/catalog"
+)
+
+// Group is a group that serves, with what this daemon knows of its load.
+type Group struct {
+	catalog.Group
+	engine *catalog.Engine
+	model  catalog.Model
+	// own is the work that this daemon sent, peers what the others told.
+	own, peers Load
+	// listed is false once the group has left the view.
+	listed bool
+	// stalled is set while the group's streams stand still.
+	stalled bool
+	// activity is when the group last emitted anything, or got its first
+	// request after it had none.
+	activity time.Time
+	// checked is when the group's members were last asked for.
+	checked time.Time
+	streams map[*Ticket]struct{}
+	// pace is how many times longer pauses are than predicted, smoothed.
+	pace float64
+}
+
+// Key names a group in what daemons tell each other.
+func (gr *Group) Key() string { return gr.Name }
+
+// Ticket is one request at a group. End must be called.
+type Ticket struct {
+	Group *Group
+	ta    *Table
+	load  Load
+	// first is set once the request has emitted an event.
+	first  bool
+	last   time.Time
+	cancel context.CancelCauseFunc
+	done   bool
+}
+
+// Event tells that the request has emitted an event.
+func (ti *Ticket) Event(now time.Time) {
+	ti.ta.mu.Lock()
+	defer ti.ta.mu.Unlock()
+	gr := ti.Group
+	gr.activity = now
+	gr.stalled = false
+	if !ti.first {
+		ti.first = true
+		gr.own.Reading -= ti.load.Reading
+		gr.own.Context += ti.load.Reading
+		ti.load.Context = ti.load.Reading
+		ti.load.Reading = 0
+	} else if !ti.last.IsZero() && !ti.done {
+		gr.learn(now.Sub(ti.last))
+	}
+	ti.last = now
+	if !ti.done {
+		tokens := int64(gr.engine.Stride)
+		ti.load.Context += tokens
+		gr.own.Context += tokens
+	}
+}
+
+const (
+	// paceWeight smooths over some ten pauses.
+	paceWeight = 0.1
+	// maxPace bounds what a single long pause may count.
+	maxPace = 8
+)
+
+// learn compares a pause with what the model predicts for the present load.
+func (gr *Group) learn(pause time.Duration) {
+	expected := predict(gr.engine, gr.model, gr.Slowness, gr.own.plus(gr.peers), 0).Pass
+	if expected <= 0 {
+		return
+	}
+	ratio := min(maxPace, float64(pause)/float64(expected))
+	if gr.pace == 0 {
+		gr.pace = 1
+	}
+	gr.pace += paceWeight * (ratio - gr.pace)
+}
+
+// slowness is how many times slower than its model the group works.
+func (gr *Group) slowness() float64 {
+	if gr.pace > slowPace {
+		return max(gr.pace, gr.Slowness)
+	}
+	return max(1, gr.Slowness)
+}
+
+// slowPace is the ratio of pauses from which a group counts as slow; below it
+// the difference is that of bursts of prompts.
+const slowPace = 1.6
+
+// End tells that the request is over at the group.
+func (ti *Ticket) End() {
+	ti.ta.mu.Lock()
+	defer ti.ta.mu.Unlock()
+	if ti.done {
+		return
+	}
+	ti.done = true
+	gr := ti.Group
+	gr.own.Requests--
+	gr.own.Reading -= ti.load.Reading
+	gr.own.Context -= ti.load.Context
+	delete(gr.streams, ti)
+}
--- /dev/null
+++ b/internal/core/dispatch/table.go
@@ -0,0 +1,337 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"corianderhub.dev/corianderhub/internal/core/catalog"
+)
+
+// ErrStalled is the cause of the context of a request whose group stands still.
+var ErrStalled = errors.New("dispatch: the group stands still")
+
+const (
+	// minStall is how long a group with requests must emit nothing before its
+	// members are asked. A pass takes 50 to 100 ms, with many prompts 200 ms.
+	minStall = 260 * time.Millisecond
+	// stallPasses is the same in predicted passes.
+	stallPasses = 2.5
+	// checkAgain is the time between questions to the members of a group that
+	// goes on standing still although all of them answer.
+	checkAgain = 700 * time.Millisecond
+	// peerLoadAge is how long what another daemon told of its load counts.
+	peerLoadAge = 2 * time.Second
+	// localBonus is taken off the prediction for groups of the own data
+	// centre: what a round trip between data centres costs, and its bytes.
+	localBonus = 4 * time.Millisecond
+)
+
+// Table holds the groups that requests may be sent to.
+type Table struct {
+	// DataCenter is the daemon's own.
+	DataCenter string
+	mu         sync.Mutex
+	groups     map[string]*Group
+	peers      map[string]peerLoad
+}
+
+type peerLoad struct {
+	at    time.Time
+	loads map[string]Load
+}
+
+// Need is what a request asks of a group.
+type Need struct {
+	Service, Model string
+	// Prompt is the number of tokens to read.
+	Prompt int64
+	// Objective is what is left of the latency up to the first event.
+	Objective time.Duration
+	// Pause is the longest pause between events.
+	Pause time.Duration
+	// Wait is the longest useful wait for the first event.
+	Wait time.Duration
+	// Except are groups that the request was sent to before.
+	Except []*Group
+}
+
+// Update takes a view in. What is known of groups that stay is kept.
+func (ta *Table) Update(vi *catalog.View, cfg *catalog.Config, now time.Time) {
+	ta.mu.Lock()
+	defer ta.mu.Unlock()
+	if ta.groups == nil {
+		ta.groups = make(map[string]*Group)
+		ta.peers = make(map[string]peerLoad)
+	}
+	for _, gr := range ta.groups {
+		gr.listed = false
+	}
+	for _, cg := range vi.Groups {
+		en := cfg.Services[cg.Service].Engine
+		if en == nil {
+			continue
+		}
+		mo, _ := en.Model(cg.Model)
+		gr := ta.groups[cg.Name]
+		if gr == nil {
+			gr = &Group{activity: now, streams: make(map[*Ticket]struct{})}
+			ta.groups[cg.Name] = gr
+		}
+		gr.Group, gr.engine, gr.model, gr.listed = cg, en, mo, true
+	}
+	for name, gr := range ta.groups {
+		if !gr.listed && len(gr.streams) == 0 {
+			delete(ta.groups, name)
+		}
+	}
+	ta.sumPeers(now)
+}
+
+// PeerLoads takes in what another daemon has sent to the groups.
+func (ta *Table) PeerLoads(peer string, loads map[string]Load, now time.Time) {
+	ta.mu.Lock()
+	defer ta.mu.Unlock()
+	if ta.peers == nil {
+		return
+	}
+	ta.peers[peer] = peerLoad{at: now, loads: loads}
+	ta.sumPeers(now)
+}
+
+func (ta *Table) sumPeers(now time.Time) {
+	for _, gr := range ta.groups {
+		gr.peers = Load{}
+	}
+	for peer, pl := range ta.peers {
+		if now.Sub(pl.at) > peerLoadAge {
+			delete(ta.peers, peer)
+			continue
+		}
+		for name, lo := range pl.loads {
+			if gr := ta.groups[name]; gr != nil {
+				gr.peers = gr.peers.plus(lo)
+			}
+		}
+	}
+}
+
+// Own returns the load that this daemon has sent to each group.
+func (ta *Table) Own() map[string]Load {
+	ta.mu.Lock()
+	defer ta.mu.Unlock()
+	loads := make(map[string]Load, len(ta.groups))
+	for name, gr := range ta.groups {
+		if gr.own.Requests > 0 {
+			loads[name] = gr.own
+		}
+	}
+	return loads
+}
+
+// candidate is a group with what the request can expect of it.
+type candidate struct {
+	gr *Group
+	Prediction
+	cost time.Duration
+	fits bool
+}
+
+// Choice is the outcome of a pick.
+type Choice struct {
+	Group *Group
+	Prediction
+	// Fits tells whether the objective is expected to be met.
+	Fits bool
+	// Groups is how many groups of the model serve.
+	Groups int
+	// Again is when there should be room, if Group is nil.
+	Again time.Duration
+}
+
+// Pick returns the group for a request and counts the request there. Two
+// random groups that meet the objective are compared, since daemons that all
+// took the best would choose the same one until they hear of each other.
+func (ta *Table) Pick(ne Need, cancel context.CancelCauseFunc, now time.Time) (Choice, *Ticket) {
+	ta.mu.Lock()
+	defer ta.mu.Unlock()
+	cands := ta.candidates(ne)
+	ch := Choice{Groups: len(cands)}
+	if len(cands) == 0 {
+		ch.Again = againNoGroup
+		return ch, nil
+	}
+	best := choose(cands)
+	ch.Prediction, ch.Fits = best.Prediction, best.fits
+	if !best.fits && !admissible(best, ne) {
+		ch.Again = max(againFull, best.First-ne.Objective)
+		return ch, nil
+	}
+	ch.Group = best.gr
+	return ch, ta.begin(best.gr, ne, cancel, now)
+}
+
+const (
+	// againNoGroup is when a group may serve again: the time to notice a loss
+	// and to put a spare in its place.
+	againNoGroup = 900 * time.Millisecond
+	// againFull is when a place in a full group may be free.
+	againFull = 400 * time.Millisecond
+)
+
+// admissible tells whether a request that misses its objective is sent all
+// the same: an answer that is late is worth something to its caller, but not
+// one that makes everybody else late.
+func admissible(ca candidate, ne Need) bool {
+	return !ca.Full && ca.First < ne.Wait && ca.Pass <= ne.Pause
+}
+
+func (ta *Table) candidates(ne Need) []candidate {
+	var cands []candidate
+	for _, gr := range ta.groups {
+		if !gr.listed || gr.Leaving || gr.stalled || gr.Service != ne.Service || gr.Model != ne.Model || slices.Contains(ne.Except, gr) {
+			continue
+		}
+		pr := predict(gr.engine, gr.model, gr.slowness(), gr.own.plus(gr.peers), ne.Prompt)
+		ca := candidate{gr: gr, Prediction: pr, cost: pr.First}
+		if gr.DataCenter == ta.DataCenter {
+			ca.cost -= localBonus
+		}
+		ca.fits = !pr.Full && pr.First <= ne.Objective && pr.Pass <= scale(ne.Pause, pauseMargin)
+		cands = append(cands, ca)
+	}
+	return cands
+}
+
+// pauseMargin is the part of the longest pause that a prediction may fill.
+const pauseMargin = 0.8
+
+// choose returns the better of two random candidates that fit, or else the
+// best of all.
+func choose(cands []candidate) candidate {
+	rand.Shuffle(len(cands), func(i, j int) { cands[i], cands[j] = cands[j], cands[i] })
+	var fit []candidate
+	for _, ca := range cands {
+		if ca.fits {
+			fit = append(fit, ca)
+		}
+	}
+	if len(fit) > choices {
+		fit = fit[:choices]
+	}
+	if len(fit) > 0 {
+		cands = fit
+	}
+	best := cands[0]
+	for _, ca := range cands[1:] {
+		if ca.Full == best.Full && ca.cost < best.cost || best.Full && !ca.Full {
+			best = ca
+		}
+	}
+	return best
+}
+
+// choices is how many groups that fit are compared.
+const choices = 2
+
+func (ta *Table) begin(gr *Group, ne Need, cancel context.CancelCauseFunc, now time.Time) *Ticket {
+	ti := &Ticket{Group: gr, ta: ta, load: Load{Requests: 1, Reading: ne.Prompt}, cancel: cancel}
+	if gr.own.Requests == 0 {
+		gr.activity = now
+	}
+	gr.own = gr.own.plus(ti.load)
+	gr.streams[ti] = struct{}{}
+	return ti
+}
+
+// Stalled returns the groups whose members are to be asked now, because this
+// daemon's requests there stand still. Requests at groups that have left the
+// view and stand still are ended, so that they go on elsewhere.
+func (ta *Table) Stalled(now time.Time) []catalog.Group {
+	ta.mu.Lock()
+	defer ta.mu.Unlock()
+	var stalled []catalog.Group
+	for _, gr := range ta.groups {
+		if len(gr.streams) == 0 || now.Sub(gr.activity) < gr.patience() {
+			continue
+		}
+		if !gr.listed {
+			gr.abandon()
+			continue
+		}
+		gr.stalled = true
+		if now.Sub(gr.checked) > checkAgain {
+			gr.checked = now
+			stalled = append(stalled, gr.Group)
+		}
+	}
+	return stalled
+}
+
+func (gr *Group) patience() time.Duration {
+	pass := predict(gr.engine, gr.model, gr.slowness(), gr.own.plus(gr.peers), 0).Pass
+	return max(minStall, scale(pass, stallPasses))
+}
+
+func (gr *Group) abandon() {
+	for ti := range gr.streams {
+		ti.cancel(ErrStalled)
+	}
+}
+
+// Broken ends the requests at a group that has lost a member, so that they go
+// on elsewhere, and keeps new ones from it.
+func (ta *Table) Broken(name string) {
+	ta.mu.Lock()
+	defer ta.mu.Unlock()
+	if gr := ta.groups[name]; gr != nil {
+		gr.stalled = true
+		gr.abandon()
+	}
+}
+
+// Sound tells that all members of a group that stood still have answered.
+func (ta *Table) Sound(name string, now time.Time) {
+	ta.mu.Lock()
+	defer ta.mu.Unlock()
+	if gr := ta.groups[name]; gr != nil && len(gr.streams) == 0 {
+		gr.stalled = false
+		gr.activity = now
+	}
+}
+
+// Wrong tells that an endpoint refused a request as not its own: the view is
+// old, and the group is not used until the next one.
+func (ta *Table) Wrong(gr *Group) {
+	ta.mu.Lock()
+	defer ta.mu.Unlock()
+	gr.stalled = true
+}
+
+// GroupStatus is what operators see of a group.
+type GroupStatus struct {
+	Name, Model string
+	Load        Load
+	Stalled     bool
+	Slowness    float64
+}
+
+// Status returns all groups, for status pages and metrics.
+func (ta *Table) Status() []GroupStatus {
+	ta.mu.Lock()
+	defer ta.mu.Unlock()
+	var all []GroupStatus
+	for _, gr := range ta.groups {
+		all = append(all, GroupStatus{gr.Name, gr.Model, gr.own.plus(gr.peers), gr.stalled, gr.slowness()})
+	}
+	slices.SortFunc(all, func(one, other GroupStatus) int {
+		if one.Name < other.Name {
+			return -1
+		}
+		return 1
+	})
+	return all
+}
--- /dev/null
+++ b/internal/core/steward/form.go
@@ -0,0 +1,367 @@
+package steward
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"corianderhub.dev/corianderhub/internal/core/catalog"
+)
+
+const (
+	// convertAfter is how long VMs must have been of no use before they load
+	// another model. A replacement for the member they lack may come by then.
+	convertAfter = 3 * time.Second
+	// gatherTime is how long a new steward that finds no group waits for more
+	// endpoints before it deals them out.
+	gatherTime = 600 * time.Millisecond
+)
+
+// domain is a fabric domain with the VMs that may be given to new groups.
+type domain struct {
+	service string
+	name    string
+	free    []*vm
+	// loading counts VMs that load a model for later use.
+	loading int
+}
+
+// formGroups deals free VMs out to new groups.
+func (co *Core) formGroups(now time.Time) []Call {
+	var calls []Call
+	for _, service := range slices.Sorted(maps.Keys(co.services)) {
+		en := co.services[service]
+		doms := co.domains(service)
+		if co.cold(service) {
+			calls = append(calls, co.formFirst(service, en, doms, now)...)
+			continue
+		}
+		calls = append(calls, co.formWarm(service, en, doms, now)...)
+		calls = append(calls, co.keepWarm(service, en, doms, now)...)
+	}
+	return calls
+}
+
+// cold tells whether the service has no group at all and nothing in memory.
+func (co *Core) cold(service string) bool {
+	for _, vm := range co.vms {
+		if vm.ep.Service == service && (vm.ep.Loaded != "" || vm.ep.Member != nil || len(vm.ep.Staged) > 0) {
+			return false
+		}
+	}
+	for _, gr := range co.groups {
+		if gr.service == service {
+			return false
+		}
+	}
+	return true
+}
+
+// domains returns the service's domains with their free VMs, by name.
+func (co *Core) domains(service string) []*domain {
+	byName := make(map[string]*domain)
+	for _, id := range co.ids() {
+		vm := co.vms[id]
+		if vm.ep.Service != service {
+			continue
+		}
+		do := byName[vm.ep.Domain]
+		if do == nil {
+			do = &domain{service: service, name: vm.ep.Domain}
+			byName[vm.ep.Domain] = do
+		}
+		if !co.free(vm) {
+			continue
+		}
+		if mb := vm.ep.Member; mb != nil && mb.State == catalog.Joining {
+			do.loading++
+			continue
+		}
+		do.free = append(do.free, vm)
+	}
+	return slices.SortedFunc(maps.Values(byName), func(one, other *domain) int { return cmp.Compare(one.name, other.name) })
+}
+
+// free tells whether a VM may be given to a new group: it belongs to none, or
+// only holds a model in memory for this very purpose.
+func (co *Core) free(vm *vm) bool {
+	if !vm.usable() || vm.busy || vm.failures > 0 {
+		return false
+	}
+	if mb := vm.ep.Member; mb != nil && !isSpare(mb.Group) {
+		return false
+	}
+	return !co.promised(vm)
+}
+
+// promised tells whether a planned group counts on the VM.
+func (co *Core) promised(vm *vm) bool {
+	for _, gr := range co.groups {
+		if !gr.doomed && !gr.planned.IsZero() && !co.belongs(vm, gr) && slices.Contains(gr.members, vm.ep.ID) {
+			return true
+		}
+	}
+	return false
+}
+
+// formFirst deals all VMs out when nothing is loaded anywhere.
+func (co *Core) formFirst(service string, en *catalog.Engine, doms []*domain, now time.Time) []Call {
+	sizes := make([]int, len(doms))
+	for i, do := range doms {
+		sizes[i] = len(do.free)
+		for _, vm := range do.free {
+			if now.Sub(vm.idleSince) < gatherTime {
+				return nil
+			}
+		}
+	}
+	var calls []Call
+	for i, counts := range compose(sizes, co.weightedSizes(en)) {
+		// Large groups first: a small one may be formed from what is left.
+		order := modelsBySize(en)
+		for _, mi := range order {
+			for range counts[mi] {
+				calls = append(calls, co.form(service, en.Models[mi], doms[i], now)...)
+			}
+		}
+	}
+	return calls
+}
+
+func modelsBySize(en *catalog.Engine) []int {
+	order := make([]int, len(en.Models))
+	for i := range order {
+		order[i] = i
+	}
+	slices.SortFunc(order, func(one, other int) int { return cmp.Compare(en.Models[other].Size, en.Models[one].Size) })
+	return order
+}
+
+// form takes the best VMs of a domain for a group of the model.
+func (co *Core) form(service string, mo catalog.Model, do *domain, now time.Time) []Call {
+	if len(do.free) < mo.Size {
+		return nil
+	}
+	slices.SortStableFunc(do.free, func(one, other *vm) int {
+		return cmp.Or(cmp.Compare(co.joinTime(one, mo.Name), co.joinTime(other, mo.Name)), byID(one, other))
+	})
+	members := make([]string, mo.Size)
+	loads := 0
+	for i, vm := range do.free[:mo.Size] {
+		members[i] = vm.ep.ID
+		if vm.ep.Loaded != mo.Name && !vm.ep.HasStaged(mo.Name) {
+			loads++
+		}
+	}
+	if !co.Initial && !co.loads.take(loads) {
+		return nil
+	}
+	do.free = do.free[mo.Size:]
+	gr := co.plan(groupPrefix, service, mo.Name, members, now)
+	co.note(Event{What: "group-formed", Group: gr.name, Model: mo.Name, Members: members})
+	return co.rejoin(gr, now)
+}
+
+func (co *Core) plan(prefix, service, model string, members []string, now time.Time) *group {
+	epoch := co.epoch()
+	gr := &group{name: fmt.Sprintf("%s%d-%d", prefix, co.Term, co.made), epoch: epoch, service: service,
+		model: model, members: members, planned: now}
+	co.groups[key(gr.name, epoch)] = gr
+	return gr
+}
+
+// formWarm forms groups from VMs that have the model at hand, the model that
+// gains most first.
+func (co *Core) formWarm(service string, en *catalog.Engine, doms []*domain, now time.Time) []Call {
+	var calls []Call
+	for {
+		mi, do := co.bestGain(service, en, doms)
+		if do == nil {
+			return calls
+		}
+		formed := co.form(service, en.Models[mi], do, now)
+		if formed == nil {
+			return calls
+		}
+		calls = append(calls, formed...)
+	}
+}
+
+// bestGain returns the model and domain of the most useful group that can be
+// formed without a load.
+func (co *Core) bestGain(service string, en *catalog.Engine, doms []*domain) (int, *domain) {
+	weights, counts := co.weights(en), co.counts(service, en)
+	best, bestGain, bestDom := -1, 0.0, (*domain)(nil)
+	for mi, mo := range en.Models {
+		gain := weights[mi] / float64(counts[mi]+1)
+		if gain <= bestGain {
+			continue
+		}
+		for _, do := range doms {
+			if warm(do.free, mo.Name) >= mo.Size {
+				best, bestGain, bestDom = mi, gain, do
+				break
+			}
+		}
+	}
+	return best, bestDom
+}
+
+func warm(vms []*vm, model string) int {
+	num := 0
+	for _, vm := range vms {
+		if vm.ep.Loaded == model || vm.ep.HasStaged(model) {
+			num++
+		}
+	}
+	return num
+}
+
+// counts returns how many groups of each model serve or are about to.
+func (co *Core) counts(service string, en *catalog.Engine) []int {
+	counts := make([]int, len(en.Models))
+	for _, gr := range co.groups {
+		if gr.service != service || gr.spare() || gr.doomed {
+			continue
+		}
+		for mi, mo := range en.Models {
+			if mo.Name == gr.model {
+				counts[mi]++
+			}
+		}
+	}
+	return counts
+}
+
+// weights returns each model's part of the work, in time of a group: its share
+// of the requests times its pace.
+func (co *Core) weights(en *catalog.Engine) []float64 {
+	weights := make([]float64, len(en.Models))
+	for mi, mo := range en.Models {
+		share := mo.Share
+		if measured, ok := co.demand[mo.Name]; ok {
+			share = measured
+		}
+		weights[mi] = max(share, minShare) * max(mo.Pace, minPace)
+	}
+	return weights
+}
+
+// minShare keeps a model that nobody asks for right now from vanishing, and
+// minPace a model without a stated pace from weighing nothing.
+const (
+	minShare = 0.02
+	minPace  = 0.05
+)
+
+// replaceable tells whether a free VM of the domain could take a member's
+// place without a load.
+func (co *Core) replaceable(member *vm, model string) bool {
+	for _, id := range co.ids() {
+		vm := co.vms[id]
+		if vm.ep.Service == member.ep.Service && vm.ep.Domain == member.ep.Domain && co.free(vm) &&
+			(vm.ep.Loaded == model || vm.ep.HasStaged(model)) {
+			return true
+		}
+	}
+	return false
+}
+
+// keepWarm makes free VMs hold a model in memory, so that they complete a
+// group in 0.2 s instead of the 12 to 16 s of a load.
+func (co *Core) keepWarm(service string, en *catalog.Engine, doms []*domain, now time.Time) []Call {
+	var calls []Call
+	for _, do := range doms {
+		calls = append(calls, co.convert(service, en, do, now)...)
+		for _, vm := range do.free {
+			if mb := vm.ep.Member; mb != nil || vm.ep.Loaded != "" {
+				continue
+			}
+			model := co.spareModel(service, en, do, vm)
+			if model == "" {
+				continue
+			}
+			if !co.Initial && !vm.ep.HasStaged(model) && !co.loads.take(1) {
+				break
+			}
+			gr := co.plan(sparePrefix, service, model, []string{vm.ep.ID}, now)
+			calls = append(calls, co.stepSpare(gr, now)...)
+		}
+	}
+	return calls
+}
+
+// spareModel chooses the model that a free VM holds: one that is on its host,
+// or the one whose next group in the domain lacks the fewest members.
+func (co *Core) spareModel(service string, en *catalog.Engine, do *domain, vm *vm) string {
+	if len(vm.ep.Staged) > 0 {
+		return vm.ep.Staged[0]
+	}
+	weights, counts := co.weights(en), co.counts(service, en)
+	best, bestScore := "", 0.0
+	for mi, mo := range en.Models {
+		have := co.holders(service, do.name, mo.Name)
+		lack := mo.Size - have%mo.Size
+		score := weights[mi] / float64(counts[mi]+1) / float64(lack*lack)
+		if best == "" || score > bestScore {
+			best, bestScore = mo.Name, score
+		}
+	}
+	return best
+}
+
+// holders counts the VMs of a domain that hold the model in memory, or load
+// it, and serve in no group.
+func (co *Core) holders(service, domain, model string) int {
+	num := 0
+	for _, vm := range co.vms {
+		mb := vm.ep.Member
+		if vm.ep.Service == service && vm.ep.Domain == domain && vm.usable() && vm.ep.Loaded == model &&
+			(mb == nil || isSpare(mb.Group)) {
+			num++
+		}
+	}
+	for _, gr := range co.groups {
+		if gr.spare() && gr.model == model && !gr.planned.IsZero() {
+			if vm := co.vms[gr.members[0]]; vm != nil && vm.ep.Domain == domain && vm.ep.Member == nil {
+				num++
+			}
+		}
+	}
+	return num
+}
+
+// convert loads another model on VMs that can't complete a group of their own
+// model and could form one of the other.
+func (co *Core) convert(service string, en *catalog.Engine, do *domain, now time.Time) []Call {
+	if do.loading > 0 {
+		return nil
+	}
+	idle := 0
+	for _, vm := range do.free {
+		if now.Sub(vm.idleSince) > convertAfter {
+			idle++
+		}
+	}
+	weights, counts := co.weights(en), co.counts(service, en)
+	best := -1
+	for mi, mo := range en.Models {
+		if idle >= mo.Size && (best < 0 || weights[mi]/float64(counts[mi]+1) > weights[best]/float64(counts[best]+1)) {
+			best = mi
+		}
+	}
+	if best < 0 {
+		return nil
+	}
+	return co.form(service, en.Models[best], do, now)
+}
+
+func (co *Core) weightedSizes(en *catalog.Engine) []weightedSize {
+	models := make([]weightedSize, len(en.Models))
+	for mi, weight := range co.weights(en) {
+		models[mi] = weightedSize{size: en.Models[mi].Size, weight: weight}
+	}
+	return models
+}
--- /dev/null
+++ b/internal/core/steward/lifecycle.go
@@ -0,0 +1,186 @@
+package steward
+
+import (
+	"time"
+
+	"corianderhub.dev/corianderhub/internal/core/catalog"
+)
+
+// stepGroup moves one group on: towards serving, or towards its end.
+func (co *Core) stepGroup(gr *group, now time.Time) []Call {
+	if gr.spare() {
+		return co.stepSpare(gr, now)
+	}
+	if gr.doomed {
+		return co.dissolve(gr)
+	}
+	if why := co.broken(gr, now); why != "" {
+		co.doom(gr, why)
+		return co.dissolve(gr)
+	}
+	if calls := co.rejoin(gr, now); calls != nil {
+		return calls
+	}
+	if !co.complete(gr) {
+		return nil
+	}
+	return co.stepWhole(gr, now)
+}
+
+// doom ends a group. Its members leave before they are used again.
+func (co *Core) doom(gr *group, why string) {
+	gr.doomed = true
+	co.note(Event{What: "group-broken", Group: gr.name, Model: gr.model, Members: gr.members, Reason: why})
+}
+
+// broken returns why the group can't serve any more, or "".
+func (co *Core) broken(gr *group, now time.Time) string {
+	for rank, id := range gr.members {
+		vm := co.vms[id]
+		switch {
+		case vm == nil:
+			return "member gone"
+		case vm.down:
+			return "member " + id + " down"
+		case co.belongs(vm, gr):
+			if vm.ep.Member.State == catalog.Broken {
+				return "stalled"
+			}
+			if vm.ep.Member.Rank != rank {
+				return "member " + id + " has another rank"
+			}
+		case gr.planned.IsZero():
+			return "member " + id + " left"
+		case vm.ep.Leaving || !vm.registered:
+			return "member " + id + " leaves"
+		case now.Sub(gr.planned) > joinPatience:
+			return "member " + id + " did not join"
+		}
+	}
+	return ""
+}
+
+// complete tells whether every member says that it belongs to the group.
+func (co *Core) complete(gr *group) bool {
+	for _, id := range gr.members {
+		if vm := co.vms[id]; vm == nil || !co.belongs(vm, gr) {
+			return false
+		}
+	}
+	return true
+}
+
+// rejoin repeats the orders that members have not accepted yet. The same order
+// changes nothing where it was accepted.
+func (co *Core) rejoin(gr *group, now time.Time) []Call {
+	var calls []Call
+	for _, id := range gr.members {
+		vm := co.vms[id]
+		if co.belongs(vm, gr) || vm.busy {
+			continue
+		}
+		if vm.ep.Member != nil && !isSpare(vm.ep.Member.Group) {
+			co.doom(gr, "member "+id+" belongs to "+vm.ep.Member.Group)
+			return nil
+		}
+		if !vm.askAt.IsZero() && !vm.askAt.After(now) {
+			// It is asked first: what is known of it may be wrong.
+			continue
+		}
+		calls = append(calls, co.command(vm, catalog.Join{Group: gr.name, Epoch: gr.epoch, Model: gr.model, Members: gr.members}))
+	}
+	return calls
+}
+
+func isSpare(name string) bool { return (&group{name: name}).spare() }
+
+func (co *Core) command(vm *vm, order catalog.Order) Command {
+	vm.busy = true
+	return Command{ID: vm.ep.ID, Address: vm.ep.Address, Order: order, IfOrders: vm.ep.Orders}
+}
+
+// stepWhole opens a group whose members are all ready, and retires one that
+// is about to lose a member.
+func (co *Core) stepWhole(gr *group, now time.Time) []Call {
+	head := co.vms[gr.members[0]]
+	if co.mustRetire(gr) {
+		return co.retire(gr, head, now)
+	}
+	if head.ep.Member.State != catalog.Ready || head.busy {
+		return nil
+	}
+	// A head opens whatever its members' state, so each must have said itself
+	// that it is ready under this name and epoch.
+	for _, id := range gr.members {
+		if st := co.vms[id].ep.Member.State; st != catalog.Ready && st != catalog.Open {
+			return nil
+		}
+	}
+	if !head.askAt.IsZero() {
+		return nil
+	}
+	return []Call{co.command(head, catalog.OpenGroup{Group: gr.name, Epoch: gr.epoch})}
+}
+
+// mustRetire tells whether a member leaves or is slow, or whether the head
+// may not be sent requests any more.
+func (co *Core) mustRetire(gr *group) bool {
+	if !co.vms[gr.members[0]].registered {
+		return true
+	}
+	for _, id := range gr.members {
+		if vm := co.vms[id]; vm.ep.Leaving || vm.ep.Slow() && co.replaceable(vm, gr.model) {
+			return true
+		}
+	}
+	return false
+}
+
+// retire waits until the group has finished its requests; the view tells the
+// daemons to send it no more. Then the group is dissolved.
+func (co *Core) retire(gr *group, head *vm, now time.Time) []Call {
+	if gr.retiring.IsZero() {
+		gr.retiring = now
+		head.askAt = now.Add(retireAsk)
+		co.note(Event{What: "group-retires", Group: gr.name, Model: gr.model, Members: gr.members})
+		return nil
+	}
+	idle := head.running == 0 && head.askAt.IsZero()
+	if idle || head.ep.Member.State != catalog.Open || now.Sub(gr.retiring) > retirePatience {
+		co.doom(gr, "retired")
+		return co.dissolve(gr)
+	}
+	head.askBy(now.Add(retireAsk))
+	return nil
+}
+
+// dissolve makes every member that can be reached leave the group. Each
+// acknowledges that by itself, so it matters not what a head that can't be
+// reached believes: without its members it serves nothing.
+func (co *Core) dissolve(gr *group) []Call {
+	var calls []Call
+	for _, id := range gr.members {
+		vm := co.vms[id]
+		if vm == nil || vm.down || vm.busy || !co.belongs(vm, gr) {
+			continue
+		}
+		calls = append(calls, co.command(vm, catalog.Leave{Group: gr.name, Epoch: gr.epoch}))
+	}
+	return calls
+}
+
+// stepSpare sends the order that makes a VM hold a model in memory.
+func (co *Core) stepSpare(gr *group, now time.Time) []Call {
+	if gr.planned.IsZero() {
+		return nil
+	}
+	vm := co.vms[gr.members[0]]
+	if vm == nil || vm.down || vm.ep.Leaving || !co.belongs(vm, gr) && now.Sub(gr.planned) > joinPatience {
+		gr.doomed = true
+		return nil
+	}
+	if co.belongs(vm, gr) || vm.busy || vm.ep.Member != nil || !vm.askAt.IsZero() {
+		return nil
+	}
+	return []Call{co.command(vm, catalog.Join{Group: gr.name, Epoch: gr.epoch, Model: gr.model, Members: gr.members})}
+}
--- /dev/null
+++ b/internal/core/steward/steward.go
@@ -0,0 +1,474 @@
+// Package steward decides which VMs form which groups, and what must be
+// ordered for it. It does no input or output: facts come in by methods, and
+// Step returns the calls to make.
+//
+// What the members report is the record of which groups exist, so a new
+// steward needs nothing from its predecessor. Safety rests on the members: an
+// order names the number of orders that the member must have accepted before,
+// so that one decided on old knowledge, or carried out late, is refused; and a
+// VM leaves one group, acknowledged by itself, before it is told to join
+// another.
+package steward
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"corianderhub.dev/corianderhub/internal/core/catalog"
+)
+
+const (
+	// askInterval is the time between questions to a member whose state is
+	// about to change; loads are asked after less often.
+	askInterval     = 60 * time.Millisecond
+	askLoadInterval = 700 * time.Millisecond
+	// rejoinTime is how long a member takes that still has the weights in
+	// memory, as the engines state it.
+	rejoinTime = 200 * time.Millisecond
+	// askDownInterval is the time between questions to a VM that is down.
+	askDownInterval = time.Second
+	// joinPatience is how long the members of a new group may take to accept
+	// their orders before the group is given up.
+	joinPatience = 2 * time.Second
+	// retirePatience bounds the wait for a leaving group's requests. Streams
+	// last 2 s on average and some 5 s at most.
+	retirePatience = 5 * time.Second
+	// retireAsk is the time between questions to a head that finishes its work.
+	retireAsk = 300 * time.Millisecond
+	// sparePrefix and groupPrefix tell groups that serve from a VM that only
+	// holds a model in memory. A later steward knows them by these names.
+	sparePrefix = "spare-"
+	groupPrefix = "group-"
+	// maxFailures is how many questions in a row a VM leaves unanswered before
+	// it is taken as down. One packet may be lost.
+	maxFailures = 2
+)
+
+// Call is something to be asked of or told to an endpoint. It is an Ask or a
+// Command.
+type Call interface{ isCall() }
+
+// Ask is a question for an endpoint's report.
+type Ask struct {
+	ID, Address string
+	// Urgent questions get a short time-out: they decide whether a member of
+	// a serving group is down.
+	Urgent bool
+}
+
+// Command is an order for an endpoint. It must be refused unless the endpoint
+// has accepted exactly IfOrders orders before.
+type Command struct {
+	ID, Address string
+	Order       catalog.Order
+	IfOrders    int64
+}
+
+func (Ask) isCall()     {}
+func (Command) isCall() {}
+
+// Outcome is what came of a command.
+type Outcome int
+
+// The outcomes of a command.
+const (
+	// Accepted orders have begun or their effect was there already.
+	Accepted Outcome = iota
+	// Refused orders did not fit the endpoint's state.
+	Refused
+	// Unanswered orders may have been accepted, or may be carried out later.
+	Unanswered
+)
+
+// vm is what the steward knows of an endpoint's VM.
+type vm struct {
+	ep catalog.Endpoint
+	// known is set once the VM itself has reported.
+	known bool
+	// registered is false while the endpoint's entry is missing.
+	registered bool
+	down       bool
+	failures   int
+	busy       bool
+	running    int
+	// askAt is when to ask again; zero when there is no need.
+	askAt  time.Time
+	urgent bool
+	// idleSince is when the VM was last seen without work to do.
+	idleSince time.Time
+}
+
+// usable tells whether the VM may be given to a new group.
+func (vm *vm) usable() bool {
+	return vm.known && vm.registered && !vm.down && !vm.ep.Leaving && !vm.ep.Slow()
+}
+
+// group is a group that exists at its members or is about to.
+type group struct {
+	name    string
+	epoch   int64
+	service string
+	model   string
+	// members are IDs by rank; an empty one has not been seen.
+	members []string
+	// planned is when this steward decided on the group; zero for groups that
+	// were found.
+	planned time.Time
+	// retiring is when the group began to finish its work; zero before.
+	retiring time.Time
+	// doomed groups are dissolved, whatever their members say.
+	doomed bool
+}
+
+// Core is the steward's state. Set the exported fields before the first call.
+type Core struct {
+	// Term numbers the stewards; epochs and names come from it.
+	Term int64
+	// Initial is set until callers have sent requests: loads are then free.
+	Initial bool
+	// LoadWindow and LoadOvershoot bound the loads from the weight store.
+	services map[string]*catalog.Engine
+	vms      map[string]*vm
+	groups   map[string]*group
+	made     int64
+	loads    loadLimit
+	demand   map[string]float64
+	events   []Event
+}
+
+// Event is a change that operators want to read about.
+type Event struct {
+	What, Group, Model, VM, Reason string
+	Members                        []string
+}
+
+// New returns a core for a steward of that term.
+func New(term int64, now time.Time) *Core {
+	return &Core{Term: term, services: make(map[string]*catalog.Engine), vms: make(map[string]*vm),
+		groups: make(map[string]*group), demand: make(map[string]float64), loads: loadLimit{at: now}}
+}
+
+// Events returns what happened since the last call.
+func (co *Core) Events() []Event {
+	evs := co.events
+	co.events = nil
+	return evs
+}
+
+// SetServices tells the engines of the configuration in force.
+func (co *Core) SetServices(cfg *catalog.Config) {
+	for name, se := range cfg.Services {
+		if se.Engine != nil {
+			co.services[name] = se.Engine
+		}
+	}
+}
+
+// SetDemand tells the measured work for a model, as its part of the whole.
+func (co *Core) SetDemand(demand map[string]float64) { co.demand = demand }
+
+// Register takes an endpoint's entry in.
+func (co *Core) Register(ep catalog.Endpoint, now time.Time) {
+	if co.services[ep.Service] == nil {
+		return
+	}
+	vm, ok := co.vms[ep.ID]
+	if !ok {
+		co.vms[ep.ID] = co.newVM(ep, now)
+		return
+	}
+	if !sameMember(vm.ep.Member, ep.Member) && !vm.busy {
+		// Entries lag behind what the VM itself says, so they only make it be asked.
+		vm.askBy(now.Add(askInterval))
+	}
+	vm.registered = true
+	vm.ep.Leaving = ep.Leaving
+	vm.ep.Address = ep.Address
+	vm.ep.Revision = ep.Revision
+	if vm.down {
+		vm.askBy(now)
+	}
+}
+
+func (co *Core) newVM(ep catalog.Endpoint, now time.Time) *vm {
+	return &vm{ep: ep, registered: true, askAt: now, idleSince: now}
+}
+
+func sameMember(one, other *catalog.Membership) bool {
+	if one == nil || other == nil {
+		return one == other
+	}
+	return *one == *other
+}
+
+// Unregister tells that an endpoint's entry is gone. The VM may still serve as
+// a member, but not as a head, and it is given to no new group.
+func (co *Core) Unregister(id string, now time.Time) {
+	vm, ok := co.vms[id]
+	if !ok {
+		return
+	}
+	vm.registered = false
+	vm.urgent = true
+	vm.askBy(now)
+}
+
+// Reported takes in what an endpoint said of itself.
+func (co *Core) Reported(id string, re catalog.Report, now time.Time) {
+	vm, ok := co.vms[id]
+	if !ok {
+		return
+	}
+	if vm.down {
+		co.note(Event{What: "vm-back", VM: id})
+	}
+	vm.ep = re.Apply(vm.ep)
+	vm.known, vm.down, vm.failures, vm.urgent = true, false, 0, false
+	vm.running = re.Running + re.Waiting
+	vm.askAt = time.Time{}
+	if !vm.registered {
+		vm.askBy(now.Add(askDownInterval))
+	}
+	if mb := vm.ep.Member; mb != nil && mb.State == catalog.Joining {
+		vm.askBy(now.Add(askInterval))
+	}
+}
+
+// Failed tells that an endpoint did not answer a question.
+func (co *Core) Failed(id, reason string, now time.Time) {
+	vm, ok := co.vms[id]
+	if !ok {
+		return
+	}
+	vm.failures++
+	if !vm.registered && vm.failures >= maxFailures {
+		co.note(Event{What: "vm-gone", VM: id, Reason: reason})
+		delete(co.vms, id)
+		return
+	}
+	if vm.failures < maxFailures {
+		vm.askBy(now)
+		return
+	}
+	if !vm.down {
+		co.note(Event{What: "vm-down", VM: id, Reason: reason})
+	}
+	vm.down = true
+	vm.urgent = false
+	vm.askAt = now.Add(askDownInterval)
+}
+
+// Suspect asks all members of a group at once, since its streams stand still.
+func (co *Core) Suspect(name string, epoch int64, now time.Time) {
+	gr := co.groups[key(name, epoch)]
+	if gr == nil {
+		return
+	}
+	for _, id := range gr.members {
+		if vm := co.vms[id]; vm != nil && !vm.down {
+			vm.urgent = true
+			vm.askBy(now)
+		}
+	}
+}
+
+// Done tells what came of a command.
+func (co *Core) Done(cd Command, out Outcome, now time.Time) {
+	vm, ok := co.vms[cd.ID]
+	if !ok {
+		return
+	}
+	vm.busy = false
+	switch out {
+	case Accepted:
+		vm.failures = 0
+		co.apply(vm, cd.Order, now)
+	case Refused:
+		vm.askBy(now)
+	case Unanswered:
+		vm.urgent = true
+		vm.askBy(now)
+	}
+}
+
+// apply updates a VM by an order that it has accepted.
+func (co *Core) apply(vm *vm, order catalog.Order, now time.Time) {
+	vm.ep.Orders++
+	switch od := order.(type) {
+	case catalog.Join:
+		wait := co.joinTime(vm, od.Model)
+		vm.ep.Member = &catalog.Membership{Group: od.Group, Epoch: od.Epoch,
+			Rank: slices.Index(od.Members, vm.ep.ID), State: catalog.Joining}
+		vm.ep.Loaded = od.Model
+		vm.askBy(now.Add(wait))
+	case catalog.OpenGroup:
+		wait := askInterval
+		if en := co.services[vm.ep.Service]; en != nil {
+			wait = en.Form
+		}
+		vm.askBy(now.Add(wait))
+	case catalog.CloseGroup:
+		vm.askBy(now.Add(rejoinTime))
+	case catalog.Leave:
+		vm.ep.Member = nil
+		vm.idleSince = now
+		// The count of orders may differ if the VM had left already.
+		vm.askBy(now.Add(askLoadInterval))
+	case catalog.Stage:
+		vm.askBy(now.Add(askLoadInterval))
+	}
+}
+
+// joinTime is how long the VM takes to be ready for the model.
+func (co *Core) joinTime(vm *vm, model string) time.Duration {
+	en := co.services[vm.ep.Service]
+	mo, ok := en.Model(model)
+	switch {
+	case vm.ep.Loaded == model:
+		return rejoinTime
+	case !ok:
+		return askInterval
+	case vm.ep.HasStaged(model):
+		return mo.Warm
+	case co.Initial:
+		return mo.Load / initialSpeedup
+	}
+	return mo.Load
+}
+
+// initialSpeedup is how much faster loads are before the first request.
+const initialSpeedup = 10
+
+func (vm *vm) askBy(at time.Time) {
+	if vm.askAt.IsZero() || at.Before(vm.askAt) {
+		vm.askAt = at
+	}
+}
+
+func key(name string, epoch int64) string { return fmt.Sprintf("%s/%d", name, epoch) }
+
+func (co *Core) note(ev Event) { co.events = append(co.events, ev) }
+
+// Step returns the calls to make now. It is to be called after each change
+// and at short intervals.
+func (co *Core) Step(now time.Time) []Call {
+	co.loads.refill(now, co.services)
+	co.observe()
+	var calls []Call
+	for _, ke := range slices.Sorted(maps.Keys(co.groups)) {
+		calls = append(calls, co.stepGroup(co.groups[ke], now)...)
+	}
+	calls = append(calls, co.formGroups(now)...)
+	return append(calls, co.asks(now)...)
+}
+
+// asks returns the questions that are due.
+func (co *Core) asks(now time.Time) []Call {
+	var calls []Call
+	for _, id := range co.ids() {
+		vm := co.vms[id]
+		if vm.askAt.IsZero() || now.Before(vm.askAt) || vm.busy {
+			continue
+		}
+		vm.askAt = now.Add(askDownInterval)
+		calls = append(calls, Ask{ID: id, Address: vm.ep.Address, Urgent: vm.urgent || vm.failures > 0})
+	}
+	return calls
+}
+
+func (co *Core) ids() []string { return slices.Sorted(maps.Keys(co.vms)) }
+
+// Busy tells whether anything is on its way that short intervals matter for.
+func (co *Core) Busy() bool {
+	for _, vm := range co.vms {
+		if !vm.askAt.IsZero() || vm.busy {
+			return true
+		}
+	}
+	return false
+}
+
+// observe brings the table of groups up to what the members say.
+func (co *Core) observe() {
+	for _, gr := range co.groups {
+		if gr.planned.IsZero() {
+			for rank := range gr.members {
+				gr.members[rank] = ""
+			}
+		}
+	}
+	for _, id := range co.ids() {
+		vm := co.vms[id]
+		if mb := vm.ep.Member; mb != nil && vm.known {
+			co.observeMember(id, vm, mb)
+		}
+	}
+	maps.DeleteFunc(co.groups, func(_ string, gr *group) bool { return co.empty(gr) })
+}
+
+func (co *Core) observeMember(id string, vm *vm, mb *catalog.Membership) {
+	gr := co.groups[key(mb.Group, mb.Epoch)]
+	if gr == nil {
+		gr = &group{name: mb.Group, epoch: mb.Epoch, service: vm.ep.Service, model: vm.ep.Loaded}
+		size := 1
+		if mo, ok := co.services[vm.ep.Service].Model(gr.model); ok && !gr.spare() {
+			size = mo.Size
+		}
+		gr.members = make([]string, size)
+		co.groups[key(mb.Group, mb.Epoch)] = gr
+	}
+	if gr.planned.IsZero() && mb.Rank >= 0 && mb.Rank < len(gr.members) {
+		gr.members[mb.Rank] = id
+	}
+}
+
+func (gr *group) spare() bool {
+	return len(gr.name) > len(sparePrefix) && gr.name[:len(sparePrefix)] == sparePrefix
+}
+
+// empty tells whether nobody belongs to the group any more.
+func (co *Core) empty(gr *group) bool {
+	for _, id := range gr.members {
+		vm := co.vms[id]
+		if vm == nil {
+			continue
+		}
+		if vm.busy || co.belongs(vm, gr) {
+			return false
+		}
+	}
+	return gr.planned.IsZero() || gr.doomed
+}
+
+func (co *Core) belongs(vm *vm, gr *group) bool {
+	mb := vm.ep.Member
+	return mb != nil && mb.Group == gr.name && mb.Epoch == gr.epoch
+}
+
+// epoch returns the next epoch. It grows with terms, and within a term.
+func (co *Core) epoch() int64 {
+	co.made++
+	return co.Term<<epochBits + co.made
+}
+
+// epochBits leaves room for the groups that one steward forms.
+const epochBits = 20
+
+func byID(one, other *vm) int { return cmp.Compare(one.ep.ID, other.ep.ID) }
+
+// Settled tells whether every VM has reported or failed to.
+func (co *Core) Settled() bool {
+	for _, vm := range co.vms {
+		if !vm.known && !vm.down {
+			return false
+		}
+	}
+	return true
+}
+
+// AskOnly returns the questions that are due, for a new steward that does not
+// know enough to act.
+func (co *Core) AskOnly(now time.Time) []Call { return co.asks(now) }
--- /dev/null
+++ b/internal/core/steward/view.go
@@ -0,0 +1,64 @@
+package steward
+
+import (
+	"maps"
+	"slices"
+
+	"corianderhub.dev/corianderhub/internal/core/catalog"
+)
+
+// Groups returns the groups that serve: whole, with an open head.
+func (co *Core) Groups() []catalog.Group {
+	var groups []catalog.Group
+	for _, ke := range slices.Sorted(maps.Keys(co.groups)) {
+		gr := co.groups[ke]
+		if gr.spare() || gr.doomed || !co.complete(gr) || co.vms[gr.members[0]].ep.Member.State != catalog.Open {
+			continue
+		}
+		groups = append(groups, co.describe(gr))
+	}
+	return groups
+}
+
+func (co *Core) describe(gr *group) catalog.Group {
+	cg := catalog.Group{Name: gr.name, Epoch: gr.epoch, Service: gr.service, Model: gr.model,
+		DataCenter: co.vms[gr.members[0]].ep.DataCenter, Leaving: !gr.retiring.IsZero()}
+	for _, id := range gr.members {
+		vm := co.vms[id]
+		cg.Members = append(cg.Members, catalog.Member{ID: id, Address: vm.ep.Address})
+		cg.Slowness = max(cg.Slowness, vm.ep.Slowness)
+	}
+	return cg
+}
+
+// Stats counts groups and VMs by what they do, for metrics and logs.
+type Stats struct {
+	Serving, Forming, Broken, Spares, Down, Stranded int
+}
+
+// Stats returns the current counts.
+func (co *Core) Stats() Stats {
+	var st Stats
+	for _, gr := range co.groups {
+		switch {
+		case gr.spare():
+		case gr.doomed:
+			st.Broken++
+		case co.complete(gr) && co.vms[gr.members[0]].ep.Member.State == catalog.Open:
+			st.Serving++
+		default:
+			st.Forming++
+		}
+	}
+	for _, vm := range co.vms {
+		switch {
+		case vm.down:
+			st.Down++
+		case vm.ep.Member != nil && isSpare(vm.ep.Member.Group):
+			st.Spares++
+		case vm.ep.Member == nil:
+			st.Stranded++
+		}
+	}
+	return st
+}
--- /dev/null
+++ b/internal/entry/act.go
@@ -0,0 +1,207 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"net/http"
+	"reflect"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/rotisserie/eris"
+
+	"corianderhub.dev/corianderhub/internal/core/catalog"
+	"corianderhub.dev/corianderhub/internal/core/steward"
+	"corianderhub.dev/corianderhub/internal/http1"
+	"corianderhub.dev/corianderhub/pkg/verdict"
+	"corianderhub.dev/corianderhub/platform"
+)
+
+const (
+	// askTimeout bounds a question to an endpoint, which takes some 3 ms;
+	// urgentTimeout bounds one that decides whether a group has lost a member.
+	askTimeout    = 400 * time.Millisecond
+	urgentTimeout = 120 * time.Millisecond
+	// orderTimeout bounds an order. One without an answer is found out about
+	// by asking the endpoint.
+	orderTimeout = 300 * time.Millisecond
+	// maxReport bounds a report.
+	maxReport = 64 << 10
+	// settleLimit bounds the wait for all endpoints to report to a new steward.
+	settleLimit = 700 * time.Millisecond
+)
+
+// stepSteward does the steward's work, while the lease is certainly held.
+func (ct *control) stepSteward(now time.Time) {
+	sh := &ct.lease
+	if sh.core == nil {
+		return
+	}
+	if !ct.holds() {
+		ct.loseSteward("lease lapsed")
+		return
+	}
+	if !ct.haveAll || ct.da.currentConfig() == nil {
+		return
+	}
+	if !sh.asked {
+		sh.asked = true
+		sh.begun = now
+		for _, ep := range ct.endpoints {
+			sh.core.Register(ep, now)
+		}
+	}
+	sh.core.Initial = !ct.served && ct.da.front.Served() == 0
+	if !sh.core.Settled() && now.Sub(sh.begun) < settleLimit {
+		ct.execute(sh.core.AskOnly(now))
+		return
+	}
+	ct.execute(sh.core.Step(now))
+	ct.logEvents(sh.core.Events())
+	ct.publish()
+}
+
+func (ct *control) logEvents(evs []steward.Event) {
+	for _, ev := range evs {
+		ct.da.Log.Info("steward: "+ev.What+".", "term", ct.lease.term, "group", ev.Group, "model", ev.Model, "vm", ev.VM,
+			"reason", ev.Reason, "members", ev.Members)
+	}
+}
+
+// publish replaces the view if anything in it has changed, and tells the other
+// daemons at once.
+func (ct *control) publish() {
+	sh := &ct.lease
+	cfg := ct.da.currentConfig()
+	vi := &catalog.View{Term: sh.term, Revision: ct.revision, Plain: catalog.PlainEndpoints(ct.endpoints, cfg), Groups: sh.core.Groups()}
+	if sh.published != nil && reflect.DeepEqual(sh.published.Groups, vi.Groups) && reflect.DeepEqual(sh.published.Plain, vi.Plain) {
+		return
+	}
+	sh.sequence++
+	vi.Sequence = sh.sequence
+	sh.published = vi
+	ct.hearView(vi)
+	ct.sendBeat(nil)
+	st := sh.core.Stats()
+	ct.da.Log.Info("steward: view published.", "term", sh.term, "view", sh.sequence, "serving", st.Serving, "forming", st.Forming,
+		"broken", st.Broken, "spares", st.Spares, "stranded", st.Stranded, "down", st.Down)
+}
+
+// execute makes the steward's calls, each in a goroutine of its own.
+func (ct *control) execute(calls []steward.Call) {
+	term := ct.lease.term
+	for _, ca := range calls {
+		switch ca := ca.(type) {
+		case steward.Ask:
+			ct.da.once(&ct.wg, func(ctx context.Context) { ct.ask(ctx, term, ca) })
+		case steward.Command:
+			ct.da.once(&ct.wg, func(ctx context.Context) { ct.command(ctx, term, ca) })
+		}
+	}
+}
+
+// forTerm runs fn in the control loop if this daemon is still the steward of
+// that term.
+func (ct *control) forTerm(term int64, fn func(*steward.Core, time.Time)) {
+	ct.post(func() {
+		if ct.lease.core != nil && ct.lease.term == term {
+			fn(ct.lease.core, ct.da.Clock.Now())
+		}
+	})
+}
+
+func (ct *control) ask(ctx context.Context, term int64, as steward.Ask) {
+	limit := askTimeout
+	if as.Urgent {
+		limit = urgentTimeout
+	}
+	re, err := ct.da.report(ctx, as.ID, as.Address, limit, as.Urgent)
+	ct.forTerm(term, func(co *steward.Core, now time.Time) {
+		if err != nil {
+			co.Failed(as.ID, err.Error(), now)
+			return
+		}
+		co.Reported(as.ID, re, now)
+	})
+}
+
+// report asks an endpoint for its state.
+func (da *Daemon) report(ctx context.Context, id, address string, limit time.Duration, fresh bool) (catalog.Report, error) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	metrics.GetOrCreateCounter("corianderhub_asks_total").Inc()
+	_, body, err := da.call(ctx, address, &http1.Request{Method: http.MethodGet, URI: platform.PathReport, Host: address,
+		Header: http.Header{platform.HeaderExpectEndpoint: {id}}, Fresh: fresh})
+	if err != nil {
+		return catalog.Report{}, err
+	}
+	return platform.DecodeReport(body)
+}
+
+var errStatus = errors.New("unexpected status")
+
+// call makes a call to an endpoint that is not a caller's request.
+func (da *Daemon) call(ctx context.Context, address string, rq *http1.Request) (int, []byte, error) {
+	ex, err := da.pool.Send(ctx, address, rq)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer ex.Close()
+	body, err := ex.ReadAll(maxReport)
+	if err != nil {
+		return 0, nil, err
+	}
+	if rq.Method == http.MethodGet && ex.Response.StatusCode != http.StatusOK {
+		return ex.Response.StatusCode, nil, eris.Wrapf(errStatus, "status %d", ex.Response.StatusCode)
+	}
+	return ex.Response.StatusCode, body, nil
+}
+
+func (ct *control) command(ctx context.Context, term int64, cd steward.Command) {
+	out, status, err := ct.da.order(ctx, term, cd)
+	ct.da.Log.Info("steward: ordered.", "term", term, "vm", cd.ID, "order", cd.Order, "if-orders", cd.IfOrders, "status", status, "cause", cause(err))
+	ct.forTerm(term, func(co *steward.Core, now time.Time) { co.Done(cd, out, now) })
+}
+
+func cause(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+// order sends an order and tells what came of it.
+func (da *Daemon) order(ctx context.Context, term int64, cd steward.Command) (steward.Outcome, int, error) {
+	fence := int64(0)
+	if da.Settings.Bounds.Fencing {
+		fence = term
+	}
+	body, err := platform.EncodeOrder(cd.Order, fence, cd.IfOrders)
+	if err != nil {
+		return steward.Refused, 0, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	metrics.GetOrCreateCounter("corianderhub_orders_total").Inc()
+	header := http.Header{"Content-Type": {"application/json"}, platform.HeaderExpectEndpoint: {cd.ID}}
+	status, answer, err := da.call(ctx, cd.Address, &http1.Request{Method: http.MethodPost, URI: platform.PathOrder,
+		Host: cd.Address, Header: header, Body: bytes.Clone(body)})
+	switch {
+	case err != nil && verdictOf(err) == verdict.NotRun:
+		return steward.Unanswered, 0, err
+	case err != nil:
+		return steward.Unanswered, 0, err
+	case status == http.StatusOK || status == http.StatusAccepted:
+		return steward.Accepted, status, nil
+	}
+	return steward.Refused, status, eris.New(string(answer))
+}
+
+func verdictOf(err error) verdict.Verdict {
+	var he *http1.Error
+	if errors.As(err, &he) {
+		return he.Verdict
+	}
+	return verdict.MayHaveRun
+}
--- /dev/null
+++ b/internal/entry/control.go
@@ -0,0 +1,324 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"corianderhub.dev/corianderhub/internal/core/catalog"
+	"corianderhub.dev/corianderhub/internal/mesh"
+	"corianderhub.dev/corianderhub/platform"
+)
+
+const (
+	// tick is the interval of the control loop, which bounds the notice of a
+	// group that stands still.
+	tick = 40 * time.Millisecond
+	// beatInterval is the time between beats to each daemon, where few are;
+	// beatsPerSecond bounds the datagrams that a daemon sends.
+	beatInterval   = 120 * time.Millisecond
+	beatsPerSecond = 90
+	// staleAfter is the age of the store's last word from which a daemon asks
+	// the store itself. With the steward's own look every 800 ms, a change is
+	// known within the 2 s that the deployments allow.
+	staleAfter = 1200 * time.Millisecond
+	// freshAfter is the age below which it leaves that to the steward again.
+	freshAfter = 700 * time.Millisecond
+	// returnGrace is how long entries that were lost while the store was away
+	// may take to be back: endpoints write theirs anew within 2 s.
+	returnGrace = 2300 * time.Millisecond
+	// queueSize bounds the events that wait for the control loop.
+	queueSize = 4096
+	// poolSweep is the interval at which idle connections are looked through.
+	poolSweep = time.Second
+)
+
+// control is the daemon's control state. All of it belongs to the loop's
+// goroutine but for what is said to be shared.
+type control struct {
+	da     *Daemon
+	events chan func()
+	// endpoints is what the store has registered; missing ones were lost while
+	// the store was away.
+	endpoints map[string]catalog.Endpoint
+	missing   map[string]time.Time
+	revision  int64
+	// told is the newest view of a steward.
+	told *catalog.View
+	// confirmed is when the store last confirmed what is known; shared under mu.
+	mu        sync.Mutex
+	confirmed time.Time
+	// following is set while this daemon follows the store itself; shared.
+	following bool
+	// haveAll is set once all endpoints were read since following began.
+	haveAll  bool
+	fetching map[string]bool
+	number   uint64
+	beatDue  time.Time
+	sweepDue time.Time
+	served   bool
+	lease    stewardship
+	probes   map[string]time.Time
+	// beats from the steward of the highest term.
+	steward mesh.Beat
+	heard   time.Time
+	wg      sync.WaitGroup
+	doubted time.Time
+}
+
+func newControl(da *Daemon) *control {
+	return &control{da: da, events: make(chan func(), queueSize), endpoints: make(map[string]catalog.Endpoint),
+		missing: make(map[string]time.Time), fetching: make(map[string]bool),
+		probes: make(map[string]time.Time)}
+}
+
+// post hands an event to the control loop.
+func (ct *control) post(ev func()) {
+	select {
+	case ct.events <- ev:
+	case <-ct.da.work.Done():
+	}
+}
+
+func (ct *control) run(ctx context.Context) error {
+	ct.confirmed = ct.da.Clock.Now().Add(-staleAfter + startPatience)
+	ct.da.once(&ct.wg, ct.followConfig)
+	ct.da.once(&ct.wg, ct.followEndpoints)
+	ct.da.once(&ct.wg, ct.join)
+	ct.da.once(&ct.wg, ct.campaign)
+	ti := time.NewTicker(tick)
+	defer ti.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			ct.da.cancel()
+			ct.wg.Wait()
+			return nil
+		case ev := <-ct.events:
+			ev()
+			ct.drain()
+		case <-ti.C:
+		}
+		ct.step()
+	}
+}
+
+// drain handles the events that wait, so that the state is looked at once.
+func (ct *control) drain() {
+	for {
+		select {
+		case ev := <-ct.events:
+			ev()
+		default:
+			return
+		}
+	}
+}
+
+// startPatience is how long a daemon that starts waits for a steward's word
+// before it asks the store itself.
+const startPatience = 150 * time.Millisecond
+
+// step does what is due.
+func (ct *control) step() {
+	now := ct.da.Clock.Now()
+	ct.stepFollowing(now)
+	ct.stepMissing(now)
+	ct.stepSteward(now)
+	ct.stepStalls(now)
+	if now.After(ct.beatDue) {
+		ct.sendBeat(nil)
+	}
+	if now.After(ct.sweepDue) {
+		ct.sweepDue = now.Add(poolSweep)
+		ct.da.pool.Sweep()
+		ct.shareBudget()
+	}
+}
+
+// shareBudget divides the retry budget's slack among the daemons.
+func (ct *control) shareBudget() {
+	num := max(minBudgetDaemons, len(ct.da.mesh.Known()))
+	ct.da.front.Budget.SetSlack(ct.da.Settings.Bounds.RetrySlack * budgetShare / float64(num))
+}
+
+// age is how long ago the store last confirmed what the daemon knows.
+func (ct *control) age(now time.Time) time.Duration {
+	ct.mu.Lock()
+	defer ct.mu.Unlock()
+	return now.Sub(ct.confirmed)
+}
+
+func (ct *control) confirm(at time.Time) {
+	ct.mu.Lock()
+	defer ct.mu.Unlock()
+	if at.After(ct.confirmed) {
+		ct.confirmed = at
+	}
+}
+
+// tooOld tells whether keys must not be accepted any more, where the
+// deployment asks for that.
+func (ct *control) tooOld() bool {
+	bo := ct.da.Settings.Bounds
+	return bo.RevokeFailClosed && ct.age(ct.da.Clock.Now()) > bo.Revoke*9/10
+}
+
+// doubt makes the daemon look at the store soon, since an endpoint was not
+// what the view says.
+func (ct *control) doubt() {
+	ct.post(func() {
+		now := ct.da.Clock.Now()
+		if now.Sub(ct.doubted) > time.Second {
+			ct.doubted = now
+			ct.da.Log.Info("control: an endpoint is not the one expected.", "view-age-ms", ct.age(now).Milliseconds())
+		}
+	})
+}
+
+// sendBeat tells the others what this daemon is and knows.
+func (ct *control) sendBeat(suspects []mesh.Suspect) {
+	now := ct.da.Clock.Now()
+	ct.number++
+	set := ct.da.Settings
+	be := mesh.Beat{IP: set.IP, Started: ct.da.started, Number: ct.number, Name: set.Name, DataCenter: set.DataCenter,
+		Callers: set.Callers, Taking: ct.da.taking(), Age: ct.age(now), Served: ct.served || ct.da.front.Served() > 0,
+		Loads: ct.da.table.Own(), Suspects: suspects}
+	if co := ct.da.config.Load(); co != nil {
+		be.Config = co.Revision
+	}
+	if ct.lease.settled() {
+		be.Steward, be.Term, be.View = true, ct.lease.term, ct.lease.sequence
+	}
+	if err := ct.da.mesh.Send(be); err != nil {
+		ct.da.Log.Error("control: beat not sent.", "cause", err.Error())
+	}
+	interval := max(beatInterval, time.Duration(len(ct.da.mesh.Known()))*time.Second/beatsPerSecond)
+	ct.beatDue = now.Add(interval + time.Duration(rand.Int64N(int64(tick))))
+}
+
+// beat takes in what another daemon told.
+func (ct *control) beat(be mesh.Beat) {
+	now := ct.da.Clock.Now()
+	ct.da.table.PeerLoads(be.IP, be.Loads, now)
+	ct.served = ct.served || be.Served
+	if ct.lease.core != nil {
+		for _, su := range be.Suspects {
+			ct.lease.core.Suspect(su.Group, su.Epoch, now)
+		}
+	}
+	ct.hearConfig(be)
+	if !be.Steward || be.Term < ct.steward.Term || ct.lease.core != nil && be.Term <= ct.lease.term {
+		return
+	}
+	if be.Term > ct.steward.Term {
+		ct.da.Log.Info("control: steward heard.", "steward", be.Name, "term", be.Term)
+	}
+	ct.steward, ct.heard = be, now
+	ct.confirm(now.Add(-be.Age - hearDelay))
+	if ct.told == nil || be.Term > ct.told.Term || be.Term == ct.told.Term && be.View > ct.told.Sequence {
+		ct.fetchView(be)
+	}
+}
+
+// hearDelay is added to the age that another daemon tells, for the way.
+const hearDelay = 10 * time.Millisecond
+
+// hearConfig fetches a configuration that another daemon has and this one not.
+func (ct *control) hearConfig(be mesh.Beat) {
+	co := ct.da.config.Load()
+	if be.Config == 0 || co != nil && co.Revision >= be.Config {
+		return
+	}
+	ct.fetch("config", func(ctx context.Context) func() {
+		raw, rev, err := ct.da.peers.Config(ctx, be.IP)
+		if err != nil {
+			ct.da.Log.Info("control: configuration not fetched.", "from", be.Name, "cause", err.Error())
+			return nil
+		}
+		return func() { ct.setConfig(raw, rev, "daemon "+be.Name) }
+	})
+}
+
+func (ct *control) fetchView(be mesh.Beat) {
+	ct.fetch("view", func(ctx context.Context) func() {
+		vi, err := ct.da.peers.View(ctx, be.IP)
+		if err != nil {
+			ct.da.Log.Info("control: view not fetched.", "from", be.Name, "cause", err.Error())
+			return nil
+		}
+		return func() { ct.hearView(vi) }
+	})
+}
+
+// fetch runs one call of a kind at a time, and its outcome in the loop.
+func (ct *control) fetch(kind string, call func(context.Context) func()) {
+	if ct.fetching[kind] {
+		return
+	}
+	ct.fetching[kind] = true
+	ct.da.once(&ct.wg, func(ctx context.Context) {
+		done := call(ctx)
+		ct.post(func() {
+			ct.fetching[kind] = false
+			if done != nil {
+				done()
+			}
+		})
+	})
+}
+
+// setConfig puts a configuration in force, unless a newer one is.
+func (ct *control) setConfig(raw []byte, revision int64, from string) {
+	if co := ct.da.config.Load(); co != nil && co.Revision >= revision {
+		return
+	}
+	cfg, err := platform.DecodeConfig(raw, revision)
+	if err != nil {
+		ct.da.Log.Error("control: configuration can't be used; the last one stays.", "revision", revision, "cause", err.Error())
+		return
+	}
+	ct.da.config.Store(&configuration{cfg, raw})
+	ct.da.Log.Info("control: configuration in force.", "version", cfg.Version, "revision", revision, "routes", len(cfg.Routes), "from", from)
+	if ct.lease.core != nil {
+		ct.lease.core.SetServices(cfg)
+	}
+	ct.updateView()
+	ct.sendBeat(nil)
+}
+
+// hearView takes in a steward's view.
+func (ct *control) hearView(vi *catalog.View) {
+	if vi == nil || ct.told != nil && !vi.Newer(ct.told) {
+		return
+	}
+	ct.told = vi
+	ct.updateView()
+}
+
+// updateView makes traffic go by what is known now: by the steward's view, or
+// by the store's entries while no steward tells what they say.
+func (ct *control) updateView() {
+	cfg := ct.da.currentConfig()
+	if cfg == nil {
+		return
+	}
+	vi := ct.told
+	if ct.lease.core == nil && ct.follows() && ct.revision > 0 {
+		vi = catalog.Fold(ct.endpoints, cfg, ct.told, ct.revision)
+	}
+	if vi == nil {
+		return
+	}
+	ct.da.view.Store(vi)
+	ct.da.table.Update(vi, cfg, ct.da.Clock.Now())
+	ct.da.plain.Update(vi)
+}
+
+// leave tells the others that this daemon takes no more requests, and gives
+// the lease back.
+func (ct *control) leave() {
+	ct.sendBeat(nil)
+	ct.resign()
+}
--- /dev/null
+++ b/internal/entry/follow.go
@@ -0,0 +1,273 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"time"
+
+	"corianderhub.dev/corianderhub/internal/core/catalog"
+	"corianderhub.dev/corianderhub/platform"
+)
+
+const (
+	// watchWait is how long a watch of the store waits. A watch may hear
+	// nothing of a change, so its silence is believed no longer than this.
+	watchWait = 800 * time.Millisecond
+	// watchPause is the time after a change during which others may come that
+	// are then fetched with the same call.
+	watchPause = 40 * time.Millisecond
+	// retryPause is the time between calls to a store that does not answer.
+	retryPause = 250 * time.Millisecond
+	// idlePause is the time between looks whether to follow the store again.
+	idlePause = 100 * time.Millisecond
+)
+
+// follower reads a prefix of the store and keeps up with its changes.
+type follower struct {
+	ct     *control
+	prefix string
+	// snapshot gets all items, changed those that changed since.
+	snapshot func(items []platform.Item, revision int64)
+	changed  func(items []platform.Item)
+	after    int64
+	failing  bool
+}
+
+func (ct *control) followConfig(ctx context.Context) {
+	take := func(items []platform.Item) {
+		for _, it := range items {
+			if it.Key == platform.ConfigKey && !it.Deleted {
+				ct.setConfig(it.Value, it.Revision, "store")
+			}
+		}
+	}
+	fo := &follower{ct: ct, prefix: platform.ConfigPrefix, changed: take,
+		snapshot: func(items []platform.Item, _ int64) { take(items) }}
+	fo.run(ctx)
+}
+
+func (ct *control) followEndpoints(ctx context.Context) {
+	fo := &follower{ct: ct, prefix: platform.EndpointPrefix, snapshot: ct.snapshot, changed: ct.changed}
+	fo.run(ctx)
+}
+
+// run follows the store while this daemon is to do so.
+func (fo *follower) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if !fo.ct.follows() {
+			fo.after = 0
+			_ = fo.ct.da.Clock.Sleep(ctx, idlePause) // The loop looks at ctx.
+			continue
+		}
+		if err := fo.once(ctx); err != nil && ctx.Err() == nil {
+			fo.lost(err)
+			_ = fo.ct.da.Clock.Sleep(ctx, retryPause) // The loop looks at ctx.
+		}
+	}
+}
+
+func (fo *follower) once(ctx context.Context) error {
+	if fo.after == 0 {
+		items, rev, err := fo.ct.da.store.Range(ctx, fo.prefix)
+		if err != nil {
+			return err
+		}
+		fo.regained()
+		fo.after = rev
+		fo.ct.post(func() {
+			fo.snapshot(items, rev)
+			fo.ct.confirmPart(fo.prefix)
+		})
+	}
+	items, _, err := fo.ct.da.store.Watch(ctx, fo.prefix, fo.after, watchWait)
+	if errors.Is(err, platform.ErrHistoryGone) {
+		fo.ct.da.Log.Info("store: history is gone, reading all.", "prefix", fo.prefix)
+		fo.after = 0
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	// Only changes that came move the place to go on from: a quiet answer may
+	// tell a revision behind changes that the watch has not delivered.
+	for _, it := range items {
+		fo.after = max(fo.after, it.Revision)
+	}
+	fo.regained()
+	fo.ct.post(func() {
+		if len(items) > 0 {
+			fo.changed(items)
+		}
+		fo.ct.confirmPart(fo.prefix)
+	})
+	if len(items) > 0 {
+		return fo.ct.da.Clock.Sleep(ctx, watchPause)
+	}
+	return nil
+}
+
+func (fo *follower) lost(err error) {
+	if !fo.failing {
+		fo.ct.da.Log.Warn("store: lost.", "prefix", fo.prefix, "cause", err.Error())
+	}
+	fo.failing = true
+	fo.after = 0
+}
+
+func (fo *follower) regained() {
+	if fo.failing {
+		fo.ct.da.Log.Info("store: regained.", "prefix", fo.prefix)
+	}
+	fo.failing = false
+}
+
+// confirmPart notes that what is below a prefix was confirmed just now. The
+// endpoints count; the configuration is followed at the same pace.
+func (ct *control) confirmPart(prefix string) {
+	now := ct.da.Clock.Now()
+	if prefix == platform.EndpointPrefix {
+		ct.lease.endpointsAt = now
+	} else {
+		ct.lease.configAt = now
+	}
+	at := ct.lease.endpointsAt
+	if ct.lease.configAt.Before(at) {
+		at = ct.lease.configAt
+	}
+	ct.confirm(at)
+}
+
+// follows tells whether this daemon follows the store itself.
+func (ct *control) follows() bool {
+	ct.mu.Lock()
+	defer ct.mu.Unlock()
+	return ct.following
+}
+
+// stepFollowing decides whether to follow the store: the steward does, and
+// whoever has not heard from it lately.
+func (ct *control) stepFollowing(now time.Time) {
+	age := ct.age(now)
+	following := ct.follows()
+	want := following
+	switch {
+	case ct.lease.core != nil:
+		want = true
+	case age > staleAfter:
+		want = true
+	case now.Sub(ct.heard) < freshAfter && ct.steward.Age < freshAfter:
+		want = false
+	}
+	if want == following {
+		return
+	}
+	ct.mu.Lock()
+	ct.following = want
+	ct.mu.Unlock()
+	ct.haveAll = ct.haveAll && want
+	ct.da.Log.Info("control: following the store.", "on", want, "age-ms", age.Milliseconds())
+	ct.updateView()
+}
+
+// snapshot takes in all endpoints that the store has registered. Those that
+// are not there any more are gone, unless the store was away: then they may be
+// back soon.
+func (ct *control) snapshot(items []platform.Item, revision int64) {
+	now := ct.da.Clock.Now()
+	away := ct.age(now) > staleAfter
+	seen := make(map[string]bool, len(items))
+	for _, it := range items {
+		if ep, ok := ct.decode(it); ok {
+			seen[ep.ID] = true
+			ct.register(ep)
+		}
+	}
+	for id := range maps.Clone(ct.endpoints) {
+		switch {
+		case seen[id]:
+		case away:
+			if _, ok := ct.missing[id]; !ok {
+				ct.missing[id] = now
+			}
+		default:
+			ct.unregister(id)
+		}
+	}
+	ct.revision = max(ct.revision, revision)
+	ct.haveAll = true
+	ct.endpointsChanged()
+}
+
+func (ct *control) changed(items []platform.Item) {
+	for _, it := range items {
+		ct.revision = max(ct.revision, it.Revision)
+		if it.Deleted {
+			ct.unregister(it.Key[len(platform.EndpointPrefix):])
+			continue
+		}
+		if ep, ok := ct.decode(it); ok {
+			ct.register(ep)
+		}
+	}
+	ct.endpointsChanged()
+}
+
+func (ct *control) decode(it platform.Item) (catalog.Endpoint, bool) {
+	ep, err := platform.DecodeEndpoint(it)
+	if err != nil {
+		ct.da.Log.Warn("control: entry set aside.", "cause", err.Error())
+	}
+	return ep, err == nil
+}
+
+func (ct *control) register(ep catalog.Endpoint) {
+	had, ok := ct.endpoints[ep.ID]
+	if ok && had.Revision > ep.Revision {
+		return
+	}
+	if !ok {
+		ct.da.Log.Info("control: endpoint live.", "endpoint", ep.ID, "service", ep.Service, "domain", ep.Domain, "revision", ep.Revision)
+	} else if ep.Leaving && !had.Leaving {
+		ct.da.Log.Info("control: endpoint leaves.", "endpoint", ep.ID, "service", ep.Service, "revision", ep.Revision)
+	}
+	delete(ct.missing, ep.ID)
+	ct.endpoints[ep.ID] = ep
+	if ct.lease.core != nil {
+		ct.lease.core.Register(ep, ct.da.Clock.Now())
+	}
+}
+
+func (ct *control) unregister(id string) {
+	ep, ok := ct.endpoints[id]
+	if !ok {
+		return
+	}
+	ct.da.Log.Info("control: endpoint gone.", "endpoint", id, "service", ep.Service)
+	delete(ct.endpoints, id)
+	delete(ct.missing, id)
+	if ct.lease.core != nil {
+		ct.lease.core.Unregister(id, ct.da.Clock.Now())
+	}
+}
+
+// stepMissing gives up endpoints that did not come back after an outage.
+func (ct *control) stepMissing(now time.Time) {
+	before := len(ct.missing)
+	for id, since := range ct.missing {
+		if now.Sub(since) > returnGrace {
+			ct.unregister(id)
+		}
+	}
+	if len(ct.missing) != before {
+		ct.endpointsChanged()
+	}
+}
+
+// endpointsChanged brings the view up to the endpoints. The steward publishes
+// its own.
+func (ct *control) endpointsChanged() {
+	if ct.lease.core == nil {
+		ct.updateView()
+	}
+}
--- /dev/null
+++ b/internal/entry/lease.go
@@ -0,0 +1,290 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"slices"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"corianderhub.dev/corianderhub/internal/clock"
+	"corianderhub.dev/corianderhub/internal/core/catalog"
+	"corianderhub.dev/corianderhub/internal/core/steward"
+	"corianderhub.dev/corianderhub/platform"
+)
+
+// Keys of the project in the store.
+const (
+	stewardKey   = "corianderhub/steward"
+	daemonPrefix = "corianderhub/daemons/"
+)
+
+const (
+	// leaseTTL is how long a steward that falls silent keeps others from
+	// taking over. A shorter one lapses in the store's short outages.
+	leaseTTL = 3 * time.Second
+	// renewEvery is the interval of renewals.
+	renewEvery = 600 * time.Millisecond
+	// leaseMargin is taken off a lease's time by its holder.
+	leaseMargin = 300 * time.Millisecond
+	// stewardSilence is how long a steward must be silent before another
+	// daemon looks at the lease.
+	stewardSilence = 500 * time.Millisecond
+	// rankDelay keeps daemons from trying all at once: each waits for those
+	// that come before it by address.
+	rankDelay = 250 * time.Millisecond
+	// campaignPause is the time between looks at the lease.
+	campaignPause = 300 * time.Millisecond
+	// provePatience bounds the question whether a holder's process is there.
+	provePatience = 150 * time.Millisecond
+)
+
+// holder is the value of the steward's key.
+type holder struct {
+	IP      string `json:"ip"`
+	Started int64  `json:"started"`
+}
+
+// stewardship is the control state's part for the steward's lease.
+type stewardship struct {
+	// core is nil unless this daemon is the steward.
+	core *steward.Core
+	term int64
+	// lease is the store's, valid until that time since boot.
+	lease int64
+	until time.Duration
+	// sequence counts the views of the term; published is the last one.
+	sequence              int64
+	published             *catalog.View
+	endpointsAt, configAt time.Time
+	begun                 time.Time
+	asked                 bool
+}
+
+// settled tells whether the steward knows enough for its view to be used.
+func (sh *stewardship) settled() bool { return sh.core != nil && sh.published != nil }
+
+// campaign takes the lease when nobody holds it, and renews it.
+func (ct *control) campaign(ctx context.Context) {
+	for ctx.Err() == nil {
+		if ct.da.stopping.Load() {
+			return
+		}
+		if ct.shouldTry() {
+			ct.tryLease(ctx)
+		}
+		_ = ct.da.Clock.Sleep(ctx, campaignPause) // The loop looks at ctx.
+	}
+}
+
+// shouldTry tells whether no steward was heard for so long that it is this
+// daemon's turn to look at the lease.
+func (ct *control) shouldTry() bool {
+	answer := make(chan bool, 1)
+	ct.post(func() {
+		now := ct.da.Clock.Now()
+		rank := 0
+		for _, pe := range ct.da.mesh.Alive() {
+			if pe.IP < ct.da.Settings.IP {
+				rank++
+			}
+		}
+		silent := now.Sub(ct.heard)
+		if ct.heard.IsZero() {
+			silent = now.Sub(time.Unix(0, ct.da.started))
+		}
+		answer <- ct.lease.core == nil && silent > stewardSilence+time.Duration(min(rank, maxRank))*rankDelay
+	})
+	select {
+	case try := <-answer:
+		return try
+	case <-ct.da.work.Done():
+		return false
+	}
+}
+
+// maxRank bounds the wait for daemons that come before this one.
+const maxRank = 6
+
+// tryLease takes the lease if it is free or its holder is certainly gone, and
+// then serves as steward until it is lost.
+func (ct *control) tryLease(ctx context.Context) {
+	item, _, err := ct.da.store.Get(ctx, stewardKey)
+	if err != nil {
+		ct.da.Log.Info("steward: lease not read.", "cause", err.Error())
+		return
+	}
+	if item.Revision != 0 && !ct.holderGone(ctx, item) {
+		return
+	}
+	begin := clock.SinceBoot()
+	lease, err := ct.da.store.Grant(ctx, leaseTTL)
+	if err != nil {
+		ct.da.Log.Info("steward: no lease granted.", "cause", err.Error())
+		return
+	}
+	term, err := ct.take(ctx, item.Revision, lease)
+	if err != nil {
+		ct.da.Log.Info("steward: lease not taken.", "cause", err.Error())
+		// A write that is carried out late must find its lease ended.
+		_ = ct.da.store.End(ctx, lease) // It ends by itself soon.
+		return
+	}
+	ct.post(func() { ct.becomeSteward(term, lease, begin+leaseTTL-leaseMargin) })
+	ct.renew(ctx, lease)
+	ct.post(func() { ct.loseSteward("lease lost") })
+}
+
+// take writes the steward's key if it is still as it was read. The revision is
+// the term: it grows with each steward.
+func (ct *control) take(ctx context.Context, revision, lease int64) (int64, error) {
+	value, err := json.Marshal(holder{ct.da.Settings.IP, ct.da.started})
+	if err != nil {
+		return 0, err
+	}
+	return ct.da.store.Txn(ctx, []platform.Condition{{Key: stewardKey, Revision: revision}},
+		[]platform.Put{{Key: stewardKey, Value: value, Lease: lease}}, nil)
+}
+
+// holderGone tells whether the process that holds the lease has certainly
+// ended: a later one runs at its address, or nothing listens there. Silence
+// proves nothing.
+func (ct *control) holderGone(ctx context.Context, item platform.Item) bool {
+	var ho holder
+	if err := json.Unmarshal(item.Value, &ho); err != nil {
+		ct.da.Log.Warn("steward: holder not understood.", "cause", err.Error())
+		return false
+	}
+	if ho.IP == ct.da.Settings.IP {
+		return ho.Started != ct.da.started
+	}
+	for _, pe := range ct.da.mesh.Alive() {
+		if pe.IP == ho.IP {
+			return pe.Started > ho.Started
+		}
+	}
+	di := net.Dialer{Timeout: provePatience}
+	nc, err := di.DialContext(ctx, "tcp", net.JoinHostPort(ho.IP, strconv.Itoa(ct.da.Settings.InnerPorts[1])))
+	if err == nil {
+		nc.Close()
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
+// renew renews the lease until it is lost or the daemon resigns.
+func (ct *control) renew(ctx context.Context, lease int64) {
+	for ctx.Err() == nil && ct.da.Clock.Sleep(ctx, renewEvery) == nil {
+		begin := clock.SinceBoot()
+		err := ct.da.store.Renew(ctx, lease)
+		if errors.Is(err, platform.ErrNoLease) {
+			return
+		}
+		held := make(chan bool, 1)
+		ct.post(func() {
+			if err == nil {
+				ct.lease.until = begin + leaseTTL - leaseMargin
+			}
+			held <- ct.lease.core != nil && ct.lease.lease == lease && ct.holds()
+		})
+		if err != nil {
+			ct.da.Log.Info("steward: lease not renewed.", "cause", err.Error())
+		}
+		select {
+		case ok := <-held:
+			if !ok {
+				return
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// holds tells whether the lease is certainly still this daemon's.
+func (ct *control) holds() bool { return clock.SinceBoot() < ct.lease.until }
+
+func (ct *control) becomeSteward(term, lease int64, until time.Duration) {
+	now := ct.da.Clock.Now()
+	ct.da.Log.Info("steward: lease taken.", "term", term)
+	ct.lease = stewardship{core: steward.New(term, now), term: term, lease: lease, until: until, begun: now,
+		endpointsAt: ct.lease.endpointsAt, configAt: ct.lease.configAt}
+	if cfg := ct.da.currentConfig(); cfg != nil {
+		ct.lease.core.SetServices(cfg)
+	}
+	ct.stepFollowing(now)
+}
+
+func (ct *control) loseSteward(why string) {
+	if ct.lease.core == nil {
+		return
+	}
+	ct.da.Log.Info("steward: lease given up.", "term", ct.lease.term, "reason", why)
+	ct.lease = stewardship{endpointsAt: ct.lease.endpointsAt, configAt: ct.lease.configAt}
+	ct.heard = ct.da.Clock.Now()
+}
+
+// resign gives the lease back, so that another daemon can take it at once.
+func (ct *control) resign() {
+	if ct.lease.core == nil {
+		return
+	}
+	lease := ct.lease.lease
+	ct.loseSteward("stopping")
+	ct.da.once(&ct.wg, func(ctx context.Context) {
+		if err := ct.da.store.End(ctx, lease); err != nil {
+			ct.da.Log.Info("steward: lease not ended.", "cause", err.Error())
+		}
+	})
+}
+
+// join makes the daemon known at the store and learns of the others, there or
+// from the seeds.
+func (ct *control) join(ctx context.Context) {
+	go ct.joinSeeds(ctx)
+	key := daemonPrefix + ct.da.Settings.IP
+	written := false
+	for ctx.Err() == nil {
+		if !written {
+			_, err := ct.da.store.Txn(ctx, nil, []platform.Put{{Key: key, Value: []byte(ct.da.Settings.Name)}}, nil)
+			written = err == nil
+		}
+		items, _, err := ct.da.store.Range(ctx, daemonPrefix)
+		if err == nil && written {
+			var ips []string
+			for _, it := range items {
+				ips = append(ips, strings.TrimPrefix(it.Key, daemonPrefix))
+			}
+			ct.da.mesh.Know(ips)
+			ct.da.Log.Info("control: daemons known.", "count", len(ips))
+			return
+		}
+		if err != nil {
+			ct.da.Log.Info("control: daemons not read.", "cause", err.Error())
+		}
+		_ = ct.da.Clock.Sleep(ctx, retryPause) // The loop looks at ctx.
+	}
+}
+
+// joinSeeds learns of the other daemons and of the configuration from the
+// daemons named in the settings, for the case that the store is away.
+func (ct *control) joinSeeds(ctx context.Context) {
+	var ips []string
+	for _, seed := range ct.da.Settings.Seeds {
+		if host, _, err := net.SplitHostPort(seed); err == nil && host != ct.da.Settings.IP {
+			ips = append(ips, host)
+		}
+	}
+	ct.da.mesh.Know(ips)
+	for _, ip := range slices.Clone(ips) {
+		more, err := ct.da.peers.Daemons(ctx, ip)
+		if err != nil {
+			ct.da.Log.Debug("control: seed did not answer.", "seed", ip, "cause", err.Error())
+			continue
+		}
+		ct.da.mesh.Know(more)
+	}
+}
--- /dev/null
+++ b/internal/front/events.go
@@ -0,0 +1,92 @@
+package front
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"strconv"
+)
+
+// errCutOff means that a stream ended within an event.
+var errCutOff = errors.New("front: the stream ended within an event")
+
+// maxEvent bounds one event of a stream.
+const maxEvent = 1 << 20
+
+// eventReader splits a stream into whole events, each up to its blank line. A
+// stream that breaks off within an event never shows the part of it.
+type eventReader struct {
+	from io.Reader
+	buf  []byte
+	// start and end mark what was read and not yet returned.
+	start, end int
+}
+
+func newEventReader(from io.Reader) *eventReader {
+	return &eventReader{from: from, buf: make([]byte, 2<<10)}
+}
+
+// next returns the next event with its blank line. It returns io.EOF only at
+// the end of a whole stream.
+func (er *eventReader) next() ([]byte, error) {
+	for {
+		if event := er.take(); event != nil {
+			return event, nil
+		}
+		if err := er.fill(); err != nil {
+			if err == io.EOF && er.end > er.start {
+				return nil, errCutOff
+			}
+			return nil, err
+		}
+	}
+}
+
+// take returns a whole event that was read already.
+func (er *eventReader) take() []byte {
+	rest := er.buf[er.start:er.end]
+	at, size := bytes.Index(rest, []byte("\n\n")), 2
+	if crlf := bytes.Index(rest, []byte("\r\n\r\n")); crlf >= 0 && (at < 0 || crlf < at) {
+		at, size = crlf, 4
+	}
+	if at < 0 {
+		return nil
+	}
+	er.start += at + size
+	return rest[:at+size]
+}
+
+func (er *eventReader) fill() error {
+	if er.start > 0 {
+		copy(er.buf, er.buf[er.start:er.end])
+		er.end -= er.start
+		er.start = 0
+	}
+	if er.end == len(er.buf) {
+		if len(er.buf) >= maxEvent {
+			return errors.New("front: an event is too large")
+		}
+		er.buf = append(er.buf, make([]byte, len(er.buf))...)
+	}
+	num, err := er.from.Read(er.buf[er.end:])
+	er.end += num
+	if num > 0 {
+		return nil
+	}
+	return err
+}
+
+// eventID returns the identifier of an event, which grows along a stream.
+func eventID(event []byte) (int64, bool) {
+	for len(event) > 0 {
+		line, rest, _ := bytes.Cut(event, []byte("\n"))
+		event = rest
+		val, ok := bytes.CutPrefix(line, []byte("id:"))
+		if !ok {
+			continue
+		}
+		num, err := strconv.ParseInt(string(bytes.TrimSpace(val)), 10, 64)
+		return num, err == nil
+	}
+	return 0, false
+}
--- /dev/null
+++ b/internal/front/server.go
@@ -0,0 +1,237 @@
+// Package front serves callers: it finds a request's route, chooses where to
+// send it, and passes the answer on whole or says truthfully what is known of
+// it.
+package front
+
+import (
+	"errors"
+	"io"
+	"log/slog"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"corianderhub.dev/corianderhub/internal/clock"
+	"corianderhub.dev/corianderhub/internal/core/catalog"
+	"corianderhub.dev/corianderhub/internal/core/dispatch"
+	"corianderhub.dev/corianderhub/internal/http1"
+	"corianderhub.dev/corianderhub/platform"
+)
+
+const (
+	// defaultBody bounds a request's body where the operators set no limit.
+	defaultBody = 4 << 20
+	// bodyPatience bounds the reading of a body in parts of the route's timeout.
+	bodyPatience = 2
+)
+
+// Server handles the callers' requests. Set the exported fields before use.
+type Server struct {
+	Clock  clock.Clock
+	Log    *slog.Logger
+	Config func() *catalog.Config
+	// Stale tells whether the configuration is too old to accept keys by.
+	Stale  func() bool
+	Table  *dispatch.Table
+	Plain  *dispatch.Plain
+	Pool   *http1.Pool
+	Budget *dispatch.Budget
+	// OnWrong is called when an endpoint says that it is not the one expected.
+	OnWrong func()
+
+	stopping atomic.Bool
+	working  atomic.Int64
+	served   atomic.Int64
+	models   workCount
+}
+
+// Stop makes the server tell callers to close their connections.
+func (sv *Server) Stop() { sv.stopping.Store(true) }
+
+// Working returns the number of requests being handled.
+func (sv *Server) Working() int64 { return sv.working.Load() }
+
+// Served returns the number of requests so far.
+func (sv *Server) Served() int64 { return sv.served.Load() }
+
+// ModelWork returns and clears the requests for each model since the last call.
+func (sv *Server) ModelWork() map[string]float64 { return sv.models.take() }
+
+// call is one request of a caller on its way.
+type call struct {
+	sv      *Server
+	w       http.ResponseWriter
+	req     *http.Request
+	id      string
+	route   *catalog.Route
+	service string
+	body    []byte
+	// arrived is when the request was read; deadline is when the caller must
+	// have an answer.
+	arrived, deadline time.Time
+	workspace         *catalog.Workspace
+	keyed             bool
+	// sends counts the endpoints that the request was sent to.
+	sends int
+	log   *slog.Logger
+}
+
+// ServeHTTP handles one request.
+func (sv *Server) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	sv.working.Add(1)
+	defer sv.working.Add(-1)
+	sv.served.Add(1)
+	if sv.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	ca := &call{sv: sv, w: w, req: req, id: req.Header.Get(platform.HeaderRequestID), arrived: sv.Clock.Now()}
+	ca.log = sv.Log.With("request", ca.id)
+	if re := ca.admit(sv.Config()); re != nil {
+		ca.refuse(*re)
+		return
+	}
+	sv.Budget.Earn(ca.service, ca.arrived)
+	if ca.route.Kind == catalog.Streaming {
+		ca.stream()
+		return
+	}
+	ca.plain()
+}
+
+// admit finds the route and the workspace and reads the body. It returns why
+// the request can't be handled.
+func (ca *call) admit(cfg *catalog.Config) *refusal {
+	if cfg == nil {
+		return &refusal{status: http.StatusServiceUnavailable, reason: "no-configuration", again: againStarting}
+	}
+	if ca.sv.Stale() {
+		return &refusal{status: http.StatusServiceUnavailable, reason: "configuration-too-old", again: againStarting}
+	}
+	ca.route = cfg.Route(ca.req.Host, path(ca.req))
+	if ca.route == nil {
+		return &refusal{status: http.StatusNotFound, reason: "no-route"}
+	}
+	if re := ca.authorize(cfg); re != nil {
+		return re
+	}
+	ca.service = pickService(ca.route, ca.id)
+	ca.deadline = ca.arrived.Add(ca.allowed())
+	return ca.readBody(cfg)
+}
+
+// path is the path as the caller sent it.
+func path(req *http.Request) string {
+	if strings.HasPrefix(req.RequestURI, "/") {
+		pa, _, _ := strings.Cut(req.RequestURI, "?")
+		return pa
+	}
+	return req.URL.EscapedPath()
+}
+
+func (ca *call) authorize(cfg *catalog.Config) *refusal {
+	ca.keyed = cfg.NeedsKeys()
+	if !ca.keyed {
+		return nil
+	}
+	key, _ := platform.Key(ca.req.Header)
+	ca.workspace = cfg.Workspace(key)
+	if ca.workspace == nil && !ca.route.Public {
+		return &refusal{status: http.StatusUnauthorized, reason: "unknown-key"}
+	}
+	return nil
+}
+
+// allowed is how long the caller may be kept waiting: by the route, or by the
+// caller's own deadline if that is shorter.
+func (ca *call) allowed() time.Duration {
+	limit := ca.route.Timeout
+	ms, err := strconv.ParseFloat(ca.req.Header.Get(platform.HeaderDeadline), 64)
+	if own := time.Duration(ms * float64(time.Millisecond)); err == nil && (own < limit || limit <= 0) {
+		return own
+	}
+	if limit <= 0 {
+		return defaultTimeout
+	}
+	return limit
+}
+
+// defaultTimeout holds where neither the route nor the caller sets a limit.
+const defaultTimeout = 30 * time.Second
+
+func (ca *call) readBody(cfg *catalog.Config) *refusal {
+	limit := cfg.Limits.BodyBytes
+	if limit <= 0 {
+		limit = defaultBody
+	}
+	if ca.req.ContentLength > limit {
+		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "body-too-large"}
+	}
+	rc := http.NewResponseController(ca.w)
+	// A body that never arrives must not hold the connection for ever.
+	_ = rc.SetReadDeadline(time.Now().Add(bodyPatience * ca.allowed()))
+	body, err := io.ReadAll(http.MaxBytesReader(ca.w, ca.req.Body, limit))
+	_ = rc.SetReadDeadline(time.Time{})
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "body-too-large"}
+	case err != nil:
+		return &refusal{status: http.StatusBadRequest, reason: "body-not-read", cause: err}
+	}
+	ca.body = body
+	return nil
+}
+
+// pickService chooses among a route's services by weight. The request's
+// identifier decides, so that it is the same wherever the request is handled.
+func pickService(ro *catalog.Route, id string) string {
+	total := 0
+	for _, be := range ro.Backends {
+		total += be.Weight
+	}
+	if len(ro.Backends) == 1 || total <= 0 {
+		return ro.Backends[0].Service
+	}
+	at := int(hash(id) % uint64(total))
+	for _, be := range ro.Backends {
+		if at < be.Weight {
+			return be.Service
+		}
+		at -= be.Weight
+	}
+	return ro.Backends[0].Service
+}
+
+// left is the time until the caller must have an answer.
+func (ca *call) left() time.Duration { return ca.deadline.Sub(ca.sv.Clock.Now()) }
+
+// workCount counts requests by model.
+type workCount struct {
+	mu    sync.Mutex
+	count map[string]float64
+}
+
+// maxModels bounds the models that are counted, since callers name them.
+const maxModels = 256
+
+func (wc *workCount) add(model string) {
+	wc.mu.Lock()
+	defer wc.mu.Unlock()
+	if wc.count == nil {
+		wc.count = make(map[string]float64)
+	}
+	if _, ok := wc.count[model]; ok || len(wc.count) < maxModels {
+		wc.count[model]++
+	}
+}
+
+func (wc *workCount) take() map[string]float64 {
+	wc.mu.Lock()
+	defer wc.mu.Unlock()
+	count := wc.count
+	wc.count = nil
+	return count
+}
--- /dev/null
+++ b/internal/front/stream.go
@@ -0,0 +1,328 @@
+package front
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"corianderhub.dev/corianderhub/internal/core/dispatch"
+	"corianderhub.dev/corianderhub/internal/http1"
+	"corianderhub.dev/corianderhub/pkg/verdict"
+	"corianderhub.dev/corianderhub/platform"
+)
+
+const (
+	// callerDelay is what the objective loses on the way to and from a caller,
+	// and by events that are passed on late.
+	callerDelay = 12 * time.Millisecond
+	// goOnPause is the time between looks for a group to go on at, and
+	// goOnWait bounds it: callers give a stream up after a gap of 2 s.
+	goOnPause = 25 * time.Millisecond
+	goOnWait  = 1500 * time.Millisecond
+	// lateWait is the longest predicted wait for a first event that is late.
+	lateWait = 1500 * time.Millisecond
+	// writePatience bounds the wait for a caller that doesn't read.
+	writePatience = 5 * time.Second
+)
+
+// stream is a request that is answered by events.
+type stream struct {
+	*call
+	model  string
+	prompt int64
+	tried  []*dispatch.Group
+	// started is set once the caller has the head of the answer.
+	started bool
+	// passed counts events, and lastID is the last one's identifier.
+	passed int
+	lastID int64
+	hasID  bool
+	lastAt time.Time
+	state  verdict.Verdict
+	// final is an answer without events, to be passed on as it is.
+	final *answer
+	cause error
+}
+
+// stream handles a request on a streaming route.
+func (ca *call) stream() {
+	st := &stream{call: ca, model: ca.req.Header.Get(platform.HeaderModel), state: verdict.NotRun}
+	st.prompt = promptTokens(ca.req.Header.Get(platform.HeaderTokens))
+	ca.sv.models.add(st.model)
+	ctx, cancel := context.WithDeadline(ca.req.Context(), ca.deadline)
+	defer cancel()
+	for {
+		ch, done := st.attempt(ctx)
+		if done {
+			return
+		}
+		if !st.mayGoOn(ctx) {
+			st.giveUp(ctx, ch)
+			return
+		}
+	}
+}
+
+// promptTokens returns the tokens to read, the first of two numbers.
+func promptTokens(counts string) int64 {
+	first, _, _ := strings.Cut(counts, ",")
+	num, err := strconv.ParseInt(strings.TrimSpace(first), 10, 64)
+	if err != nil || num < 0 {
+		return 0
+	}
+	return num
+}
+
+// attempt sends the request to one group and passes its events on. It tells
+// whether the caller has a final answer.
+func (st *stream) attempt(ctx context.Context) (dispatch.Choice, bool) {
+	part, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	ch, ti := st.pick(part, cancel)
+	if ti == nil {
+		st.noGroup(ch)
+		return ch, true
+	}
+	defer ti.End()
+	if st.sends > 0 && !st.sv.Budget.Spend(st.service, st.sv.Clock.Now()) {
+		st.log.Info("front: not sent again.", "reason", "retry-budget")
+		st.giveUp(ctx, ch)
+		return ch, true
+	}
+	st.tried = append(st.tried, ch.Group)
+	st.log.Debug("front: sent.", "group", ch.Group.Name, "predicted-ms", ch.First.Milliseconds(), "fits", ch.Fits)
+	sent := st.sv.Clock.Now()
+	ex, err := st.sv.Pool.Send(part, ch.Group.Head().Address, st.request(ch.Group.Head().ID))
+	if err == nil || verdictOf(err) != verdict.NotRun {
+		st.sends++
+		sendCount.Inc()
+	}
+	if err != nil {
+		st.failed(part, ch.Group, err, verdictOf(err))
+		return ch, false
+	}
+	defer ex.Close()
+	if ex.Response.StatusCode != http.StatusOK {
+		return ch, st.other(part, ch.Group, ex)
+	}
+	st.state = verdict.Ran
+	err = st.relay(ex, ti, sent, ch.First)
+	if err == nil {
+		st.finish()
+		return ch, true
+	}
+	st.failed(part, ch.Group, err, verdict.Ran)
+	return ch, false
+}
+
+// request is the caller's, or one for what the caller lacks still.
+func (st *stream) request(endpoint string) *http1.Request {
+	rq := st.outgoing(endpoint, !st.route.Idempotent())
+	if st.hasID {
+		rq.Header.Set(platform.HeaderLastEventID, strconv.FormatInt(st.lastID, 10))
+	}
+	return rq
+}
+
+// pick chooses a group. A stream that has begun waits a little for one.
+func (st *stream) pick(ctx context.Context, cancel context.CancelCauseFunc) (dispatch.Choice, *dispatch.Ticket) {
+	var ch dispatch.Choice
+	for waited := time.Duration(0); ; waited += goOnPause {
+		now := st.sv.Clock.Now()
+		need := dispatch.Need{Service: st.service, Model: st.model, Prompt: st.prompt, Pause: st.route.PauseObjective,
+			Objective: st.route.Objective - now.Sub(st.arrived) - callerDelay, Wait: min(lateWait, st.left()), Except: st.tried}
+		if st.started {
+			// The caller has the first event: what counts now is a short gap.
+			need.Objective = st.route.PauseObjective
+		}
+		var ti *dispatch.Ticket
+		if ch, ti = st.sv.Table.Pick(need, cancel, now); ti != nil {
+			return ch, ti
+		}
+		if !st.started || waited >= goOnWait || st.sv.Clock.Sleep(ctx, goOnPause) != nil {
+			return ch, nil
+		}
+	}
+}
+
+// relay passes events on as they come. It returns nil at the end of a whole
+// stream.
+func (st *stream) relay(ex *http1.Exchange, ti *dispatch.Ticket, sent time.Time, predicted time.Duration) error {
+	er := newEventReader(ex)
+	for first := true; ; first = false {
+		event, err := er.next()
+		if err == io.EOF {
+			return st.begin(ex.Response.Header)
+		}
+		if err != nil {
+			return err
+		}
+		now := st.sv.Clock.Now()
+		ti.Event(now)
+		if first {
+			predictErrors.Update((now.Sub(sent) - predicted).Abs().Seconds())
+		}
+		if err := st.pass(ex.Response.Header, event, now); err != nil {
+			return err
+		}
+	}
+}
+
+// pass gives the caller one event, unless it has it already.
+func (st *stream) pass(header http.Header, event []byte, now time.Time) error {
+	id, ok := eventID(event)
+	if ok && st.hasID && id <= st.lastID {
+		return nil
+	}
+	if err := st.begin(header); err != nil {
+		return err
+	}
+	if st.passed == 0 {
+		firstEvents.Update(now.Sub(st.arrived).Seconds())
+	} else {
+		pauses.Update(now.Sub(st.lastAt).Seconds())
+	}
+	rc := http.NewResponseController(st.w)
+	_ = rc.SetWriteDeadline(time.Now().Add(writePatience))
+	if _, err := st.w.Write(event); err != nil {
+		return errCallerGone
+	}
+	if err := rc.Flush(); err != nil {
+		return errCallerGone
+	}
+	st.passed++
+	st.lastAt = now
+	if ok {
+		st.lastID, st.hasID = id, true
+	}
+	return nil
+}
+
+var errCallerGone = errors.New("front: the caller is gone")
+
+// begin gives the caller the head of the first group's answer, once.
+func (st *stream) begin(header http.Header) error {
+	if st.started {
+		return nil
+	}
+	st.started = true
+	stop := st.w.Header().Get("Connection")
+	copyHeaders(st.w.Header(), header)
+	if stop != "" {
+		st.w.Header().Set("Connection", stop)
+	}
+	st.w.WriteHeader(http.StatusOK)
+	return nil
+}
+
+func (st *stream) finish() {
+	st.log.Info("front: answered.", "outcome", "whole", "status", http.StatusOK, "sends", st.sends, "events", st.passed,
+		"group", st.tried[len(st.tried)-1].Name, "ms", st.sv.Clock.Now().Sub(st.arrived).Milliseconds())
+	st.count("passed-2xx")
+}
+
+// other handles an answer that is no stream: a refusal, or an error.
+func (st *stream) other(ctx context.Context, gr *dispatch.Group, ex *http1.Exchange) bool {
+	body, err := ex.ReadAll(maxAnswer)
+	if err != nil {
+		st.failed(ctx, gr, err, verdict.MayHaveRun)
+		return false
+	}
+	an := &answer{ex.Response.StatusCode, ex.Response.Header, body, notRun(ex.Response)}
+	if an.notRun {
+		if an.status == http.StatusMisdirectedRequest {
+			st.sv.Table.Wrong(gr)
+			st.sv.OnWrong()
+		}
+		st.log.Info("front: group refused.", "group", gr.Name, "status", an.status)
+		return false
+	}
+	st.state = verdict.Ran
+	st.final = an
+	if an.status >= http.StatusInternalServerError && st.route.Idempotent() {
+		st.log.Info("front: group failed.", "group", gr.Name, "status", an.status)
+		return false
+	}
+	if st.started {
+		return false
+	}
+	st.call.pass(an)
+	return true
+}
+
+// failed notes why an attempt ended.
+func (st *stream) failed(ctx context.Context, gr *dispatch.Group, err error, ran verdict.Verdict) {
+	if cause := context.Cause(ctx); errors.Is(cause, dispatch.ErrStalled) {
+		err = cause
+	}
+	if ran != verdict.NotRun {
+		st.state = verdict.MayHaveRun
+	}
+	st.cause = err
+	st.log.Info("front: attempt failed.", "group", gr.Name, "events", st.passed, "cause", err.Error())
+}
+
+// mayGoOn tells whether the request may be sent to another group.
+func (st *stream) mayGoOn(ctx context.Context) bool {
+	if ctx.Err() != nil || errors.Is(st.cause, errCallerGone) || st.sends >= st.route.MaxAttempts || len(st.tried) >= maxTried {
+		return false
+	}
+	if st.state != verdict.NotRun && !st.route.Idempotent() {
+		return false
+	}
+	if st.started {
+		resumed.Inc()
+	}
+	return true
+}
+
+// maxTried bounds the groups that a request is tried at, also where none could
+// be connected to.
+const maxTried = 4
+
+// noGroup ends a request for which there is no group.
+func (st *stream) noGroup(ch dispatch.Choice) {
+	reason := "full"
+	if ch.Groups == 0 {
+		reason = "no-group"
+	}
+	st.end(reason, ch.Again)
+}
+
+// giveUp ends a request that can't be sent any more.
+func (st *stream) giveUp(ctx context.Context, ch dispatch.Choice) {
+	if st.req.Context().Err() != nil || errors.Is(st.cause, errCallerGone) {
+		st.log.Info("front: answered.", "outcome", "caller-gone", "sends", st.sends, "events", st.passed)
+		st.count("caller-gone")
+		return
+	}
+	reason := "attempts-failed"
+	if ctx.Err() != nil {
+		reason = "timeout"
+	}
+	st.end(reason, max(againBusy, ch.Again))
+}
+
+// end gives the final answer. A stream that has begun ends by closing the
+// connection, so that it can't look whole.
+func (st *stream) end(reason string, again time.Duration) {
+	switch {
+	case st.started:
+		st.log.Info("front: answered.", "outcome", "broken", "reason", reason, "sends", st.sends, "events", st.passed,
+			"ms", st.sv.Clock.Now().Sub(st.arrived).Milliseconds())
+		st.count("broken-" + reason)
+		panic(http.ErrAbortHandler)
+	case st.state == verdict.NotRun:
+		st.refuse(refusal{status: http.StatusServiceUnavailable, reason: reason, again: again, cause: st.cause})
+	case st.final != nil:
+		st.call.pass(st.final)
+	case reason == "timeout":
+		st.refuse(refusal{status: http.StatusGatewayTimeout, reason: reason, cause: st.cause})
+	default:
+		st.refuse(refusal{status: http.StatusBadGateway, reason: reason, cause: st.cause})
+	}
+}
--- /dev/null
+++ b/internal/mesh/beat.go
@@ -0,0 +1,223 @@
+// Package mesh is the traffic between daemons: small datagrams that tell who
+// is alive and what it has sent where, and calls for what is larger. What is
+// told is a hint that later messages replace; nothing is agreed on here.
+package mesh
+
+import (
+	"context"
+	"log/slog"
+	"maps"
+	"net"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rotisserie/eris"
+
+	"corianderhub.dev/corianderhub/internal/clock"
+	"corianderhub.dev/corianderhub/internal/core/dispatch"
+)
+
+// Beat is what a daemon tells the others at short intervals.
+type Beat struct {
+	// IP identifies the daemon, Started the process on it.
+	IP         string `cbor:"1,keyasint"`
+	Started    int64  `cbor:"2,keyasint"`
+	Number     uint64 `cbor:"3,keyasint"`
+	Name       string `cbor:"4,keyasint"`
+	DataCenter string `cbor:"5,keyasint"`
+	// Callers is the address for callers; Taking is set while it may be used.
+	Callers string `cbor:"6,keyasint"`
+	Taking  bool   `cbor:"7,keyasint,omitempty"`
+	// Steward is set by the daemon that holds the lease of that term.
+	Steward bool  `cbor:"8,keyasint,omitempty"`
+	Term    int64 `cbor:"9,keyasint,omitempty"`
+	// View counts the steward's views of the term.
+	View int64 `cbor:"10,keyasint,omitempty"`
+	// Config is the store's revision of the configuration in force.
+	Config int64 `cbor:"11,keyasint,omitempty"`
+	// Age is how long ago the store last confirmed what the daemon knows.
+	Age time.Duration `cbor:"12,keyasint,omitempty"`
+	// Served is set once callers have sent requests.
+	Served bool `cbor:"13,keyasint,omitempty"`
+	// Loads is the work that the daemon has sent to groups, by name.
+	Loads map[string]dispatch.Load `cbor:"14,keyasint,omitempty"`
+	// Suspects are groups that stand still.
+	Suspects []Suspect `cbor:"15,keyasint,omitempty"`
+}
+
+// Suspect names a group whose requests stand still.
+type Suspect struct {
+	Group string `cbor:"1,keyasint"`
+	Epoch int64  `cbor:"2,keyasint"`
+}
+
+const (
+	// maxDatagram fits one packet of most networks with room to spare; larger
+	// ones are sent in fragments, which is only a loss of time.
+	maxDatagram = 60 << 10
+	// aliveFor is how long a daemon counts as alive after its last beat.
+	aliveFor = 900 * time.Millisecond
+	// forgetAfter is how long silent daemons are still sent beats to, since
+	// they may be behind a cut.
+	forgetAfter = 10 * time.Minute
+	// silentEvery is the interval of beats to daemons that are silent.
+	silentEvery = time.Second
+)
+
+// Peer is another daemon.
+type Peer struct {
+	Beat
+	// At is when the last beat came; zero before the first.
+	At time.Time
+	// known is when the peer was heard of, sent when it was last sent a beat.
+	known, sent time.Time
+}
+
+// Mesh sends and receives beats. Set the exported fields before Run.
+type Mesh struct {
+	Clock clock.Clock
+	Log   *slog.Logger
+	Conn  *net.UDPConn
+	// IP is the daemon's own; Port is that of all daemons.
+	IP   string
+	Port int
+	// OnBeat is called for each new beat of another daemon.
+	OnBeat func(Beat)
+
+	mu    sync.Mutex
+	peers map[string]*Peer
+}
+
+// Run receives beats until the socket is closed.
+func (me *Mesh) Run(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() { me.Conn.Close() })
+	defer stop()
+	buf := make([]byte, maxDatagram)
+	for {
+		num, _, err := me.Conn.ReadFromUDPAddrPort(buf)
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			me.Log.Warn("mesh: datagram not read.", "cause", err.Error())
+			if me.Clock.Sleep(ctx, silentEvery) != nil {
+				return nil
+			}
+			continue
+		}
+		var be Beat
+		if err := cbor.Unmarshal(buf[:num], &be); err != nil {
+			me.Log.Warn("mesh: datagram not understood.", "cause", err.Error())
+			continue
+		}
+		if me.accept(be) {
+			me.OnBeat(be)
+		}
+	}
+}
+
+// accept notes a beat, unless a later one of the daemon has come before it.
+func (me *Mesh) accept(be Beat) bool {
+	if _, err := netip.ParseAddr(be.IP); err != nil || be.IP == me.IP {
+		return false
+	}
+	me.mu.Lock()
+	defer me.mu.Unlock()
+	now := me.Clock.Now()
+	pe := me.add(be.IP, now)
+	if be.Started < pe.Started || be.Started == pe.Started && be.Number <= pe.Number {
+		return false
+	}
+	if !pe.alive(now) {
+		me.Log.Info("mesh: daemon joined.", "daemon", be.Name, "ip", be.IP)
+	}
+	pe.Beat, pe.At = be, now
+	return true
+}
+
+func (me *Mesh) add(ip string, now time.Time) *Peer {
+	if me.peers == nil {
+		me.peers = make(map[string]*Peer)
+	}
+	pe := me.peers[ip]
+	if pe == nil {
+		pe = &Peer{known: now}
+		me.peers[ip] = pe
+	}
+	return pe
+}
+
+func (pe *Peer) alive(now time.Time) bool { return !pe.At.IsZero() && now.Sub(pe.At) < aliveFor }
+
+// Know adds daemons that were heard of.
+func (me *Mesh) Know(ips []string) {
+	me.mu.Lock()
+	defer me.mu.Unlock()
+	for _, ip := range ips {
+		if _, err := netip.ParseAddr(ip); err == nil && ip != me.IP {
+			me.add(ip, me.Clock.Now())
+		}
+	}
+}
+
+// Known returns the addresses of all daemons, with the own one.
+func (me *Mesh) Known() []string {
+	me.mu.Lock()
+	defer me.mu.Unlock()
+	return append(slices.Sorted(maps.Keys(me.peers)), me.IP)
+}
+
+// Alive returns the daemons that were heard lately, by address.
+func (me *Mesh) Alive() []Peer {
+	me.mu.Lock()
+	defer me.mu.Unlock()
+	now := me.Clock.Now()
+	var alive []Peer
+	for _, ip := range slices.Sorted(maps.Keys(me.peers)) {
+		if pe := me.peers[ip]; pe.alive(now) {
+			alive = append(alive, *pe)
+		}
+	}
+	return alive
+}
+
+// Send sends a beat to all daemons, to silent ones less often.
+func (me *Mesh) Send(be Beat) error {
+	raw, err := cbor.Marshal(be)
+	if err != nil {
+		return eris.Wrap(err, "beat")
+	}
+	for _, addr := range me.due() {
+		// A datagram that is lost is made up for by the next one.
+		if _, err := me.Conn.WriteToUDPAddrPort(raw, addr); err != nil {
+			me.Log.Debug("mesh: datagram not sent.", "to", addr.String(), "cause", err.Error())
+		}
+	}
+	return nil
+}
+
+func (me *Mesh) due() []netip.AddrPort {
+	me.mu.Lock()
+	defer me.mu.Unlock()
+	now := me.Clock.Now()
+	var addrs []netip.AddrPort
+	for ip, pe := range me.peers {
+		heard := pe.At
+		if heard.IsZero() {
+			heard = pe.known
+		}
+		if now.Sub(heard) > forgetAfter {
+			delete(me.peers, ip)
+			continue
+		}
+		if now.Sub(heard) > aliveFor && now.Sub(pe.sent) < silentEvery {
+			continue
+		}
+		pe.sent = now
+		addrs = append(addrs, netip.AddrPortFrom(netip.MustParseAddr(ip), uint16(me.Port)))
+	}
+	return addrs
+}
