--- a/internal/core/steward/form.go
+++ b/internal/core/steward/form.go
@@ -47,7 +47,7 @@
 // cold tells whether the service has no group at all and nothing in memory.
 func (co *Core) cold(service string) bool {
 	for _, vm := range co.vms {
-		if vm.ep.Service == service && (vm.ep.Loaded != "" || vm.ep.Member != nil || len(vm.ep.Staged) > 0) {
+		if vm.ep.Service == service && (vm.last != "" || vm.ep.Member != nil || len(vm.ep.Staged) > 0) {
 			return false
 		}
 	}
@@ -151,7 +151,7 @@
 	loads := 0
 	for i, vm := range do.free[:mo.Size] {
 		members[i] = vm.ep.ID
-		if vm.ep.Loaded != mo.Name && !vm.ep.HasStaged(mo.Name) {
+		if !vm.has(mo.Name) {
 			loads++
 		}
 	}
@@ -161,7 +161,7 @@
 	do.free = do.free[mo.Size:]
 	gr := co.plan(groupPrefix, service, mo.Name, members, now)
 	co.note(Event{What: "group-formed", Group: gr.name, Model: mo.Name, Members: members})
-	return co.rejoin(gr, now)
+	return co.rejoin(gr)
 }
 
 func (co *Core) plan(prefix, service, model string, members []string, now time.Time) *group {
@@ -212,7 +212,7 @@
 func warm(vms []*vm, model string) int {
 	num := 0
 	for _, vm := range vms {
-		if vm.ep.Loaded == model || vm.ep.HasStaged(model) {
+		if vm.has(model) {
 			num++
 		}
 	}
@@ -262,7 +262,7 @@
 	for _, id := range co.ids() {
 		vm := co.vms[id]
 		if vm.ep.Service == member.ep.Service && vm.ep.Domain == member.ep.Domain && co.free(vm) &&
-			(vm.ep.Loaded == model || vm.ep.HasStaged(model)) {
+			vm.has(model) {
 			return true
 		}
 	}
@@ -276,7 +276,7 @@
 	for _, do := range doms {
 		calls = append(calls, co.convert(service, en, do, now)...)
 		for _, vm := range do.free {
-			if mb := vm.ep.Member; mb != nil || vm.ep.Loaded != "" {
+			if mb := vm.ep.Member; mb != nil || vm.last != "" {
 				continue
 			}
 			model := co.spareModel(service, en, do, vm)
@@ -300,25 +300,47 @@
 		return vm.ep.Staged[0]
 	}
 	weights, counts := co.weights(en), co.counts(service, en)
-	best, bestScore := "", 0.0
+	best, bestScore := "", -1.0
 	for mi, mo := range en.Models {
 		have := co.holders(service, do.name, mo.Name)
-		lack := mo.Size - have%mo.Size
-		score := weights[mi] / float64(counts[mi]+1) / float64(lack*lack)
-		if best == "" || score > bestScore {
+		// A member of a group here is as likely to be lost as any other, so a
+		// spare is worth most for the model with the most members.
+		score := float64(co.members(service, do.name, mo.Name)) / float64(have+1)
+		if have%mo.Size == mo.Size-1 {
+			score += completing * weights[mi] / float64(counts[mi]+1)
+		}
+		if score > bestScore {
 			best, bestScore = mo.Name, score
 		}
 	}
 	return best
 }
 
+// completing is what it counts that a VM makes a whole group, against the
+// members that it could replace.
+const completing = 100
+
+// members counts the VMs of a domain that serve the model in a group.
+func (co *Core) members(service, domain, model string) int {
+	num := 0
+	for _, gr := range co.groups {
+		if gr.service != service || gr.model != model || gr.spare() || gr.doomed {
+			continue
+		}
+		if vm := co.vms[gr.members[0]]; vm != nil && vm.ep.Domain == domain {
+			num += len(gr.members)
+		}
+	}
+	return num
+}
+
 // holders counts the VMs of a domain that hold the model in memory, or load
 // it, and serve in no group.
 func (co *Core) holders(service, domain, model string) int {
 	num := 0
 	for _, vm := range co.vms {
 		mb := vm.ep.Member
-		if vm.ep.Service == service && vm.ep.Domain == domain && vm.usable() && vm.ep.Loaded == model &&
+		if vm.ep.Service == service && vm.ep.Domain == domain && vm.usable() && vm.last == model &&
 			(mb == nil || isSpare(mb.Group)) {
 			num++
 		}
--- a/internal/core/steward/lifecycle.go
+++ b/internal/core/steward/lifecycle.go
@@ -14,17 +14,21 @@
 	if gr.doomed {
 		return co.dissolve(gr)
 	}
+	if gr.model == "" {
+		// Its members load still, so it is not known how many there are to be.
+		return nil
+	}
 	if why := co.broken(gr, now); why != "" {
 		co.doom(gr, why)
 		return co.dissolve(gr)
 	}
-	if calls := co.rejoin(gr, now); calls != nil {
-		return calls
+	if co.complete(gr) {
+		return co.stepWhole(gr, now)
 	}
-	if !co.complete(gr) {
+	if gr.planned.IsZero() {
 		return nil
 	}
-	return co.stepWhole(gr, now)
+	return co.rejoin(gr)
 }
 
 // doom ends a group. Its members leave before they are used again.
@@ -38,6 +42,8 @@
 	for rank, id := range gr.members {
 		vm := co.vms[id]
 		switch {
+		case id == "" && co.mayAppear(gr, now):
+			continue
 		case vm == nil:
 			return "member gone"
 		case vm.down:
@@ -60,6 +66,12 @@
 	return ""
 }
 
+// mayAppear tells whether a member that has not been seen may register still:
+// after an outage of the store, endpoints take some time to be back in it.
+func (co *Core) mayAppear(gr *group, now time.Time) bool {
+	return !gr.suspect && now.Sub(gr.found) < appearPatience
+}
+
 // complete tells whether every member says that it belongs to the group.
 func (co *Core) complete(gr *group) bool {
 	for _, id := range gr.members {
@@ -72,21 +84,17 @@
 
 // rejoin repeats the orders that members have not accepted yet. The same order
 // changes nothing where it was accepted.
-func (co *Core) rejoin(gr *group, now time.Time) []Call {
+func (co *Core) rejoin(gr *group) []Call {
 	var calls []Call
 	for _, id := range gr.members {
 		vm := co.vms[id]
-		if co.belongs(vm, gr) || vm.busy {
+		if co.belongs(vm, gr) || !vm.ready() {
 			continue
 		}
 		if vm.ep.Member != nil && !isSpare(vm.ep.Member.Group) {
 			co.doom(gr, "member "+id+" belongs to "+vm.ep.Member.Group)
 			return nil
 		}
-		if !vm.askAt.IsZero() && !vm.askAt.After(now) {
-			// It is asked first: what is known of it may be wrong.
-			continue
-		}
 		calls = append(calls, co.command(vm, catalog.Join{Group: gr.name, Epoch: gr.epoch, Model: gr.model, Members: gr.members}))
 	}
 	return calls
@@ -106,7 +114,7 @@
 	if co.mustRetire(gr) {
 		return co.retire(gr, head, now)
 	}
-	if head.ep.Member.State != catalog.Ready || head.busy {
+	if head.ep.Member.State != catalog.Ready || !head.ready() {
 		return nil
 	}
 	// A head opens whatever its members' state, so each must have said itself
@@ -161,7 +169,7 @@
 	var calls []Call
 	for _, id := range gr.members {
 		vm := co.vms[id]
-		if vm == nil || vm.down || vm.busy || !co.belongs(vm, gr) {
+		if vm == nil || !vm.ready() || !co.belongs(vm, gr) {
 			continue
 		}
 		calls = append(calls, co.command(vm, catalog.Leave{Group: gr.name, Epoch: gr.epoch}))
@@ -179,7 +187,7 @@
 		gr.doomed = true
 		return nil
 	}
-	if co.belongs(vm, gr) || vm.busy || vm.ep.Member != nil || !vm.askAt.IsZero() {
+	if co.belongs(vm, gr) || !vm.ready() || vm.ep.Member != nil {
 		return nil
 	}
 	return []Call{co.command(vm, catalog.Join{Group: gr.name, Epoch: gr.epoch, Model: gr.model, Members: gr.members})}
--- a/internal/core/steward/steward.go
+++ b/internal/core/steward/steward.go
@@ -33,6 +33,9 @@
 	// joinPatience is how long the members of a new group may take to accept
 	// their orders before the group is given up.
 	joinPatience = 2 * time.Second
+	// appearPatience is how long a new steward waits for members that have not
+	// registered. Entries lost in an outage of the store are back within 2 s.
+	appearPatience = 2300 * time.Millisecond
 	// retirePatience bounds the wait for a leaving group's requests. Streams
 	// last 2 s on average and some 5 s at most.
 	retirePatience = 5 * time.Second
@@ -93,6 +96,13 @@
 	down       bool
 	failures   int
 	busy       bool
+	// unsure is set after an order that was refused or not answered, until the
+	// VM has reported: what is known of it may be wrong.
+	unsure bool
+	// ordered is when the last order was answered.
+	ordered time.Time
+	// last is the model of the last group, whose weights are in memory still.
+	last string
 	running    int
 	// askAt is when to ask again; zero when there is no need.
 	askAt  time.Time
@@ -101,9 +111,15 @@
 	idleSince time.Time
 }
 
+// has tells whether the VM needs no load for the model.
+func (vm *vm) has(model string) bool { return vm.last == model || vm.ep.HasStaged(model) }
+
+// ready tells whether the VM may be sent an order.
+func (vm *vm) ready() bool { return !vm.busy && !vm.unsure && !vm.down }
+
 // usable tells whether the VM may be given to a new group.
 func (vm *vm) usable() bool {
-	return vm.known && vm.registered && !vm.down && !vm.ep.Leaving && !vm.ep.Slow()
+	return vm.known && vm.registered && !vm.down && !vm.unsure && !vm.ep.Leaving && !vm.ep.Slow()
 }
 
 // group is a group that exists at its members or is about to.
@@ -117,6 +133,10 @@
 	// planned is when this steward decided on the group; zero for groups that
 	// were found.
 	planned time.Time
+	// found is when a member first told of a group that this steward did not plan.
+	found time.Time
+	// suspect is set when a daemon told that the group stands still.
+	suspect bool
 	// retiring is when the group began to finish its work; zero before.
 	retiring time.Time
 	// doomed groups are dissolved, whatever their members say.
@@ -216,17 +236,30 @@
 	vm.askBy(now)
 }
 
-// Reported takes in what an endpoint said of itself.
-func (co *Core) Reported(id string, re catalog.Report, now time.Time) {
+// Reported takes in what an endpoint said of itself when it was asked at that
+// time. An order that was answered since may have changed what it said.
+func (co *Core) Reported(id string, re catalog.Report, asked, now time.Time) {
 	vm, ok := co.vms[id]
 	if !ok {
 		return
 	}
+	if vm.busy || asked.Before(vm.ordered) {
+		vm.failures = 0
+		vm.askBy(now)
+		return
+	}
 	if vm.down {
 		co.note(Event{What: "vm-back", VM: id})
 	}
 	vm.ep = re.Apply(vm.ep)
-	vm.known, vm.down, vm.failures, vm.urgent = true, false, 0, false
+	vm.known, vm.down, vm.failures, vm.urgent, vm.unsure = true, false, 0, false, false
+	switch {
+	case vm.ep.Loaded != "":
+		vm.last = vm.ep.Loaded
+	case vm.ep.Member == nil && !vm.ep.HasStaged(vm.last):
+		// The load was broken off before the weights were there.
+		vm.last = ""
+	}
 	vm.running = re.Running + re.Waiting
 	vm.askAt = time.Time{}
 	if !vm.registered {
@@ -267,6 +300,7 @@
 	if gr == nil {
 		return
 	}
+	gr.suspect = true
 	for _, id := range gr.members {
 		if vm := co.vms[id]; vm != nil && !vm.down {
 			vm.urgent = true
@@ -282,13 +316,16 @@
 		return
 	}
 	vm.busy = false
+	vm.ordered = now
 	switch out {
 	case Accepted:
 		vm.failures = 0
 		co.apply(vm, cd.Order, now)
 	case Refused:
+		vm.unsure = true
 		vm.askBy(now)
 	case Unanswered:
+		vm.unsure = true
 		vm.urgent = true
 		vm.askBy(now)
 	}
@@ -302,7 +339,7 @@
 		wait := co.joinTime(vm, od.Model)
 		vm.ep.Member = &catalog.Membership{Group: od.Group, Epoch: od.Epoch,
 			Rank: slices.Index(od.Members, vm.ep.ID), State: catalog.Joining}
-		vm.ep.Loaded = od.Model
+		vm.ep.Loaded, vm.last = od.Model, od.Model
 		vm.askBy(now.Add(wait))
 	case catalog.OpenGroup:
 		wait := askInterval
@@ -327,7 +364,7 @@
 	en := co.services[vm.ep.Service]
 	mo, ok := en.Model(model)
 	switch {
-	case vm.ep.Loaded == model:
+	case vm.last == model:
 		return rejoinTime
 	case !ok:
 		return askInterval
@@ -356,7 +393,7 @@
 // and at short intervals.
 func (co *Core) Step(now time.Time) []Call {
 	co.loads.refill(now, co.services)
-	co.observe()
+	co.observe(now)
 	var calls []Call
 	for _, ke := range slices.Sorted(maps.Keys(co.groups)) {
 		calls = append(calls, co.stepGroup(co.groups[ke], now)...)
@@ -392,7 +429,7 @@
 }
 
 // observe brings the table of groups up to what the members say.
-func (co *Core) observe() {
+func (co *Core) observe(now time.Time) {
 	for _, gr := range co.groups {
 		if gr.planned.IsZero() {
 			for rank := range gr.members {
@@ -403,24 +440,32 @@
 	for _, id := range co.ids() {
 		vm := co.vms[id]
 		if mb := vm.ep.Member; mb != nil && vm.known {
-			co.observeMember(id, vm, mb)
+			co.observeMember(id, vm, mb, now)
 		}
 	}
 	maps.DeleteFunc(co.groups, func(_ string, gr *group) bool { return co.empty(gr) })
 }
 
-func (co *Core) observeMember(id string, vm *vm, mb *catalog.Membership) {
+func (co *Core) observeMember(id string, vm *vm, mb *catalog.Membership, now time.Time) {
 	gr := co.groups[key(mb.Group, mb.Epoch)]
 	if gr == nil {
-		gr = &group{name: mb.Group, epoch: mb.Epoch, service: vm.ep.Service, model: vm.ep.Loaded}
-		size := 1
-		if mo, ok := co.services[vm.ep.Service].Model(gr.model); ok && !gr.spare() {
-			size = mo.Size
-		}
-		gr.members = make([]string, size)
+		gr = &group{name: mb.Group, epoch: mb.Epoch, service: vm.ep.Service, found: now}
 		co.groups[key(mb.Group, mb.Epoch)] = gr
 	}
-	if gr.planned.IsZero() && mb.Rank >= 0 && mb.Rank < len(gr.members) {
+	if !gr.planned.IsZero() {
+		return
+	}
+	if gr.model == "" && vm.ep.Loaded != "" {
+		gr.model = vm.ep.Loaded
+	}
+	size := mb.Rank + 1
+	if mo, ok := co.services[gr.service].Model(gr.model); ok && !gr.spare() {
+		size = mo.Size
+	}
+	for len(gr.members) < size {
+		gr.members = append(gr.members, "")
+	}
+	if mb.Rank >= 0 && mb.Rank < len(gr.members) {
 		gr.members[mb.Rank] = id
 	}
 }
--- a/internal/entry/act.go
+++ b/internal/entry/act.go
@@ -116,13 +116,14 @@
 	if as.Urgent {
 		limit = urgentTimeout
 	}
+	asked := ct.da.Clock.Now()
 	re, err := ct.da.report(ctx, as.ID, as.Address, limit, as.Urgent)
 	ct.forTerm(term, func(co *steward.Core, now time.Time) {
 		if err != nil {
 			co.Failed(as.ID, err.Error(), now)
 			return
 		}
-		co.Reported(as.ID, re, now)
+		co.Reported(as.ID, re, asked, now)
 	})
 }
 
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -51,6 +51,9 @@
 	confirmed time.Time
 	// following is set while this daemon follows the store itself; shared.
 	following bool
+	// turn counts how often following began; shared. A follower whose turn is over
+	// reads all anew.
+	turn int
 	// haveAll is set once all endpoints were read since following began.
 	haveAll  bool
 	fetching map[string]bool
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -30,8 +30,11 @@
 	// snapshot gets all items, changed those that changed since.
 	snapshot func(items []platform.Item, revision int64)
 	changed  func(items []platform.Item)
-	after    int64
-	failing  bool
+	// after is the revision to go on from; 0 makes it read all. turn is the turn
+	// of following that it holds for.
+	after   int64
+	turn    int
+	failing bool
 }
 
 func (ct *control) followConfig(ctx context.Context) {
@@ -55,8 +58,11 @@
 // run follows the store while this daemon is to do so.
 func (fo *follower) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if !fo.ct.follows() {
-			fo.after = 0
+		turn := fo.ct.followTurn()
+		if turn != fo.turn {
+			fo.after, fo.turn = 0, turn
+		}
+		if turn == 0 {
 			_ = fo.ct.da.Clock.Sleep(ctx, idlePause) // The loop looks at ctx.
 			continue
 		}
@@ -139,10 +145,17 @@
 }
 
 // follows tells whether this daemon follows the store itself.
-func (ct *control) follows() bool {
+func (ct *control) follows() bool { return ct.followTurn() > 0 }
+
+// followTurn returns the present turn of following, or 0 when this daemon
+// does not follow the store.
+func (ct *control) followTurn() int {
 	ct.mu.Lock()
 	defer ct.mu.Unlock()
-	return ct.following
+	if !ct.following {
+		return 0
+	}
+	return ct.turn
 }
 
 // stepFollowing decides whether to follow the store: the steward does, and
@@ -164,6 +177,9 @@
 	}
 	ct.mu.Lock()
 	ct.following = want
+	if want {
+		ct.turn++
+	}
 	ct.mu.Unlock()
 	ct.haveAll = ct.haveAll && want
 	ct.da.Log.Info("control: following the store.", "on", want, "age-ms", age.Milliseconds())
