--- a/internal/core/steward/lifecycle.go
+++ b/internal/core/steward/lifecycle.go
@@ -114,7 +114,7 @@
 	if co.mustRetire(gr) {
 		return co.retire(gr, head, now)
 	}
-	if head.ep.Member.State != catalog.Ready || !head.ready() {
+	if head.ep.Member.State != catalog.Ready || !head.ready() || now.Sub(gr.opening) < co.services[gr.service].Form+co.lag(head) {
 		return nil
 	}
 	// A head opens whatever its members' state, so each must have said itself
@@ -124,9 +124,6 @@
 			return nil
 		}
 	}
-	if !head.askAt.IsZero() {
-		return nil
-	}
 	return []Call{co.command(head, catalog.OpenGroup{Group: gr.name, Epoch: gr.epoch})}
 }
 
@@ -153,7 +150,7 @@
 		co.note(Event{What: "group-retires", Group: gr.name, Model: gr.model, Members: gr.members})
 		return nil
 	}
-	idle := head.running == 0 && head.askAt.IsZero()
+	idle := head.running == 0 && head.askAt.IsZero() && now.Sub(gr.retiring) > retireAsk
 	if idle || head.ep.Member.State != catalog.Open || now.Sub(gr.retiring) > retirePatience {
 		co.doom(gr, "retired")
 		return co.dissolve(gr)
--- a/internal/core/steward/steward.go
+++ b/internal/core/steward/steward.go
@@ -21,8 +21,8 @@
 )
 
 const (
-	// askInterval is the time between questions to a member whose state is
-	// about to change; loads are asked after less often.
+	// askInterval is the time until a question is put again whose answer was
+	// out of date; members that load are asked less often.
 	askInterval     = 60 * time.Millisecond
 	askLoadInterval = 700 * time.Millisecond
 	// rejoinTime is how long a member takes that still has the weights in
@@ -139,6 +139,8 @@
 	suspect bool
 	// retiring is when the group began to finish its work; zero before.
 	retiring time.Time
+	// opening is when the head accepted the order to open.
+	opening time.Time
 	// doomed groups are dissolved, whatever their members say.
 	doomed bool
 }
@@ -200,10 +202,7 @@
 		co.vms[ep.ID] = co.newVM(ep, now)
 		return
 	}
-	if !sameMember(vm.ep.Member, ep.Member) && !vm.busy {
-		// Entries lag behind what the VM itself says, so they only make it be asked.
-		vm.askBy(now.Add(askInterval))
-	}
+	co.hear(vm, ep.Member, now)
 	vm.registered = true
 	vm.ep.Leaving = ep.Leaving
 	vm.ep.Address = ep.Address
@@ -217,13 +216,45 @@
 	return &vm{ep: ep, registered: true, askAt: now, idleSince: now}
 }
 
-func sameMember(one, other *catalog.Membership) bool {
-	if one == nil || other == nil {
-		return one == other
+// hear takes in what an entry says of the VM's group. An entry follows each
+// change at once, where a report lags by some hundred milliseconds, but it may
+// be older than the last order. So it moves a group that is known on, and
+// makes the VM be asked where it says something else.
+func (co *Core) hear(vm *vm, said *catalog.Membership, now time.Time) {
+	known := vm.ep.Member
+	switch {
+	case said == nil && known == nil:
+	case said != nil && known != nil && said.Group == known.Group && said.Epoch == known.Epoch:
+		if progress(said.State) > progress(known.State) {
+			moved := *known
+			moved.State = said.State
+			vm.ep.Member = &moved
+			if !vm.urgent && !vm.unsure && vm.registered {
+				vm.askAt = time.Time{}
+			}
+		}
+	case now.Sub(vm.ordered) > co.lag(vm):
+		vm.askBy(now)
+	}
+}
+
+// progress orders the states that a group goes through.
+func progress(st catalog.GroupState) int {
+	return slices.Index([]catalog.GroupState{catalog.Joining, catalog.Ready, catalog.Open, catalog.Closing, catalog.Broken}, st)
+}
+
+// lag is how old what a VM reports may be.
+func (co *Core) lag(vm *vm) time.Duration {
+	if en := co.services[vm.ep.Service]; en != nil {
+		return en.ReportLag + lagMargin
 	}
-	return *one == *other
+	return lagMargin
 }
 
+// lagMargin is added to the stated lag of reports, for the ways and for
+// machines that are slow for a moment.
+const lagMargin = 150 * time.Millisecond
+
 // Unregister tells that an endpoint's entry is gone. The VM may still serve as
 // a member, but not as a head, and it is given to no new group.
 func (co *Core) Unregister(id string, now time.Time) {
@@ -243,9 +274,10 @@
 	if !ok {
 		return
 	}
-	if vm.busy || asked.Before(vm.ordered) {
+	if vm.busy || asked.Before(vm.ordered) || re.Orders < vm.ep.Orders && asked.Sub(vm.ordered) < co.lag(vm) {
+		// The report is from before the last order.
 		vm.failures = 0
-		vm.askBy(now)
+		vm.askBy(now.Add(askInterval))
 		return
 	}
 	if vm.down {
@@ -266,7 +298,7 @@
 		vm.askBy(now.Add(askDownInterval))
 	}
 	if mb := vm.ep.Member; mb != nil && mb.State == catalog.Joining {
-		vm.askBy(now.Add(askInterval))
+		vm.askBy(now.Add(askLoadInterval))
 	}
 }
 
@@ -340,20 +372,21 @@
 		vm.ep.Member = &catalog.Membership{Group: od.Group, Epoch: od.Epoch,
 			Rank: slices.Index(od.Members, vm.ep.ID), State: catalog.Joining}
 		vm.ep.Loaded, vm.last = od.Model, od.Model
-		vm.askBy(now.Add(wait))
+		vm.askBy(now.Add(wait + co.lag(vm)))
 	case catalog.OpenGroup:
+		if gr := co.groups[key(od.Group, od.Epoch)]; gr != nil {
+			gr.opening = now
+		}
 		wait := askInterval
 		if en := co.services[vm.ep.Service]; en != nil {
 			wait = en.Form
 		}
-		vm.askBy(now.Add(wait))
+		vm.askBy(now.Add(wait + co.lag(vm)))
 	case catalog.CloseGroup:
-		vm.askBy(now.Add(rejoinTime))
+		vm.askBy(now.Add(rejoinTime + co.lag(vm)))
 	case catalog.Leave:
 		vm.ep.Member = nil
 		vm.idleSince = now
-		// The count of orders may differ if the VM had left already.
-		vm.askBy(now.Add(askLoadInterval))
 	case catalog.Stage:
 		vm.askBy(now.Add(askLoadInterval))
 	}
