--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -16,7 +16,8 @@
 	// group that stands still.
 	tick = 40 * time.Millisecond
 	// beatInterval is the time between beats to each daemon, where few are;
-	// beatsPerSecond bounds the datagrams that a daemon sends.
+	// beatsPerSecond bounds the datagrams that a daemon sends. The steward keeps
+	// the interval: what it knows of the store is fresh for all.
 	beatInterval   = 120 * time.Millisecond
 	beatsPerSecond = 90
 	// staleAfter is the age of the store's last word from which a daemon asks
@@ -197,7 +198,10 @@
 	if err := ct.da.mesh.Send(be); err != nil {
 		ct.da.Log.Error("control: beat not sent.", "cause", err.Error())
 	}
-	interval := max(beatInterval, time.Duration(len(ct.da.mesh.Known()))*time.Second/beatsPerSecond)
+	interval := beatInterval
+	if ct.lease.core == nil {
+		interval = max(interval, time.Duration(len(ct.da.mesh.Known()))*time.Second/beatsPerSecond)
+	}
 	ct.beatDue = now.Add(interval + time.Duration(rand.Int64N(int64(tick))))
 }
 
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -47,7 +47,7 @@
 	acceptFor = 2500 * time.Millisecond
 	// stopMargin is taken off the grace time, so that what is left to do ends
 	// before the process is killed.
-	stopMargin = 300 * time.Millisecond
+	stopMargin = 800 * time.Millisecond
 	// budgetShare is the part of the retry budget's slack that all daemons
 	// use together; the rest covers daemons that start anew and forget.
 	budgetShare = 0.5
