Learn a found group's model from entries

Cause: a new steward heard from an entry that a found group was ready, but took only the state from it. The group's model stayed unknown and the group was never opened, so its VMs served nobody. Found by the emulated world with late orders of a former steward; that test failed before.

--- a/internal/core/steward/steward.go
+++ b/internal/core/steward/steward.go
@@ -102,8 +102,8 @@
 	// ordered is when the last order was answered.
 	ordered time.Time
 	// last is the model of the last group, whose weights are in memory still.
-	last string
-	running    int
+	last    string
+	running int
 	// askAt is when to ask again; zero when there is no need.
 	askAt  time.Time
 	urgent bool
@@ -202,7 +202,7 @@
 		co.vms[ep.ID] = co.newVM(ep, now)
 		return
 	}
-	co.hear(vm, ep.Member, now)
+	co.hear(vm, ep, now)
 	vm.registered = true
 	vm.ep.Leaving = ep.Leaving
 	vm.ep.Address = ep.Address
@@ -220,15 +220,16 @@
 // change at once, where a report lags by some hundred milliseconds, but it may
 // be older than the last order. So it moves a group that is known on, and
 // makes the VM be asked where it says something else.
-func (co *Core) hear(vm *vm, said *catalog.Membership, now time.Time) {
-	known := vm.ep.Member
+func (co *Core) hear(vm *vm, ep catalog.Endpoint, now time.Time) {
+	known, said := vm.ep.Member, ep.Member
 	switch {
 	case said == nil && known == nil:
 	case said != nil && known != nil && said.Group == known.Group && said.Epoch == known.Epoch:
 		if progress(said.State) > progress(known.State) {
 			moved := *known
 			moved.State = said.State
-			vm.ep.Member = &moved
+			vm.ep.Member, vm.ep.Staged = &moved, ep.Staged
+			vm.holds(ep.Loaded)
 			if !vm.urgent && !vm.unsure && vm.registered {
 				vm.askAt = time.Time{}
 			}
@@ -238,6 +239,13 @@
 	}
 }
 
+// holds notes that the weights of a model are in memory.
+func (vm *vm) holds(model string) {
+	if model != "" {
+		vm.ep.Loaded, vm.last = model, model
+	}
+}
+
 // progress orders the states that a group goes through.
 func progress(st catalog.GroupState) int {
 	return slices.Index([]catalog.GroupState{catalog.Joining, catalog.Ready, catalog.Open, catalog.Closing, catalog.Broken}, st)
@@ -285,10 +293,8 @@
 	}
 	vm.ep = re.Apply(vm.ep)
 	vm.known, vm.down, vm.failures, vm.urgent, vm.unsure = true, false, 0, false, false
-	switch {
-	case vm.ep.Loaded != "":
-		vm.last = vm.ep.Loaded
-	case vm.ep.Member == nil && !vm.ep.HasStaged(vm.last):
+	vm.holds(vm.ep.Loaded)
+	if vm.ep.Loaded == "" && vm.ep.Member == nil && !vm.ep.HasStaged(vm.last) {
 		// The load was broken off before the weights were there.
 		vm.last = ""
 	}
--- a/internal/emulator/fleet.go
+++ b/internal/emulator/fleet.go
@@ -62,7 +62,9 @@
 	// InitialLoads makes loads take a tenth of their time.
 	InitialLoads bool
 
-	mu    sync.Mutex
+	mu sync.Mutex
+	// at is the time that the VMs were moved on to.
+	at    time.Time
 	vms   map[string]*VM
 	ready map[string]bool
 	// Violations are the promises that were broken.
@@ -222,6 +224,10 @@
 }
 
 func (fl *Fleet) advance(now time.Time) {
+	if !now.After(fl.at) {
+		return
+	}
+	fl.at = now
 	for _, vm := range fl.vms {
 		if vm.Dead || vm.group == nil {
 			continue
@@ -307,8 +313,14 @@
 	}
 }
 
-// record notes what the VM would report now.
+// record notes what the VM would report now, if that has changed.
 func (fl *Fleet) record(vm *VM, now time.Time) {
+	for len(vm.reports) > 1 && now.Sub(vm.reports[1].at) >= ReportLag {
+		vm.reports = vm.reports[1:]
+	}
+	if len(vm.reports) > 0 && vm.says(vm.reports[len(vm.reports)-1].report) {
+		return
+	}
 	re := catalog.Report{Orders: vm.orders, Domain: vm.Domain, Slowness: vm.Slowness}
 	if vm.staged != "" {
 		re.Staged = []string{vm.staged}
@@ -320,9 +332,17 @@
 		}
 	}
 	vm.reports = append(vm.reports, timedReport{now, re})
-	for len(vm.reports) > 1 && now.Sub(vm.reports[1].at) >= ReportLag {
-		vm.reports = vm.reports[1:]
+}
+
+// says tells whether a report is what the VM would say now.
+func (vm *VM) says(re catalog.Report) bool {
+	if re.Orders != vm.orders || re.Slowness != vm.Slowness || (re.Member == nil) != (vm.group == nil) {
+		return false
+	}
+	if staged := len(re.Staged) > 0; staged != (vm.staged != "") || staged && re.Staged[0] != vm.staged {
+		return false
 	}
+	return re.Member == nil || vm.in(re.Member.Group, re.Member.Epoch) && re.Member.State == vm.group.state
 }
 
 // Report returns what the VM says of itself, which lags.
