--- /dev/null
+++ b/internal/core/catalog/catalog_test.go
@@ -0,0 +1,149 @@
+package catalog
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+func TestRoute(t *testing.T) {
+	co := &Config{Routes: []Route{{Name: "root", Host: "Some.example", Prefix: "/"}, {Name: "a", Host: "some.example", Prefix: "/a/"},
+		{Name: "ab", Host: "some.example", Prefix: "/a/b/"}, {Name: "other", Host: "other.example", Prefix: "/a/"}}}
+	co.Prepare()
+	tests := []struct{ host, path, want string }{
+		{"some.example", "/a/x", "a"},
+		{"some.example", "/a/b/c/d", "ab"},
+		{"some.example", "/a/b", "a"},
+		{"SOME.example:80", "/a/", "a"},
+		{"some.example", "/x", "root"},
+		{"other.example", "/b/", ""},
+		{"third.example", "/a/", ""},
+		{"some.example", "", ""},
+	}
+	for _, tc := range tests {
+		got := ""
+		if ro := co.Route(tc.host, tc.path); ro != nil {
+			got = ro.Name
+		}
+		if got != tc.want {
+			t.Errorf("%s%s: route %q, want %q", tc.host, tc.path, got, tc.want)
+		}
+	}
+}
+
+// A view of a later term replaces one of an earlier, whatever their sequences.
+func TestNewer(t *testing.T) {
+	tests := []struct {
+		name string
+		vi   View
+		than View
+		want bool
+	}{
+		{"later term", View{Term: 5, Sequence: 1}, View{Term: 4, Sequence: 9}, true},
+		{"earlier term", View{Term: 4, Sequence: 9}, View{Term: 5, Sequence: 1}, false},
+		{"next in the term", View{Term: 5, Sequence: 2}, View{Term: 5, Sequence: 1}, true},
+		{"same", View{Term: 5, Sequence: 2}, View{Term: 5, Sequence: 2}, false},
+		{"own view after a steward's", View{Revision: 9}, View{Term: 5, Revision: 8}, true},
+		{"older own view", View{Revision: 7}, View{Term: 5, Revision: 8}, false},
+	}
+	for _, tc := range tests {
+		if got := tc.vi.Newer(&tc.than); got != tc.want {
+			t.Errorf("%s: %v, want %v", tc.name, got, tc.want)
+		}
+	}
+}
+
+func foldFixture() (map[string]Endpoint, *Config) {
+	cfg := &Config{Services: map[string]Service{"engine": {Engine: &Engine{Models: []Model{{Name: "large", Size: 2}}}}, "desk": {}}}
+	eps := map[string]Endpoint{"desk-1": {ID: "desk-1", Service: "desk", Address: "d"}}
+	for rank, id := range []string{"head", "second"} {
+		st := Ready
+		if rank == 0 {
+			st = Open
+		}
+		eps[id] = Endpoint{ID: id, Service: "engine", Address: id, Loaded: "large", Member: &Membership{Group: "g", Epoch: 3, Rank: rank, State: st}}
+	}
+	return eps, cfg
+}
+
+// A daemon without a steward's word goes by the store's entries: whole groups
+// with an open head serve, and nothing else.
+func TestFold(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(map[string]Endpoint)
+		groups int
+	}{
+		{"whole", func(map[string]Endpoint) {}, 1},
+		{"member missing", func(eps map[string]Endpoint) { delete(eps, "second") }, 0},
+		{"head not open", func(eps map[string]Endpoint) { eps["head"].Member.State = Ready }, 0},
+		{"member elsewhere", func(eps map[string]Endpoint) { eps["second"].Member.Epoch = 2 }, 0},
+		{"head leaves", func(eps map[string]Endpoint) {
+			ep := eps["head"]
+			ep.Leaving = true
+			eps["head"] = ep
+		}, 0},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			eps, cfg := foldFixture()
+			tc.change(eps)
+			vi := Fold(eps, cfg, nil, 7)
+			if len(vi.Groups) != tc.groups {
+				t.Errorf("%d groups, want %d", len(vi.Groups), tc.groups)
+			}
+			if len(vi.Plain) != 1 || vi.Revision != 7 {
+				t.Errorf("view %+v", vi)
+			}
+		})
+	}
+}
+
+// The entry of a member that is not the head is gone: the group of the former
+// view stays, since its head is there and says nothing else. Without the head
+// it does not.
+func TestFoldKeepsGroups(t *testing.T) {
+	eps, cfg := foldFixture()
+	before := Fold(eps, cfg, nil, 7)
+	delete(eps, "second")
+	if after := Fold(eps, cfg, before, 8); !cmp.Equal(after.Groups, before.Groups) {
+		t.Errorf("groups changed: %s", cmp.Diff(before.Groups, after.Groups))
+	}
+	delete(eps, "head")
+	if after := Fold(eps, cfg, before, 9); len(after.Groups) != 0 {
+		t.Errorf("a group without its head stays: %v", after.Groups)
+	}
+}
+
+func TestIdempotent(t *testing.T) {
+	tests := []struct {
+		ro   Route
+		want bool
+	}{
+		{Route{Kind: Safe}, true},
+		{Route{Kind: Unsafe}, false},
+		{Route{Kind: Streaming}, false},
+		{Route{Kind: Streaming, Resumable: true}, true},
+		{Route{Kind: Unsafe, Resumable: true}, false},
+	}
+	for _, tc := range tests {
+		if got := tc.ro.Idempotent(); got != tc.want {
+			t.Errorf("%+v: %v, want %v", tc.ro, got, tc.want)
+		}
+	}
+}
+
+func BenchmarkRoute(b *testing.B) {
+	co := &Config{}
+	for i := range 500 {
+		co.Routes = append(co.Routes, Route{Host: "some.example", Prefix: fmt.Sprintf("/route%d/", i), Timeout: time.Second})
+	}
+	co.Prepare()
+	for b.Loop() {
+		if co.Route("some.example", "/route250/a/b") == nil {
+			b.Fatal("no route")
+		}
+	}
+}
--- a/internal/core/steward/hold_test.go
+++ b/internal/core/steward/hold_test.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"corianderhub.dev/corianderhub/internal/core/catalog"
-	"corianderhub.dev/corianderhub/internal/emulator"
+	"corianderhub.dev/corianderhub/platform/emulator"
 )
 
 // At the first start nothing is loaded anywhere. The VMs are dealt out so that
--- a/internal/core/steward/world_test.go
+++ b/internal/core/steward/world_test.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"corianderhub.dev/corianderhub/internal/core/catalog"
-	"corianderhub.dev/corianderhub/internal/emulator"
+	"corianderhub.dev/corianderhub/platform/emulator"
 )
 
 // world plays a steward against emulated VMs on a clock of its own. Calls take
