--- /dev/null
+++ b/internal/front/events_test.go
@@ -0,0 +1,72 @@
+package front
+
+import (
+	"errors"
+	"io"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+func TestEventReader(t *testing.T) {
+	tests := []struct {
+		name, stream string
+		want         []string
+		err          error
+	}{
+		{"whole", "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", []string{"id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"}, io.EOF},
+		{"carriage returns", "id: 1\r\ndata: a\r\n\r\n", []string{"id: 1\r\ndata: a\r\n\r\n"}, io.EOF},
+		{"empty", "", nil, io.EOF},
+		{"broken off within an event", "id: 1\ndata: a\n\nid: 2\nda", []string{"id: 1\ndata: a\n\n"}, errCutOff},
+		{"broken off before the blank line", "id: 1\ndata: a\n", nil, errCutOff},
+		{"large event", "data: " + strings.Repeat("x", 9000) + "\n\n", []string{"data: " + strings.Repeat("x", 9000) + "\n\n"}, io.EOF},
+	}
+	for _, tc := range tests {
+		for _, from := range []io.Reader{strings.NewReader(tc.stream), iotest.OneByteReader(strings.NewReader(tc.stream))} {
+			var got []string
+			er := newEventReader(from)
+			event, err := er.next()
+			for ; err == nil; event, err = er.next() {
+				got = append(got, string(event))
+			}
+			if diff := cmp.Diff(tc.want, got); diff != "" || !errors.Is(err, tc.err) {
+				t.Errorf("%s: %v, want %v: %s", tc.name, err, tc.err, diff)
+			}
+		}
+	}
+}
+
+func TestEventID(t *testing.T) {
+	tests := []struct {
+		event string
+		id    int64
+		ok    bool
+	}{
+		{"id: 12\ndata: a\n\n", 12, true},
+		{"x-weight-versions: 3\nid:7\ndata: a\n\n", 7, true},
+		{"data: id: 4\n\n", 0, false},
+		{"id: x\n\n", 0, false},
+		{"", 0, false},
+	}
+	for _, tc := range tests {
+		if id, ok := eventID([]byte(tc.event)); id != tc.id || ok != tc.ok {
+			t.Errorf("%q: %d, %v", tc.event, id, ok)
+		}
+	}
+}
+
+func FuzzEventReader(f *testing.F) {
+	f.Add("id: 1\ndata: a\n\nid: 2\n")
+	f.Fuzz(func(t *testing.T, stream string) {
+		er := newEventReader(iotest.HalfReader(strings.NewReader(stream)))
+		var got strings.Builder
+		for event, err := er.next(); err == nil; event, err = er.next() {
+			got.Write(event)
+		}
+		if !strings.HasPrefix(stream, got.String()) {
+			t.Errorf("events %q are no beginning of %q", got.String(), stream)
+		}
+	})
+}
--- a/internal/http1/exchange.go
+++ b/internal/http1/exchange.go
@@ -19,6 +19,9 @@
 	inlineBody = 32 << 10
 	// maxForeign is how many answers to other requests are passed over.
 	maxForeign = 2
+	// foreignPatience is how long the right answer is waited for after one to
+	// another request. A late second answer comes just before the right one.
+	foreignPatience = 500 * time.Millisecond
 	// maxSkip bounds the body of an answer that is passed over.
 	maxSkip = 256 << 10
 )
@@ -124,7 +127,7 @@
 		}
 		if ex.ours(rsp, rq) {
 			ex.Response = rsp
-			return nil
+			return ex.cn.nc.SetReadDeadline(time.Time{})
 		}
 		if rsp.ContentLength < 0 && len(rsp.TransferEncoding) == 0 {
 			return ErrForeign
@@ -132,20 +135,23 @@
 		if _, err := io.CopyN(io.Discard, rsp.Body, maxSkip); !errors.Is(err, io.EOF) {
 			return ErrForeign
 		}
+		if err := ex.cn.nc.SetReadDeadline(time.Now().Add(foreignPatience)); err != nil {
+			return err
+		}
 	}
 	return ErrForeign
 }
 
 // ours tells whether the answer is to this request. Refusals may lack the
-// identifier; on a new connection they can be to no other request. Calls without
-// an identifier use connections on which no answer can be late.
+// identifier; an answer that comes late for another request has one. Calls
+// without an identifier use connections on which no answer can be late.
 func (ex *Exchange) ours(rsp *http.Response, rq *Request) bool {
 	if rq.IDHeader == "" {
 		return true
 	}
 	got := rsp.Header.Get(rq.IDHeader)
 	if got == "" {
-		return rsp.StatusCode >= 400 && !ex.cn.reused
+		return rsp.StatusCode >= http.StatusBadRequest
 	}
 	return got == rq.Header.Get(rq.IDHeader)
 }
