--- a/internal/core/dispatch/group.go
+++ b/internal/core/dispatch/group.go
@@ -7,11 +7,15 @@
 	"corianderhub.dev/corianderhub/internal/core/catalog"
 )
 
-// Group is a group that serves, with what this daemon knows of its load.
+// Group is a group that serves, with what this daemon knows of its load. The
+// embedded part is read without the lock, so it is never changed.
 type Group struct {
 	catalog.Group
-	engine *catalog.Engine
-	model  catalog.Model
+	// leaving and reported are the newest view's word on leaving and slowness.
+	leaving  bool
+	reported float64
+	engine   *catalog.Engine
+	model    catalog.Model
 	// own is the work that this daemon sent, peers what the others told.
 	own, peers Load
 	// listed is false once the group has left the view.
@@ -76,7 +80,7 @@
 
 // learn compares a pause with what the model predicts for the present load.
 func (gr *Group) learn(pause time.Duration) {
-	expected := predict(gr.engine, gr.model, gr.Slowness, gr.own.plus(gr.peers), 0).Pass
+	expected := predict(gr.engine, gr.model, gr.reported, gr.own.plus(gr.peers), 0).Pass
 	if expected <= 0 {
 		return
 	}
@@ -90,9 +94,9 @@
 // slowness is how many times slower than its model the group works.
 func (gr *Group) slowness() float64 {
 	if gr.pace > slowPace {
-		return max(gr.pace, gr.Slowness)
+		return max(gr.pace, gr.reported)
 	}
-	return max(1, gr.Slowness)
+	return max(1, gr.reported)
 }
 
 // slowPace is the ratio of pauses from which a group counts as slow; below it
--- a/internal/core/dispatch/plain.go
+++ b/internal/core/dispatch/plain.go
@@ -33,9 +33,11 @@
 	services   map[string][]*PlainEndpoint
 }
 
-// PlainEndpoint is an endpoint with what this daemon knows of it.
+// PlainEndpoint is an endpoint with what this daemon knows of it. The embedded
+// part is read without the lock, so it is never changed.
 type PlainEndpoint struct {
 	catalog.PlainEndpoint
+	leaving  bool
 	open     int
 	failures int
 	rate     float64
@@ -57,9 +59,9 @@
 	for _, ce := range vi.Plain {
 		ep := known[ce.ID]
 		if ep == nil {
-			ep = &PlainEndpoint{}
+			ep = &PlainEndpoint{PlainEndpoint: ce}
 		}
-		ep.PlainEndpoint = ce
+		ep.leaving = ce.Leaving
 		pl.services[ce.Service] = append(pl.services[ce.Service], ep)
 	}
 }
@@ -72,7 +74,7 @@
 	var best *PlainEndpoint
 	var bestCost float64
 	for _, ep := range pl.services[service] {
-		if ep.Leaving || slices.Contains(except, ep) {
+		if ep.leaving || slices.Contains(except, ep) {
 			continue
 		}
 		if co := pl.cost(ep, now); best == nil || co < bestCost {
--- a/internal/core/dispatch/table.go
+++ b/internal/core/dispatch/table.go
@@ -78,10 +78,10 @@
 		mo, _ := en.Model(cg.Model)
 		gr := ta.groups[cg.Name]
 		if gr == nil {
-			gr = &Group{activity: now, streams: make(map[*Ticket]struct{})}
+			gr = &Group{Group: cg, activity: now, streams: make(map[*Ticket]struct{})}
 			ta.groups[cg.Name] = gr
 		}
-		gr.Group, gr.engine, gr.model, gr.listed = cg, en, mo, true
+		gr.leaving, gr.reported, gr.engine, gr.model, gr.listed = cg.Leaving, cg.Slowness, en, mo, true
 	}
 	for name, gr := range ta.groups {
 		if !gr.listed && len(gr.streams) == 0 {
@@ -192,7 +192,7 @@
 func (ta *Table) candidates(ne Need) []candidate {
 	var cands []candidate
 	for _, gr := range ta.groups {
-		if !gr.listed || gr.Leaving || gr.stalled || gr.Service != ne.Service || gr.Model != ne.Model || slices.Contains(ne.Except, gr) {
+		if !gr.listed || gr.leaving || gr.stalled || gr.Service != ne.Service || gr.Model != ne.Model || slices.Contains(ne.Except, gr) {
 			continue
 		}
 		pr := predict(gr.engine, gr.model, gr.slowness(), gr.own.plus(gr.peers), ne.Prompt)
--- a/internal/core/steward/form.go
+++ b/internal/core/steward/form.go
@@ -40,6 +40,9 @@
 		}
 		calls = append(calls, co.formWarm(service, en, doms, now)...)
 		calls = append(calls, co.keepWarm(service, en, doms, now)...)
+		if len(calls) == 0 {
+			co.rebalance(service, en, doms, now)
+		}
 	}
 	return calls
 }
@@ -108,6 +111,11 @@
 
 // formFirst deals all VMs out when nothing is loaded anywhere.
 func (co *Core) formFirst(service string, en *catalog.Engine, doms []*domain, now time.Time) []Call {
+	for _, vm := range co.vms {
+		if vm.ep.Service == service && !vm.known && !vm.down {
+			return nil
+		}
+	}
 	sizes := make([]int, len(doms))
 	for i, do := range doms {
 		sizes[i] = len(do.free)
@@ -145,12 +153,13 @@
 		return nil
 	}
 	slices.SortStableFunc(do.free, func(one, other *vm) int {
-		return cmp.Or(cmp.Compare(co.joinTime(one, mo.Name), co.joinTime(other, mo.Name)), byID(one, other))
+		return cmp.Or(byWanted(one, other, mo.Name), cmp.Compare(co.joinTime(one, mo.Name), co.joinTime(other, mo.Name)), byID(one, other))
 	})
 	members := make([]string, mo.Size)
 	loads := 0
 	for i, vm := range do.free[:mo.Size] {
 		members[i] = vm.ep.ID
+		vm.wanted = ""
 		if !vm.has(mo.Name) {
 			loads++
 		}
@@ -212,13 +221,28 @@
 func warm(vms []*vm, model string) int {
 	num := 0
 	for _, vm := range vms {
-		if vm.has(model) {
+		if vm.has(model) && vm.wanted == "" {
 			num++
 		}
 	}
 	return num
 }
 
+// byWanted puts VMs that are meant for the model first, and those that are
+// meant for another one last.
+func byWanted(one, other *vm, model string) int {
+	rank := func(vm *vm) int {
+		switch vm.wanted {
+		case model:
+			return 0
+		case "":
+			return 1
+		}
+		return 2
+	}
+	return cmp.Compare(rank(one), rank(other))
+}
+
 // counts returns how many groups of each model serve or are about to.
 func (co *Core) counts(service string, en *catalog.Engine) []int {
 	counts := make([]int, len(en.Models))
@@ -355,22 +379,19 @@
 	return num
 }
 
-// convert loads another model on VMs that can't complete a group of their own
-// model and could form one of the other.
+// convert loads another model on VMs that are meant for it, or that can't
+// complete a group of their own model and could form one of the other.
 func (co *Core) convert(service string, en *catalog.Engine, do *domain, now time.Time) []Call {
 	if do.loading > 0 {
 		return nil
 	}
-	idle := 0
-	for _, vm := range do.free {
-		if now.Sub(vm.idleSince) > convertAfter {
-			idle++
-		}
-	}
 	weights, counts := co.weights(en), co.counts(service, en)
 	best := -1
 	for mi, mo := range en.Models {
-		if idle >= mo.Size && (best < 0 || weights[mi]/float64(counts[mi]+1) > weights[best]/float64(counts[best]+1)) {
+		if co.convertible(do, mo.Name, now) < mo.Size {
+			continue
+		}
+		if best < 0 || weights[mi]/float64(counts[mi]+1) > weights[best]/float64(counts[best]+1) {
 			best = mi
 		}
 	}
@@ -380,6 +401,17 @@
 	return co.form(service, en.Models[best], do, now)
 }
 
+// convertible counts the VMs of a domain that may load the model.
+func (co *Core) convertible(do *domain, model string, now time.Time) int {
+	num := 0
+	for _, vm := range do.free {
+		if vm.wanted == model || vm.wanted == "" && now.Sub(vm.idleSince) > convertAfter {
+			num++
+		}
+	}
+	return num
+}
+
 func (co *Core) weightedSizes(en *catalog.Engine) []weightedSize {
 	models := make([]weightedSize, len(en.Models))
 	for mi, weight := range co.weights(en) {
--- a/internal/core/steward/hold_test.go
+++ b/internal/core/steward/hold_test.go
@@ -189,6 +189,10 @@
 	idle := make(map[string]int)
 	for _, id := range wo.fleet.IDs() {
 		ep, _ := wo.fleet.Entry(id, wo.now)
+		if mb := ep.Member; mb != nil && !isSpare(mb.Group) {
+			// It loads the weights for a group of another model.
+			continue
+		}
 		if !busy[id] && !ep.Leaving && len(ep.Staged) > 0 {
 			idle[ep.Domain+"/"+ep.Staged[0]]++
 		}
@@ -269,3 +273,22 @@
 		t.Errorf("%d loads for 12 empty VMs", len(loads))
 	}
 }
+
+// All groups of a model are lost, and their VMs with them. VMs that hold the
+// other model load this one, so that its requests are served again.
+func TestModelWithoutGroups(t *testing.T) {
+	wo := newWorld(t, 7, 3, 9)
+	wo.settle(5 * time.Second)
+	for _, gr := range wo.core.Groups() {
+		if gr.Model == "large" {
+			for _, me := range gr.Members {
+				wo.kill(me.ID)
+			}
+		}
+	}
+	wo.runNoticing(60 * time.Second)
+	large, small := wo.serving()
+	if large == 0 || small == 0 {
+		t.Errorf("serving %d large and %d small groups", large, small)
+	}
+}
--- a/internal/core/steward/lifecycle.go
+++ b/internal/core/steward/lifecycle.go
@@ -130,7 +130,7 @@
 // mustRetire tells whether a member leaves or is slow, or whether the head
 // may not be sent requests any more.
 func (co *Core) mustRetire(gr *group) bool {
-	if !co.vms[gr.members[0]].registered {
+	if gr.unwanted || !co.vms[gr.members[0]].registered {
 		return true
 	}
 	for _, id := range gr.members {
--- /dev/null
+++ b/internal/core/steward/rebalance.go
@@ -0,0 +1,119 @@
+package steward
+
+import (
+	"time"
+
+	"corianderhub.dev/corianderhub/internal/core/catalog"
+)
+
+const (
+	// rebalanceGain is how many times more a group must be worth to the model
+	// that gets it than to the one that gives it up. A load takes 12 to 16 s, in
+	// which the group serves nobody, so small differences don't pay.
+	rebalanceGain = 2.5
+	// rebalancePause is the time between two changes, so that the effect of one
+	// is seen before the next.
+	rebalancePause = 8 * time.Second
+)
+
+// rebalance gives groups of one model up for another that lacks them far more,
+// above all one that has lost its last group.
+func (co *Core) rebalance(service string, en *catalog.Engine, doms []*domain, now time.Time) {
+	if now.Sub(co.rebalanced) < rebalancePause {
+		return
+	}
+	to, from := co.neediest(service, en)
+	if to < 0 || from < 0 {
+		return
+	}
+	do, groups := co.cheapest(service, en, doms, en.Models[to], en.Models[from].Name)
+	if do == nil {
+		return
+	}
+	co.rebalanced = now
+	for _, vm := range do.free {
+		vm.wanted = en.Models[to].Name
+	}
+	for _, gr := range groups {
+		gr.unwanted = true
+		co.note(Event{What: "group-rebalanced", Group: gr.name, Model: gr.model, Members: gr.members, Reason: "for " + en.Models[to].Name})
+		for _, id := range gr.members {
+			co.vms[id].wanted = en.Models[to].Name
+		}
+	}
+}
+
+// neediest returns the model that gains most by a group and the one that loses
+// least, or -1 where the difference does not pay.
+func (co *Core) neediest(service string, en *catalog.Engine) (to, from int) {
+	weights, counts := co.weights(en), co.counts(service, en)
+	to, from = -1, -1
+	gain := func(mi int) float64 { return weights[mi] / float64(counts[mi]+1) }
+	loss := func(mi int) float64 { return weights[mi] / float64(counts[mi]) }
+	for mi, mo := range en.Models {
+		if co.loadingFor(service, mo.Name) {
+			// Help is on its way already.
+			continue
+		}
+		if to < 0 || gain(mi) > gain(to) {
+			to = mi
+		}
+	}
+	for mi := range en.Models {
+		if mi != to && counts[mi] > 1 && (from < 0 || loss(mi) < loss(from)) {
+			from = mi
+		}
+	}
+	if to < 0 || from < 0 || gain(to) < rebalanceGain*loss(from) {
+		return -1, -1
+	}
+	return to, from
+}
+
+// loadingFor tells whether VMs are loading the model or are meant for it.
+func (co *Core) loadingFor(service, model string) bool {
+	for _, vm := range co.vms {
+		if vm.ep.Service != service || vm.down {
+			continue
+		}
+		mb := vm.ep.Member
+		if vm.wanted == model || mb != nil && mb.State == catalog.Joining && vm.last == model {
+			return true
+		}
+	}
+	return false
+}
+
+// cheapest returns the domain in which the fewest groups have to be given up
+// for one of the model, and these groups.
+func (co *Core) cheapest(service string, en *catalog.Engine, doms []*domain, mo catalog.Model, from string) (*domain, []*group) {
+	var bestDom *domain
+	var best []*group
+	for _, do := range doms {
+		num := len(do.free)
+		var groups []*group
+		for _, gr := range co.groupsIn(service, do.name, from) {
+			if num >= mo.Size {
+				break
+			}
+			groups = append(groups, gr)
+			num += len(gr.members)
+		}
+		if num >= mo.Size && (bestDom == nil || len(groups) < len(best)) {
+			bestDom, best = do, groups
+		}
+	}
+	return bestDom, best
+}
+
+// groupsIn returns the whole groups of a model in a domain.
+func (co *Core) groupsIn(service, domain, model string) []*group {
+	var groups []*group
+	for _, ke := range co.keys() {
+		gr := co.groups[ke]
+		if gr.service == service && gr.model == model && !gr.spare() && !gr.doomed && co.complete(gr) && co.vms[gr.members[0]].ep.Domain == domain {
+			groups = append(groups, gr)
+		}
+	}
+	return groups
+}
--- a/internal/core/steward/steward.go
+++ b/internal/core/steward/steward.go
@@ -99,6 +99,9 @@
 	// unsure is set after an order that was refused or not answered, until the
 	// VM has reported: what is known of it may be wrong.
 	unsure bool
+	// wanted is the model that the VM is to load next; empty when it may be used
+	// as it is.
+	wanted string
 	// ordered is when the last order was answered.
 	ordered time.Time
 	// last is the model of the last group, whose weights are in memory still.
@@ -141,6 +144,8 @@
 	retiring time.Time
 	// opening is when the head accepted the order to open.
 	opening time.Time
+	// unwanted groups make room for another model; they finish their work first.
+	unwanted bool
 	// doomed groups are dissolved, whatever their members say.
 	doomed bool
 }
@@ -158,7 +163,9 @@
 	made     int64
 	loads    loadLimit
 	demand   map[string]float64
-	events   []Event
+	// rebalanced is when groups were last given up for another model.
+	rebalanced time.Time
+	events     []Event
 }
 
 // Event is a change that operators want to read about.
@@ -434,7 +441,7 @@
 	co.loads.refill(now, co.services)
 	co.observe(now)
 	var calls []Call
-	for _, ke := range slices.Sorted(maps.Keys(co.groups)) {
+	for _, ke := range co.keys() {
 		calls = append(calls, co.stepGroup(co.groups[ke], now)...)
 	}
 	calls = append(calls, co.formGroups(now)...)
@@ -455,6 +462,9 @@
 	return calls
 }
 
+// keys returns the groups' keys in a fixed order.
+func (co *Core) keys() []string { return slices.Sorted(maps.Keys(co.groups)) }
+
 func (co *Core) ids() []string { return slices.Sorted(maps.Keys(co.vms)) }
 
 // Busy tells whether anything is on its way that short intervals matter for.
--- a/internal/core/steward/view.go
+++ b/internal/core/steward/view.go
@@ -1,16 +1,13 @@
 package steward
 
 import (
-	"maps"
-	"slices"
-
 	"corianderhub.dev/corianderhub/internal/core/catalog"
 )
 
 // Groups returns the groups that serve: whole, with an open head.
 func (co *Core) Groups() []catalog.Group {
 	var groups []catalog.Group
-	for _, ke := range slices.Sorted(maps.Keys(co.groups)) {
+	for _, ke := range co.keys() {
 		gr := co.groups[ke]
 		if gr.spare() || gr.doomed || !co.complete(gr) || co.vms[gr.members[0]].ep.Member.State != catalog.Open {
 			continue
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -78,7 +78,9 @@
 	view     atomic.Pointer[catalog.View]
 	stopping atomic.Bool
 	group    run.Group
-	// work is the context of all that goes on until the daemon has stopped.
+	// base ends the daemon at once and without farewell, as a kill does; tests
+	// set it. work is the context of all that goes on until then.
+	base   context.Context
 	work   context.Context
 	cancel context.CancelFunc
 }
@@ -91,7 +93,10 @@
 
 // Run serves until ctx ends, and then stops gracefully.
 func (da *Daemon) Run(ctx context.Context) error {
-	da.work, da.cancel = context.WithCancel(context.WithoutCancel(ctx))
+	if da.base == nil {
+		da.base = context.WithoutCancel(ctx)
+	}
+	da.work, da.cancel = context.WithCancel(da.base)
 	defer da.cancel()
 	da.started = da.Clock.Now().UnixNano()
 	if err := da.build(); err != nil {
