--- a/internal/core/steward/form.go
+++ b/internal/core/steward/form.go
@@ -159,7 +159,6 @@
 	loads := 0
 	for i, vm := range do.free[:mo.Size] {
 		members[i] = vm.ep.ID
-		vm.wanted = ""
 		if !vm.has(mo.Name) {
 			loads++
 		}
@@ -167,6 +166,9 @@
 	if !co.Initial && !co.loads.take(loads) {
 		return nil
 	}
+	for _, vm := range do.free[:mo.Size] {
+		vm.wanted = ""
+	}
 	do.free = do.free[mo.Size:]
 	gr := co.plan(groupPrefix, service, mo.Name, members, now)
 	co.note(Event{What: "group-formed", Group: gr.name, Model: mo.Name, Members: members})
