Go on as steward in outages of the store while every daemon promises not to take over

Cause: a steward gave up when its lease could not be renewed, so no group was repaired for as long as the store was away and some seconds more. Tests TestRepairWhileStoreAway and TestSilentStewardStops.

--- a/internal/entry/act.go
+++ b/internal/entry/act.go
@@ -90,35 +90,35 @@
 
 // execute makes the steward's calls, each in a goroutine of its own.
 func (ct *control) execute(calls []steward.Call) {
-	term := ct.lease.term
+	core, term := ct.lease.core, ct.lease.term
 	for _, ca := range calls {
 		switch ca := ca.(type) {
 		case steward.Ask:
-			ct.da.once(&ct.wg, func(ctx context.Context) { ct.ask(ctx, term, ca) })
+			ct.da.once(&ct.wg, func(ctx context.Context) { ct.ask(ctx, core, ca) })
 		case steward.Command:
-			ct.da.once(&ct.wg, func(ctx context.Context) { ct.command(ctx, term, ca) })
+			ct.da.once(&ct.wg, func(ctx context.Context) { ct.command(ctx, core, term, ca) })
 		}
 	}
 }
 
-// forTerm runs fn in the control loop if this daemon is still the steward of
-// that term.
-func (ct *control) forTerm(term int64, fn func(*steward.Core, time.Time)) {
+// forCore runs fn in the control loop if this daemon is still the steward that
+// made the call.
+func (ct *control) forCore(core *steward.Core, fn func(*steward.Core, time.Time)) {
 	ct.post(func() {
-		if ct.lease.core != nil && ct.lease.term == term {
-			fn(ct.lease.core, ct.da.Clock.Now())
+		if ct.lease.core == core {
+			fn(core, ct.da.Clock.Now())
 		}
 	})
 }
 
-func (ct *control) ask(ctx context.Context, term int64, as steward.Ask) {
+func (ct *control) ask(ctx context.Context, core *steward.Core, as steward.Ask) {
 	limit := askTimeout
 	if as.Urgent {
 		limit = urgentTimeout
 	}
 	asked := ct.da.Clock.Now()
 	re, err := ct.da.report(ctx, as.ID, as.Address, limit, as.Urgent)
-	ct.forTerm(term, func(co *steward.Core, now time.Time) {
+	ct.forCore(core, func(co *steward.Core, now time.Time) {
 		if err != nil {
 			co.Failed(as.ID, err.Error(), now)
 			return
@@ -159,10 +159,10 @@
 	return ex.Response.StatusCode, body, nil
 }
 
-func (ct *control) command(ctx context.Context, term int64, cd steward.Command) {
+func (ct *control) command(ctx context.Context, core *steward.Core, term int64, cd steward.Command) {
 	out, status, err := ct.da.order(ctx, term, cd)
 	ct.da.Log.Info("steward: ordered.", "term", term, "vm", cd.ID, "order", cd.Order, "if-orders", cd.IfOrders, "status", status, "cause", cause(err))
-	ct.forTerm(term, func(co *steward.Core, now time.Time) { co.Done(cd, out, now) })
+	ct.forCore(core, func(co *steward.Core, now time.Time) { co.Done(cd, out, now) })
 }
 
 func cause(err error) string {
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -63,7 +63,9 @@
 	sweepDue time.Time
 	served   bool
 	lease    stewardship
-	probes   map[string]time.Time
+	// campaigning is set while this daemon looks at the lease.
+	campaigning bool
+	probes      map[string]time.Time
 	// beats from the steward of the highest term.
 	steward mesh.Beat
 	heard   time.Time
@@ -192,6 +194,11 @@
 	if co := ct.da.config.Load(); co != nil {
 		be.Config = co.Revision
 	}
+	be.Leaving = ct.da.stopping.Load()
+	if !ct.campaigning {
+		be.HeardTerm, be.HeardNumber = ct.steward.Term, ct.steward.Number
+	}
+	ct.lease.sent(ct.number)
 	if ct.lease.settled() {
 		be.Steward, be.Term, be.View = true, ct.lease.term, ct.lease.sequence
 	}
@@ -210,6 +217,7 @@
 	now := ct.da.Clock.Now()
 	ct.da.table.PeerLoads(be.IP, be.Loads, now)
 	ct.served = ct.served || be.Served
+	ct.lease.promised(be)
 	if ct.lease.core != nil {
 		for _, su := range be.Suspects {
 			ct.lease.core.Suspect(su.Group, su.Epoch, now)
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -456,3 +456,64 @@
 	}
 	sk.checkPromises()
 }
+
+// The store is away for longer than a lease lasts, and a group loses a member
+// meanwhile. The steward goes on, since no other daemon can take its place, and
+// the group is formed anew.
+func TestRepairWhileStoreAway(t *testing.T) {
+	sk := newStack(t, 3)
+	st := sk.steward()
+	for _, ru := range sk.daemons {
+		ru.gate.SetFault(emulator.Busy)
+	}
+	sk.de.Store.EndLeases()
+	time.Sleep(leaseTTL + time.Second)
+	lost := ""
+	for _, gr := range st.da.view.Load().Groups {
+		if gr.Model == emulator.ModelLarge {
+			lost = gr.Members[1].ID
+		}
+	}
+	sk.de.Kill(lost)
+	sk.until("the group without its member is noticed", func() bool {
+		for _, ru := range sk.daemons {
+			go sk.ask(ru, "/draft/", "stalled")
+		}
+		for _, gr := range st.da.view.Load().Groups {
+			for _, me := range gr.Members {
+				if me.ID == lost {
+					return false
+				}
+			}
+		}
+		return true
+	})
+	if sk.steward() != st {
+		t.Error("the steward changed while the store was away")
+	}
+	for _, ru := range sk.daemons {
+		sk.until("served again", func() bool { return sk.ask(ru, "/draft/", "after") == wholeStream("after") })
+		ru.gate.SetFault(emulator.Sound)
+	}
+	sk.until("the lease is held again", func() bool {
+		_, ok := sk.de.Store.Value(stewardKey)
+		return ok
+	})
+	sk.checkPromises()
+}
+
+// A steward that the others can't hear must stop when its lease runs out: one
+// of them will take its place.
+func TestSilentStewardStops(t *testing.T) {
+	sk := newStack(t, 3)
+	old := sk.steward()
+	old.gate.SetFault(emulator.Silent)
+	old.da.mesh.Conn.Close()
+	sk.until("another steward", func() bool { return sk.steward() != old })
+	is := make(chan bool, 1)
+	old.da.control.post(func() { is <- old.da.control.lease.core != nil })
+	if <-is {
+		t.Error("two daemons are steward at once")
+	}
+	sk.checkPromises()
+}
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -17,8 +17,10 @@
 	// watchPause is the time after a change during which others may come that
 	// are then fetched with the same call.
 	watchPause = 40 * time.Millisecond
-	// retryPause is the time between calls to a store that does not answer.
-	retryPause = 250 * time.Millisecond
+	// retryPause is the time between calls to a store that does not answer; it
+	// doubles up to maxRetryPause, since refused calls count like others.
+	retryPause    = 250 * time.Millisecond
+	maxRetryPause = time.Second
 	// idlePause is the time between looks whether to follow the store again.
 	idlePause = 100 * time.Millisecond
 )
@@ -35,6 +37,8 @@
 	after   int64
 	turn    int
 	failing bool
+	// pause is the time until the next try, while the store does not answer.
+	pause time.Duration
 }
 
 func (ct *control) followConfig(ctx context.Context) {
@@ -68,7 +72,7 @@
 		}
 		if err := fo.once(ctx); err != nil && ctx.Err() == nil {
 			fo.lost(err)
-			_ = fo.ct.da.Clock.Sleep(ctx, retryPause) // The loop looks at ctx.
+			_ = fo.ct.da.Clock.Sleep(ctx, fo.pause) // The loop looks at ctx.
 		}
 	}
 }
@@ -117,6 +121,7 @@
 	if !fo.failing {
 		fo.ct.da.Log.Warn("store: lost.", "prefix", fo.prefix, "cause", err.Error())
 	}
+	fo.pause = min(maxRetryPause, max(retryPause, 2*fo.pause))
 	fo.failing = true
 	fo.after = 0
 }
@@ -125,7 +130,7 @@
 	if fo.failing {
 		fo.ct.da.Log.Info("store: regained.", "prefix", fo.prefix)
 	}
-	fo.failing = false
+	fo.failing, fo.pause = false, 0
 }
 
 // confirmPart notes that what is below a prefix was confirmed just now. The
--- a/internal/entry/lease.go
+++ b/internal/entry/lease.go
@@ -14,6 +14,7 @@
 	"corianderhub.dev/corianderhub/internal/clock"
 	"corianderhub.dev/corianderhub/internal/core/catalog"
 	"corianderhub.dev/corianderhub/internal/core/steward"
+	"corianderhub.dev/corianderhub/internal/mesh"
 	"corianderhub.dev/corianderhub/platform"
 )
 
@@ -34,6 +35,13 @@
 	// stewardSilence is how long a steward must be silent before another
 	// daemon looks at the lease.
 	stewardSilence = 500 * time.Millisecond
+	// startSilence is the same for a daemon that has just started, so that a
+	// steward has time to be heard.
+	startSilence = 1200 * time.Millisecond
+	// promiseMargin is taken off the time that a promise holds.
+	promiseMargin = 100 * time.Millisecond
+	// electorateSpan is how long a silent daemon's promise is still asked for.
+	electorateSpan = 8 * time.Second
 	// rankDelay keeps daemons from trying all at once: each waits for those
 	// that come before it by address.
 	rankDelay = 250 * time.Millisecond
@@ -63,6 +71,41 @@
 	endpointsAt, configAt time.Time
 	begun                 time.Time
 	asked                 bool
+	// sentAt is when beats of the term were sent, since boot, by their number;
+	// promises is the newest of them that each daemon has heard.
+	sentAt   map[uint64]time.Duration
+	promises map[string]promise
+}
+
+// promise is a daemon's word not to look at the lease for stewardSilence from
+// when the beat was sent that it heard.
+type promise struct {
+	started int64
+	at      time.Duration
+}
+
+// sent notes when a beat was sent.
+func (sh *stewardship) sent(number uint64) {
+	if sh.core == nil {
+		return
+	}
+	now := clock.SinceBoot()
+	sh.sentAt[number] = now
+	for old, at := range sh.sentAt {
+		if now-at > stewardSilence {
+			delete(sh.sentAt, old)
+		}
+	}
+}
+
+// promised takes in what another daemon has heard of this steward.
+func (sh *stewardship) promised(be mesh.Beat) {
+	if sh.core == nil || be.HeardTerm != sh.term {
+		return
+	}
+	if at, ok := sh.sentAt[be.HeardNumber]; ok {
+		sh.promises[be.IP] = promise{be.Started, at}
+	}
 }
 
 // settled tells whether the steward knows enough for its view to be used.
@@ -76,6 +119,7 @@
 		}
 		if ct.shouldTry() {
 			ct.tryLease(ctx)
+			ct.post(func() { ct.campaigning = false })
 		}
 		_ = ct.da.Clock.Sleep(ctx, campaignPause) // The loop looks at ctx.
 	}
@@ -93,11 +137,13 @@
 				rank++
 			}
 		}
-		silent := now.Sub(ct.heard)
+		silent, need := now.Sub(ct.heard), stewardSilence
 		if ct.heard.IsZero() {
-			silent = now.Sub(time.Unix(0, ct.da.started))
+			silent, need = now.Sub(time.Unix(0, ct.da.started)), startSilence
 		}
-		answer <- ct.lease.core == nil && silent > stewardSilence+time.Duration(min(rank, maxRank))*rankDelay
+		try := ct.lease.core == nil && silent > need+time.Duration(min(rank, maxRank))*rankDelay
+		ct.campaigning = try
+		answer <- try
 	})
 	select {
 	case try := <-answer:
@@ -175,43 +221,121 @@
 	return errors.Is(err, syscall.ECONNREFUSED)
 }
 
-// renew renews the lease until it is lost or the daemon resigns.
+// renew renews the lease until it is lost or the daemon resigns. A lease that
+// ran out in an outage is taken anew, if nobody else has taken it.
 func (ct *control) renew(ctx context.Context, lease int64) {
 	for ctx.Err() == nil && ct.da.Clock.Sleep(ctx, renewEvery) == nil {
 		begin := clock.SinceBoot()
 		err := ct.da.store.Renew(ctx, lease)
+		term := int64(0)
 		if errors.Is(err, platform.ErrNoLease) {
-			return
-		}
-		held := make(chan bool, 1)
-		ct.post(func() {
-			if err == nil {
-				ct.lease.until = begin + leaseTTL - leaseMargin
+			if !ct.stillSteward(0, 0) {
+				return
 			}
-			held <- ct.lease.core != nil && ct.lease.lease == lease && ct.holds()
-		})
+			begin = clock.SinceBoot()
+			if term, lease, err = ct.retake(ctx); errors.Is(err, platform.ErrConflict) {
+				return
+			}
+		}
 		if err != nil {
 			ct.da.Log.Info("steward: lease not renewed.", "cause", err.Error())
 		}
-		select {
-		case ok := <-held:
-			if !ok {
-				return
-			}
-		case <-ctx.Done():
+		until := time.Duration(0)
+		if err == nil {
+			until = begin + leaseTTL - leaseMargin
+		}
+		if !ct.stillSteward(until, term) {
 			return
 		}
+		if term != 0 {
+			ct.post(func() { ct.lease.lease = lease })
+		}
+	}
+}
+
+// stillSteward notes until when the lease is held, and the term if it was taken
+// anew, and tells whether this daemon is the steward still.
+func (ct *control) stillSteward(until time.Duration, term int64) bool {
+	held := make(chan bool, 1)
+	ct.post(func() {
+		if ct.lease.core != nil {
+			ct.lease.until = max(ct.lease.until, until)
+			if ct.lease.renumber(term) {
+				ct.hearView(ct.lease.published)
+			}
+		}
+		held <- ct.lease.core != nil && ct.holds()
+	})
+	select {
+	case ok := <-held:
+		return ok
+	case <-ct.da.work.Done():
+		return false
+	}
+}
+
+// renumber goes on under a new term with what the steward knows, and tells
+// whether there is a view to be told anew.
+func (sh *stewardship) renumber(term int64) bool {
+	if term == 0 {
+		return false
+	}
+	sh.term, sh.core.Term = term, term
+	if sh.published == nil {
+		return false
 	}
+	vi := *sh.published
+	vi.Term = term
+	sh.published = &vi
+	return true
 }
 
-// holds tells whether the lease is certainly still this daemon's.
-func (ct *control) holds() bool { return clock.SinceBoot() < ct.lease.until }
+// retake takes a lease that has run out, unless another daemon holds one now.
+func (ct *control) retake(ctx context.Context) (term, lease int64, err error) {
+	item, _, err := ct.da.store.Get(ctx, stewardKey)
+	if err != nil {
+		return 0, 0, err
+	}
+	var ho holder
+	if item.Revision != 0 && (json.Unmarshal(item.Value, &ho) != nil || ho.IP != ct.da.Settings.IP || ho.Started != ct.da.started) {
+		return 0, 0, platform.ErrConflict
+	}
+	if lease, err = ct.da.store.Grant(ctx, leaseTTL); err != nil {
+		return 0, 0, err
+	}
+	term, err = ct.take(ctx, item.Revision, lease)
+	return term, lease, err
+}
+
+// holds tells whether no other daemon can be the steward: because the lease is
+// certainly still this daemon's, or because every other daemon has promised not
+// to look at it yet. The store's outages outlast the lease, and groups lose
+// members meanwhile.
+func (ct *control) holds() bool {
+	return clock.SinceBoot() < ct.lease.until || ct.allPromised()
+}
+
+// allPromised tells whether the promises of all daemons hold still. Daemons
+// that were silent for longer than cuts usually last are taken as gone; one
+// that leaves will not become steward.
+func (ct *control) allPromised() bool {
+	now := clock.SinceBoot()
+	for _, pe := range ct.da.mesh.HeardWithin(electorateSpan) {
+		pr := ct.lease.promises[pe.IP]
+		if !pe.Leaving && (pr.started != pe.Started || now-pr.at > stewardSilence-promiseMargin) {
+			return false
+		}
+	}
+	return true
+}
 
 func (ct *control) becomeSteward(term, lease int64, until time.Duration) {
 	now := ct.da.Clock.Now()
 	ct.da.Log.Info("steward: lease taken.", "term", term)
 	ct.lease = stewardship{core: steward.New(term, now), term: term, lease: lease, until: until, begun: now,
-		endpointsAt: ct.lease.endpointsAt, configAt: ct.lease.configAt}
+		endpointsAt: ct.lease.endpointsAt, configAt: ct.lease.configAt,
+		sentAt: make(map[uint64]time.Duration), promises: make(map[string]promise)}
+	ct.campaigning = false
 	if cfg := ct.da.currentConfig(); cfg != nil {
 		ct.lease.core.SetServices(cfg)
 	}
--- a/internal/mesh/beat.go
+++ b/internal/mesh/beat.go
@@ -44,6 +44,13 @@
 	Served bool `cbor:"13,keyasint,omitempty"`
 	// Loads is the work that the daemon has sent to groups, by name.
 	Loads map[string]dispatch.Load `cbor:"14,keyasint,omitempty"`
+	// HeardTerm and HeardNumber name the last beat of a steward that the daemon
+	// heard. With them it promises not to look at the lease for a while; they
+	// are 0 while it does.
+	HeardTerm   int64  `cbor:"16,keyasint,omitempty"`
+	HeardNumber uint64 `cbor:"17,keyasint,omitempty"`
+	// Leaving daemons will not become steward any more.
+	Leaving bool `cbor:"18,keyasint,omitempty"`
 	// Suspects are groups that stand still.
 	Suspects []Suspect `cbor:"15,keyasint,omitempty"`
 }
@@ -184,6 +191,20 @@
 	return alive
 }
 
+// HeardWithin returns the daemons that were heard within a time.
+func (me *Mesh) HeardWithin(span time.Duration) []Peer {
+	me.mu.Lock()
+	defer me.mu.Unlock()
+	now := me.Clock.Now()
+	var heard []Peer
+	for _, pe := range me.peers {
+		if !pe.At.IsZero() && now.Sub(pe.At) < span {
+			heard = append(heard, *pe)
+		}
+	}
+	return heard
+}
+
 // Send sends a beat to all daemons, to silent ones less often.
 func (me *Mesh) Send(be Beat) error {
 	raw, err := cbor.Marshal(be)
