Count a daemon that has just started as promising; recall members without entries

Cause: a peer that restarted in an outage had not answered the steward yet, and the steward gave up at once. A new steward waited 2.3 s for members that were long dead.

--- a/internal/core/steward/hold_test.go
+++ b/internal/core/steward/hold_test.go
@@ -247,6 +247,29 @@
 	}
 }
 
+// A steward takes over after members have died and their entries are gone. The
+// last view still names them. Their groups are formed anew at once, without the
+// wait for entries that may come back.
+func TestTakeOverRecallsMembers(t *testing.T) {
+	wo := newWorld(t, 8, 3, 9)
+	wo.settle(5 * time.Second)
+	gr := wo.core.Groups()[0]
+	lost := gr.Members[1]
+	wo.fleet.Change(lost.ID, func(vm *emulator.VM) { vm.Dead = true })
+	delete(wo.entries, lost.ID)
+	wo.takeOver()
+	wo.core.Recall(gr, lost, wo.now)
+	wo.run(appearPatience - time.Second)
+	for _, now := range wo.core.Groups() {
+		for _, me := range now.Members {
+			if me.ID == gr.Members[0].ID && now.Name != gr.Name {
+				return
+			}
+		}
+	}
+	t.Error("the group's members serve in no other group")
+}
+
 // Loads from the weight store are rationed: those that begin in any 5 s stay
 // within the rate of the store, also when a whole domain comes back empty.
 func TestLoadsAreRationed(t *testing.T) {
--- a/internal/core/steward/steward.go
+++ b/internal/core/steward/steward.go
@@ -99,6 +99,8 @@
 	// unsure is set after an order that was refused or not answered, until the
 	// VM has reported: what is known of it may be wrong.
 	unsure bool
+	// recalled is the key of the group that an earlier steward knew the VM in.
+	recalled string
 	// wanted is the model that the VM is to load next; empty when it may be used
 	// as it is.
 	wanted string
@@ -163,6 +165,8 @@
 	made     int64
 	loads    loadLimit
 	demand   map[string]float64
+	// lost are the keys of groups that a recalled member is missing from.
+	lost map[string]bool
 	// rebalanced is when groups were last given up for another model.
 	rebalanced time.Time
 	events     []Event
@@ -177,7 +181,7 @@
 // New returns a core for a steward of that term.
 func New(term int64, now time.Time) *Core {
 	return &Core{Term: term, services: make(map[string]*catalog.Engine), vms: make(map[string]*vm),
-		groups: make(map[string]*group), demand: make(map[string]float64), loads: loadLimit{at: now}}
+		groups: make(map[string]*group), demand: make(map[string]float64), lost: make(map[string]bool), loads: loadLimit{at: now}}
 }
 
 // Events returns what happened since the last call.
@@ -223,6 +227,17 @@
 	return &vm{ep: ep, registered: true, askAt: now, idleSince: now}
 }
 
+// Recall tells of a member that an earlier steward knew and that has no entry.
+// It is asked; if it does not answer, its group does not wait for it.
+func (co *Core) Recall(gr catalog.Group, me catalog.Member, now time.Time) {
+	if co.services[gr.Service] == nil || co.vms[me.ID] != nil {
+		return
+	}
+	vm := co.newVM(catalog.Endpoint{ID: me.ID, Service: gr.Service, Address: me.Address, DataCenter: gr.DataCenter}, now)
+	vm.registered, vm.recalled = false, key(gr.Name, gr.Epoch)
+	co.vms[me.ID] = vm
+}
+
 // hear takes in what an entry says of the VM's group. An entry follows each
 // change at once, where a report lags by some hundred milliseconds, but it may
 // be older than the last order. So it moves a group that is known on, and
@@ -325,6 +340,10 @@
 	if !vm.registered && vm.failures >= maxFailures {
 		co.note(Event{What: "vm-gone", VM: id, Reason: reason})
 		delete(co.vms, id)
+		co.lost[vm.recalled] = true
+		if gr := co.groups[vm.recalled]; gr != nil {
+			gr.suspect = true
+		}
 		return
 	}
 	if vm.failures < maxFailures {
@@ -499,6 +518,7 @@
 	gr := co.groups[key(mb.Group, mb.Epoch)]
 	if gr == nil {
 		gr = &group{name: mb.Group, epoch: mb.Epoch, service: vm.ep.Service, found: now}
+		gr.suspect = co.lost[key(mb.Group, mb.Epoch)]
 		co.groups[key(mb.Group, mb.Epoch)] = gr
 	}
 	if !gr.planned.IsZero() {
--- a/internal/entry/act.go
+++ b/internal/entry/act.go
@@ -51,6 +51,7 @@
 		for _, ep := range ct.endpoints {
 			sh.core.Register(ep, now)
 		}
+		ct.recall(now)
 	}
 	sh.core.Initial = !ct.served && ct.da.front.Served() == 0
 	if !sh.core.Settled() && now.Sub(sh.begun) < settleLimit {
@@ -62,6 +63,21 @@
 	ct.publish()
 }
 
+// recall tells a new steward of members that the last view named and the store
+// does not, so that it asks them instead of waiting for their entries.
+func (ct *control) recall(now time.Time) {
+	if ct.told == nil {
+		return
+	}
+	for _, gr := range ct.told.Groups {
+		for _, me := range gr.Members {
+			if _, ok := ct.endpoints[me.ID]; !ok {
+				ct.lease.core.Recall(gr, me, now)
+			}
+		}
+	}
+}
+
 func (ct *control) logEvents(evs []steward.Event) {
 	for _, ev := range evs {
 		ct.da.Log.Info("steward: "+ev.What+".", "term", ct.lease.term, "group", ev.Group, "model", ev.Model, "vm", ev.VM,
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -63,6 +63,8 @@
 	sweepDue time.Time
 	served   bool
 	lease    stewardship
+	// begun is when the control loop began to run.
+	begun time.Time
 	// campaigning is set while this daemon looks at the lease.
 	campaigning bool
 	probes      map[string]time.Time
@@ -88,7 +90,8 @@
 }
 
 func (ct *control) run(ctx context.Context) error {
-	ct.confirmed = ct.da.Clock.Now().Add(-staleAfter + startPatience)
+	ct.begun = ct.da.Clock.Now()
+	ct.confirmed = ct.begun.Add(-staleAfter + startPatience)
 	ct.da.once(&ct.wg, ct.followConfig)
 	ct.da.once(&ct.wg, ct.followEndpoints)
 	ct.da.once(&ct.wg, ct.join)
@@ -195,6 +198,7 @@
 		be.Config = co.Revision
 	}
 	be.Leaving = ct.da.stopping.Load()
+	be.Uptime = now.Sub(ct.begun)
 	if !ct.campaigning {
 		be.HeardTerm, be.HeardNumber = ct.steward.Term, ct.steward.Number
 	}
--- a/internal/entry/lease.go
+++ b/internal/entry/lease.go
@@ -100,7 +100,14 @@
 
 // promised takes in what another daemon has heard of this steward.
 func (sh *stewardship) promised(be mesh.Beat) {
-	if sh.core == nil || be.HeardTerm != sh.term {
+	if sh.core == nil {
+		return
+	}
+	if be.Uptime < startSilence && sh.promises[be.IP].started != be.Started {
+		// A daemon that has just started waits longer, whatever it has heard.
+		sh.promises[be.IP] = promise{be.Started, clock.SinceBoot() - be.Uptime + startSilence - stewardSilence}
+	}
+	if be.HeardTerm != sh.term {
 		return
 	}
 	if at, ok := sh.sentAt[be.HeardNumber]; ok {
@@ -139,7 +146,7 @@
 		}
 		silent, need := now.Sub(ct.heard), stewardSilence
 		if ct.heard.IsZero() {
-			silent, need = now.Sub(time.Unix(0, ct.da.started)), startSilence
+			silent, need = now.Sub(ct.begun), startSilence
 		}
 		try := ct.lease.core == nil && silent > need+time.Duration(min(rank, maxRank))*rankDelay
 		ct.campaigning = try
