--- a/internal/core/steward/compose.go
+++ b/internal/core/steward/compose.go
@@ -13,38 +13,40 @@
 	weight float64
 }
 
-// compose returns for each domain how many groups of each model to form, so
-// that the work of the models is spread as evenly as the sizes allow. It
-// starts from the domains' largest packings and improves one domain at a time.
-func compose(domains []int, models []weightedSize) [][]int {
-	choices := make(map[int][][]int)
-	for _, free := range domains {
-		if _, ok := choices[free]; !ok {
-			choices[free] = packings(free, models)
-		}
-	}
-	plan := make([][]int, len(domains))
-	total := make([]int, len(models))
+// split is how many VMs of a domain hold each model. VMs that hold the same
+// model replace each other within 0.2 s, so it matters not which of them serve
+// and which are spare.
+type split []int
+
+// lossLevels are the shares of a domain's VMs that may be lost before others
+// have loaded in their place, with the weight that each has in the choice. On
+// days of many losses a domain loses one VM in ten each 8 s, and a load takes
+// 16 s; on quiet days what counts is that all serve.
+var lossLevels = []struct{ share, weight float64 }{{0, 0.4}, {0.1, 0.25}, {0.2, 0.2}, {0.3, 0.15}}
+
+// compose returns how to split each domain, so that the work of the models is
+// spread as evenly as the sizes allow, now and after losses. It improves one
+// domain at a time until none can be improved.
+func compose(domains []int, models []weightedSize) []split {
+	choices := make(map[int][]split)
+	plan := make([]split, len(domains))
 	for i, free := range domains {
+		if choices[free] == nil {
+			choices[free] = splits(free, models)
+		}
 		plan[i] = choices[free][0]
-		add(total, plan[i], 1)
 	}
 	for improved := true; improved; {
 		improved = false
 		for i, free := range domains {
-			add(total, plan[i], -1)
-			best := plan[i]
-			bestValue := math.Inf(-1)
-			for _, counts := range choices[free] {
-				add(total, counts, 1)
-				if va := balance(total, models); va > bestValue+balanceStep {
-					best, bestValue = counts, va
+			best, bestValue := plan[i], balance(plan, models)
+			for _, ch := range choices[free] {
+				plan[i] = ch
+				if va := balance(plan, models); va > bestValue+balanceStep {
+					best, bestValue, improved = ch, va, true
 				}
-				add(total, counts, -1)
 			}
-			improved = improved || !same(best, plan[i])
 			plan[i] = best
-			add(total, best, 1)
 		}
 	}
 	return plan
@@ -54,11 +56,17 @@
 const balanceStep = 1e-9
 
 // balance is largest when the numbers of groups are in the proportion of the
-// models' work, and grows with each group.
-func balance(total []int, models []weightedSize) float64 {
+// models' work, and grows with each group, averaged over the levels of loss.
+func balance(plan []split, models []weightedSize) float64 {
 	sum := 0.0
-	for mi, mo := range models {
-		sum += mo.weight * math.Log(float64(total[mi])+emptyGroups)
+	for _, le := range lossLevels {
+		for mi, mo := range models {
+			groups := 0.0
+			for _, sp := range plan {
+				groups += sp.groups(mi, mo.size, le.share)
+			}
+			sum += le.weight * mo.weight * math.Log(groups+emptyGroups)
+		}
 	}
 	return sum
 }
@@ -66,47 +74,66 @@
 // emptyGroups makes a model without any group cost much, but not everything.
 const emptyGroups = 0.05
 
-func add(total, counts []int, times int) {
-	for mi, num := range counts {
-		total[mi] += times * num
+// groups is the expected number of a model's groups after a share of the
+// domain's VMs, drawn at random, is lost.
+func (sp split) groups(mi, size int, share float64) float64 {
+	total := 0
+	for _, num := range sp {
+		total += num
+	}
+	lost := int(math.Round(share * float64(total)))
+	sum := 0.0
+	for gone := 0; gone <= min(lost, sp[mi]); gone++ {
+		sum += hypergeometric(total, sp[mi], lost, gone) * float64((sp[mi]-gone)/size)
+	}
+	return sum
+}
+
+// hypergeometric is the probability that of drawn VMs, out of total of which
+// marked are marked, exactly hits are marked.
+func hypergeometric(total, marked, drawn, hits int) float64 {
+	if hits > marked || drawn-hits > total-marked {
+		return 0
 	}
+	return math.Exp(logChoose(marked, hits) + logChoose(total-marked, drawn-hits) - logChoose(total, drawn))
 }
 
-func same(one, other []int) bool {
-	for mi := range one {
-		if one[mi] != other[mi] {
-			return false
-		}
+func logChoose(from, num int) float64 {
+	lg := func(n int) float64 {
+		val, _ := math.Lgamma(float64(n + 1))
+		return val
 	}
-	return true
+	return lg(from) - lg(num) - lg(from-num)
 }
 
-// packings returns the ways to split a domain into groups to which no further
-// group can be added, the one with the fewest VMs left first.
-func packings(free int, models []weightedSize) [][]int {
-	var all [][]int
-	counts := make([]int, len(models))
+// splits returns all ways to split a domain's VMs among the models.
+func splits(free int, models []weightedSize) []split {
+	var all []split
+	sp := make(split, len(models))
 	var fill func(mi, left int)
 	fill = func(mi, left int) {
-		if mi == len(models) {
-			for _, mo := range models {
-				if mo.size <= left {
-					return
-				}
-			}
-			all = append(all, append([]int(nil), counts...))
+		if mi == len(models)-1 {
+			sp[mi] = left
+			all = append(all, append(split(nil), sp...))
 			return
 		}
-		for num := left / max(1, models[mi].size); num >= 0; num-- {
-			counts[mi] = num
-			fill(mi+1, left-num*models[mi].size)
+		for num := left; num >= 0; num -= splitStep(left, len(models)) {
+			sp[mi] = num
+			fill(mi+1, left-num)
 		}
-		counts[mi] = 0
 	}
 	fill(0, free)
 	return all
 }
 
+// splitStep keeps the number of splits small where there are many models.
+func splitStep(left, models int) int {
+	if models <= 2 {
+		return 1
+	}
+	return 1 + left/10
+}
+
 // loadLimit bounds the loads from the weight store. A new steward starts with
 // none saved up, since its predecessor may have used them.
 type loadLimit struct {
--- a/internal/core/steward/form.go
+++ b/internal/core/steward/form.go
@@ -126,25 +126,25 @@
 		}
 	}
 	var calls []Call
-	for i, counts := range compose(sizes, co.weightedSizes(en)) {
-		// Large groups first: a small one may be formed from what is left.
-		order := modelsBySize(en)
-		for _, mi := range order {
-			for range counts[mi] {
+	for i, sp := range compose(sizes, co.weightedSizes(en)) {
+		for mi, num := range sp {
+			for range num / en.Models[mi].Size {
 				calls = append(calls, co.form(service, en.Models[mi], doms[i], now)...)
 			}
 		}
+		for mi, num := range sp {
+			for range min(num%en.Models[mi].Size, len(doms[i].free)) {
+				calls = append(calls, co.hold(service, en.Models[mi].Name, doms[i].free[0], now)...)
+				doms[i].free = doms[i].free[1:]
+			}
+		}
 	}
 	return calls
 }
 
-func modelsBySize(en *catalog.Engine) []int {
-	order := make([]int, len(en.Models))
-	for i := range order {
-		order[i] = i
-	}
-	slices.SortFunc(order, func(one, other int) int { return cmp.Compare(en.Models[other].Size, en.Models[one].Size) })
-	return order
+// hold makes a free VM hold a model in memory.
+func (co *Core) hold(service, model string, vm *vm, now time.Time) []Call {
+	return co.stepSpare(co.plan(sparePrefix, service, model, []string{vm.ep.ID}, now), now)
 }
 
 // form takes the best VMs of a domain for a group of the model.
@@ -312,73 +312,62 @@
 			if !co.Initial && !vm.ep.HasStaged(model) && !co.loads.take(1) {
 				break
 			}
-			gr := co.plan(sparePrefix, service, model, []string{vm.ep.ID}, now)
-			calls = append(calls, co.stepSpare(gr, now)...)
+			calls = append(calls, co.hold(service, model, vm, now)...)
 		}
 	}
 	return calls
 }
 
 // spareModel chooses the model that a free VM holds: one that is on its host,
-// or the one whose next group in the domain lacks the fewest members.
+// or the one that adds most to the balance, now and after losses.
 func (co *Core) spareModel(service string, en *catalog.Engine, do *domain, vm *vm) string {
 	if len(vm.ep.Staged) > 0 {
 		return vm.ep.Staged[0]
 	}
-	weights, counts := co.weights(en), co.counts(service, en)
-	best, bestScore := "", -1.0
+	models := co.weightedSizes(en)
+	plan, at := co.splits(service, en, do.name)
+	best, bestValue := "", 0.0
 	for mi, mo := range en.Models {
-		have := co.holders(service, do.name, mo.Name)
-		// A member of a group here is as likely to be lost as any other, so a
-		// spare is worth most for the model with the most members.
-		score := float64(co.members(service, do.name, mo.Name)) / float64(have+1)
-		if have%mo.Size == mo.Size-1 {
-			score += completing * weights[mi] / float64(counts[mi]+1)
-		}
-		if score > bestScore {
-			best, bestScore = mo.Name, score
+		plan[at][mi]++
+		if va := balance(plan, models); best == "" || va > bestValue {
+			best, bestValue = mo.Name, va
 		}
+		plan[at][mi]--
 	}
 	return best
 }
 
-// completing is what it counts that a VM makes a whole group, against the
-// members that it could replace.
-const completing = 100
-
-// members counts the VMs of a domain that serve the model in a group.
-func (co *Core) members(service, domain, model string) int {
-	num := 0
-	for _, gr := range co.groups {
-		if gr.service != service || gr.model != model || gr.spare() || gr.doomed {
+// splits returns what the VMs of each domain hold, and the place of one domain.
+func (co *Core) splits(service string, en *catalog.Engine, domain string) (plan []split, at int) {
+	places := make(map[string]int)
+	for _, id := range co.ids() {
+		vm := co.vms[id]
+		if vm.ep.Service != service || vm.down {
 			continue
 		}
-		if vm := co.vms[gr.members[0]]; vm != nil && vm.ep.Domain == domain {
-			num += len(gr.members)
+		place, ok := places[vm.ep.Domain]
+		if !ok {
+			place = len(plan)
+			places[vm.ep.Domain] = place
+			plan = append(plan, make(split, len(en.Models)))
+		}
+		for mi, mo := range en.Models {
+			if co.holding(vm) == mo.Name {
+				plan[place][mi]++
+			}
 		}
 	}
-	return num
+	return plan, places[domain]
 }
 
-// holders counts the VMs of a domain that hold the model in memory, or load
-// it, and serve in no group.
-func (co *Core) holders(service, domain, model string) int {
-	num := 0
-	for _, vm := range co.vms {
-		mb := vm.ep.Member
-		if vm.ep.Service == service && vm.ep.Domain == domain && vm.usable() && vm.last == model &&
-			(mb == nil || isSpare(mb.Group)) {
-			num++
-		}
-	}
+// holding returns the model that a VM holds, loads, or is promised to.
+func (co *Core) holding(vm *vm) string {
 	for _, gr := range co.groups {
-		if gr.spare() && gr.model == model && !gr.planned.IsZero() {
-			if vm := co.vms[gr.members[0]]; vm != nil && vm.ep.Domain == domain && vm.ep.Member == nil {
-				num++
-			}
+		if !gr.planned.IsZero() && !gr.doomed && slices.Contains(gr.members, vm.ep.ID) {
+			return gr.model
 		}
 	}
-	return num
+	return vm.last
 }
 
 // convert loads another model on VMs that are meant for it, or that can't
