--- a/internal/core/steward/form.go
+++ b/internal/core/steward/form.go
@@ -11,9 +11,6 @@
 )
 
 const (
-	// convertAfter is how long VMs must have been of no use before they load
-	// another model. A replacement for the member they lack may come by then.
-	convertAfter = 3 * time.Second
 	// gatherTime is how long a new steward that finds no group waits for more
 	// endpoints before it deals them out.
 	gatherTime = 600 * time.Millisecond
@@ -39,7 +36,7 @@
 			continue
 		}
 		calls = append(calls, co.formWarm(service, en, doms, now)...)
-		calls = append(calls, co.keepWarm(service, en, doms, now)...)
+		calls = append(calls, co.startLoads(service, en, doms, now)...)
 		if len(calls) == 0 {
 			co.rebalance(service, en, doms, now)
 		}
@@ -295,29 +292,6 @@
 	return false
 }
 
-// keepWarm makes free VMs hold a model in memory, so that they complete a
-// group in 0.2 s instead of the 12 to 16 s of a load.
-func (co *Core) keepWarm(service string, en *catalog.Engine, doms []*domain, now time.Time) []Call {
-	var calls []Call
-	for _, do := range doms {
-		calls = append(calls, co.convert(service, en, do, now)...)
-		for _, vm := range do.free {
-			if mb := vm.ep.Member; mb != nil || vm.last != "" {
-				continue
-			}
-			model := co.spareModel(service, en, do, vm)
-			if model == "" {
-				continue
-			}
-			if !co.Initial && !vm.ep.HasStaged(model) && !co.loads.take(1) {
-				break
-			}
-			calls = append(calls, co.hold(service, model, vm, now)...)
-		}
-	}
-	return calls
-}
-
 // spareModel chooses the model that a free VM holds: one that is on its host,
 // or the one that adds most to the balance, now and after losses.
 func (co *Core) spareModel(service string, en *catalog.Engine, do *domain, vm *vm) string {
@@ -370,39 +344,6 @@
 	return vm.last
 }
 
-// convert loads another model on VMs that are meant for it, or that can't
-// complete a group of their own model and could form one of the other.
-func (co *Core) convert(service string, en *catalog.Engine, do *domain, now time.Time) []Call {
-	if do.loading > 0 {
-		return nil
-	}
-	weights, counts := co.weights(en), co.counts(service, en)
-	best := -1
-	for mi, mo := range en.Models {
-		if co.convertible(do, mo.Name, now) < mo.Size {
-			continue
-		}
-		if best < 0 || weights[mi]/float64(counts[mi]+1) > weights[best]/float64(counts[best]+1) {
-			best = mi
-		}
-	}
-	if best < 0 {
-		return nil
-	}
-	return co.form(service, en.Models[best], do, now)
-}
-
-// convertible counts the VMs of a domain that may load the model.
-func (co *Core) convertible(do *domain, model string, now time.Time) int {
-	num := 0
-	for _, vm := range do.free {
-		if vm.wanted == model || vm.wanted == "" && now.Sub(vm.idleSince) > convertAfter {
-			num++
-		}
-	}
-	return num
-}
-
 func (co *Core) weightedSizes(en *catalog.Engine) []weightedSize {
 	models := make([]weightedSize, len(en.Models))
 	for mi, weight := range co.weights(en) {
--- /dev/null
+++ b/internal/core/steward/loads.go
@@ -0,0 +1,165 @@
+package steward
+
+import (
+	"time"
+
+	"corianderhub.dev/corianderhub/internal/core/catalog"
+)
+
+const (
+	// convertAfter is how long a VM must have been of no use before it loads
+	// another model. A replacement for the member that its group lacks may have
+	// come by then.
+	convertAfter = 3 * time.Second
+	// partialValue is what a load counts that does not complete a group yet,
+	// against one of those that do.
+	partialValue = 0.3
+)
+
+// startLoads makes VMs load models, those first that bring a group into being
+// with the fewest loads. The weight store gives its full speed to few loads at
+// once; more would make each of them last as much longer, and a load that
+// completes a group would wait for one that does not.
+func (co *Core) startLoads(service string, en *catalog.Engine, doms []*domain, now time.Time) []Call {
+	var calls []Call
+	calls = append(calls, co.stageWarm(service, doms, now)...)
+	room := len(co.vms)
+	if !co.Initial {
+		room = en.LoadsAtOnce - co.loadsUnderWay(service)
+	}
+	for room > 0 {
+		ch := co.bestLoad(service, en, doms, now)
+		if ch == nil || !co.Initial && !co.loads.take(1) {
+			return calls
+		}
+		room--
+		ch.do.remove(ch.vm)
+		ch.vm.wanted = ""
+		calls = append(calls, co.hold(service, ch.model, ch.vm, now)...)
+	}
+	return calls
+}
+
+// stageWarm makes VMs that have a model on their host, but not in memory, hold
+// it: that takes a second or two and nothing of the weight store.
+func (co *Core) stageWarm(service string, doms []*domain, now time.Time) []Call {
+	var calls []Call
+	for _, do := range doms {
+		for _, vm := range append([]*vm(nil), do.free...) {
+			if vm.ep.Member == nil && vm.last == "" && len(vm.ep.Staged) > 0 && vm.wanted == "" {
+				do.remove(vm)
+				calls = append(calls, co.hold(service, vm.ep.Staged[0], vm, now)...)
+			}
+		}
+	}
+	return calls
+}
+
+func (do *domain) remove(gone *vm) {
+	for i, vm := range do.free {
+		if vm == gone {
+			do.free = append(do.free[:i:i], do.free[i+1:]...)
+			return
+		}
+	}
+}
+
+// loadsUnderWay counts the VMs that fetch weights now.
+func (co *Core) loadsUnderWay(service string) int {
+	num := 0
+	for _, vm := range co.vms {
+		mb := vm.ep.Member
+		if vm.ep.Service == service && !vm.down && (vm.loading && mb != nil && mb.State == catalog.Joining) {
+			num++
+		}
+	}
+	for _, gr := range co.groups {
+		if gr.service != service || gr.planned.IsZero() || gr.doomed {
+			continue
+		}
+		for _, id := range gr.members {
+			if vm := co.vms[id]; vm != nil && !co.belongs(vm, gr) && !vm.has(gr.model) {
+				num++
+			}
+		}
+	}
+	return num
+}
+
+// loadChoice is a VM that could load a model.
+type loadChoice struct {
+	do    *domain
+	vm    *vm
+	model string
+	value float64
+}
+
+// bestLoad returns the most useful load that can be begun now.
+func (co *Core) bestLoad(service string, en *catalog.Engine, doms []*domain, now time.Time) *loadChoice {
+	weights, counts := co.weights(en), co.counts(service, en)
+	var best *loadChoice
+	for _, do := range doms {
+		for mi, mo := range en.Models {
+			ch := co.loadFor(do, mo, now)
+			if ch == nil {
+				continue
+			}
+			ch.value *= weights[mi] / float64(counts[mi]+1)
+			if best == nil || ch.value > best.value {
+				best = ch
+			}
+		}
+	}
+	if best != nil && best.vm.last == "" && best.value < partialValue*weights[0]/float64(counts[0]+1) {
+		// The VM completes nothing for now: it becomes the spare that helps most.
+		best.model = co.spareModel(service, en, best.do, best.vm)
+	}
+	return best
+}
+
+// loadFor returns the VM of a domain that should load the model, with the
+// value of the load: one over the loads that the next group lacks.
+func (co *Core) loadFor(do *domain, mo catalog.Model, now time.Time) *loadChoice {
+	have := co.heldOrLoading(do, mo.Name)
+	lack := mo.Size - have%mo.Size
+	var pick *vm
+	empty, idle := 0, 0
+	for _, vm := range do.free {
+		switch {
+		case vm.wanted != "" && vm.wanted != mo.Name || vm.has(mo.Name) && vm.wanted == "":
+		case vm.last == "" || vm.wanted == mo.Name:
+			empty++
+			pick = vm
+		case now.Sub(vm.idleSince) > convertAfter && do.loading == 0:
+			idle++
+			if pick == nil {
+				pick = vm
+			}
+		}
+	}
+	switch {
+	case pick == nil:
+		return nil
+	case empty+idle >= lack:
+		return &loadChoice{do, pick, mo.Name, 1 / float64(lack)}
+	case empty > 0 && pick.last == "":
+		return &loadChoice{do, pick, mo.Name, partialValue / float64(lack)}
+	}
+	return nil
+}
+
+// heldOrLoading counts the VMs of a domain that hold the model without serving,
+// or load it.
+func (co *Core) heldOrLoading(do *domain, model string) int {
+	num := 0
+	for _, id := range co.ids() {
+		vm := co.vms[id]
+		if vm.ep.Service != do.service || vm.ep.Domain != do.name || !vm.usable() || co.holding(vm) != model || vm.wanted != "" {
+			continue
+		}
+		if mb := vm.ep.Member; mb == nil || isSpare(mb.Group) {
+			num++
+		}
+	}
+	return num
+}
--- a/internal/core/steward/steward.go
+++ b/internal/core/steward/steward.go
@@ -104,6 +104,8 @@
 	// wanted is the model that the VM is to load next; empty when it may be used
 	// as it is.
 	wanted string
+	// loading is set while the VM's last order to join makes it fetch weights.
+	loading bool
 	// ordered is when the last order was answered.
 	ordered time.Time
 	// last is the model of the last group, whose weights are in memory still.
@@ -401,6 +403,7 @@
 	switch od := order.(type) {
 	case catalog.Join:
 		wait := co.joinTime(vm, od.Model)
+		vm.loading = !vm.has(od.Model)
 		vm.ep.Member = &catalog.Membership{Group: od.Group, Epoch: od.Epoch,
 			Rank: slices.Index(od.Members, vm.ep.ID), State: catalog.Joining}
 		vm.ep.Loaded, vm.last = od.Model, od.Model
