--- a/Makefile
+++ b/Makefile
@@ -1,14 +1,22 @@
 # Everything here needs Go and make only.
 STACK := $(CURDIR)/.stack
 
-.PHONY: run demo test bench lint
+.PHONY: run demo run-own demo-own test bench lint
 
-# run starts stand-ins and three daemons, and stays up.
+# run starts an emulated platform and three daemons, and stays up.
 run:
-	@bash scripts/stack.sh $(STACK)
+	@bash scripts/platform.sh $(STACK)-platform
 
 # demo starts the same, sends requests and checks the answers.
 demo:
+	@CORIANDERHUB_SUBNET=19 bash scripts/platform.sh $(STACK)-platform-demo \
+		$(STACK)-platform-demo/bin/platform-demo --directory 127.0.19.1:18083 --directory 127.0.19.2:18083
+
+# run-own and demo-own do so for the project's own interface to callers.
+run-own:
+	@bash scripts/stack.sh $(STACK)
+
+demo-own:
 	@CORIANDERHUB_PORT=17000 bash scripts/stack.sh $(STACK)-demo \
 		$(STACK)-demo/bin/demo --seed 127.0.0.1:17001 --seed 127.0.0.1:17002 --seed 127.0.0.1:17003 \
 		--key-file $(STACK)-demo/keys/workspace
