--- a/internal/core/dispatch/table.go
+++ b/internal/core/dispatch/table.go
@@ -178,8 +178,9 @@
 	// againNoGroup is when a group may serve again: the time to notice a loss
 	// and to put a spare in its place.
 	againNoGroup = 900 * time.Millisecond
-	// againFull is when a place in a full group may be free.
-	againFull = 400 * time.Millisecond
+	// againFull is when a place in a full group may be free: an answer takes some
+	// 2 s, and callers come back once.
+	againFull = time.Second
 )
 
 // admissible tells whether a request that misses its objective is sent all
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -67,18 +67,19 @@
 	begun time.Time
 	// campaigning is set while this daemon looks at the lease.
 	campaigning bool
-	probes      map[string]time.Time
-	// beats from the steward of the highest term.
+
+	// steward is the last beat of the steward with the highest term, heard when
+	// it came.
 	steward mesh.Beat
 	heard   time.Time
 	wg      sync.WaitGroup
-	doubted time.Time
+	// wrongAt is when an endpoint last was not the one expected.
+	wrongAt time.Time
 }
 
 func newControl(da *Daemon) *control {
 	return &control{da: da, events: make(chan func(), queueSize), endpoints: make(map[string]catalog.Endpoint),
-		missing: make(map[string]time.Time), fetching: make(map[string]bool),
-		probes: make(map[string]time.Time)}
+		missing: make(map[string]time.Time), fetching: make(map[string]bool)}
 }
 
 // post hands an event to the control loop.
@@ -127,7 +128,7 @@
 
 // startPatience is how long a daemon that starts waits for a steward's word
 // before it asks the store itself.
-const startPatience = 150 * time.Millisecond
+const startPatience = 20 * time.Millisecond
 
 // step does what is due.
 func (ct *control) step() {
@@ -174,14 +175,17 @@
 	return bo.RevokeFailClosed && ct.age(ct.da.Clock.Now()) > bo.Revoke*9/10
 }
 
-// doubt makes the daemon look at the store soon, since an endpoint was not
-// what the view says.
-func (ct *control) doubt() {
+// wrongPause bounds the lines about endpoints that are not the ones expected.
+const wrongPause = time.Second
+
+// wrongEndpoint notes that an endpoint was not what the view says: its address
+// has been given to another one, and the next view will tell.
+func (ct *control) wrongEndpoint() {
 	ct.post(func() {
 		now := ct.da.Clock.Now()
-		if now.Sub(ct.doubted) > time.Second {
-			ct.doubted = now
-			ct.da.Log.Info("control: an endpoint is not the one expected.", "view-age-ms", ct.age(now).Milliseconds())
+		if now.Sub(ct.wrongAt) > wrongPause {
+			ct.wrongAt = now
+			ct.da.Log.Info("control: an endpoint is not the one expected.", "age-ms", ct.age(now).Milliseconds())
 		}
 	})
 }
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -51,8 +51,8 @@
 	// budgetShare is the part of the retry budget's slack that all daemons
 	// use together; the rest covers daemons that start anew and forget.
 	budgetShare = 0.5
-	// maxBudgetDaemons bounds the number that the slack is divided by from below,
-	// before the others are known.
+	// minBudgetDaemons is the least number of daemons that the slack is divided
+	// by, before the others are known.
 	minBudgetDaemons = 3
 )
 
@@ -73,7 +73,7 @@
 	front   *front.Server
 	table   *dispatch.Table
 	plain   *dispatch.Plain
-	// config, rawConfig and view are what traffic goes by.
+	// config and view are what traffic goes by.
 	config   atomic.Pointer[configuration]
 	view     atomic.Pointer[catalog.View]
 	stopping atomic.Bool
@@ -139,7 +139,7 @@
 	da.peers = mesh.NewClient(set.InnerPorts[1])
 	da.front = &front.Server{Clock: da.Clock, Log: da.Log, Table: da.table, Plain: da.plain, Pool: da.pool,
 		Config: da.currentConfig, Stale: func() bool { return da.control.tooOld() },
-		OnWrong: func() { da.control.doubt() },
+		OnWrong: func() { da.control.wrongEndpoint() },
 		Budget: &dispatch.Budget{Ratio: set.Bounds.RetryRatio, Window: set.Bounds.RetryWindow,
 			Slack: set.Bounds.RetrySlack * budgetShare / minBudgetDaemons}}
 	da.control = newControl(da)
--- a/internal/front/plain.go
+++ b/internal/front/plain.go
@@ -32,48 +32,65 @@
 	notRun bool
 }
 
-// plain handles a request whose answer is read whole before any of it is
-// passed on, so that a broken one can be asked for again or be told apart.
+// plainCall is a request whose answer is read whole before any of it is passed
+// on, so that a broken one can be asked for again or be told apart.
+type plainCall struct {
+	*call
+	tried []*dispatch.PlainEndpoint
+	// last is the last answer that was read, unless an attempt failed since.
+	last *answer
+	err  error
+	// state is what is known of the request over all attempts.
+	state verdict.Verdict
+}
+
+// plain handles a request on a route that is not streaming.
 func (ca *call) plain() {
 	ctx, cancel := context.WithDeadline(ca.req.Context(), ca.deadline)
 	defer cancel()
-	var tried []*dispatch.PlainEndpoint
-	var last *answer
-	var lastErr error
-	state := verdict.NotRun
+	pc := &plainCall{call: ca, state: verdict.NotRun}
 	for ca.sends < ca.route.MaxAttempts && ctx.Err() == nil {
-		ep := ca.sv.Plain.Pick(ca.service, tried, ca.sv.Clock.Now())
-		if ep == nil {
-			break
-		}
-		if ca.sends > 0 && !ca.sv.Budget.Spend(ca.service, ca.sv.Clock.Now()) {
-			ca.sv.Plain.Dropped(ep)
-			ca.log.Info("front: not sent again.", "reason", "retry-budget")
+		ep := pc.next()
+		if ep == nil || pc.take(ca.try(ctx, ep)) {
 			break
 		}
-		tried = append(tried, ep)
-		an, err := ca.try(ctx, ep)
-		if err != nil {
-			lastErr = err
-			if verdictOf(err) == verdict.NotRun {
-				continue
-			}
-			state = verdict.MayHaveRun
-			if !ca.route.Idempotent() {
-				break
-			}
-			continue
-		}
-		last, lastErr = an, nil
-		if an.notRun {
-			continue
-		}
-		state = verdict.Ran
-		if an.status < http.StatusInternalServerError || !ca.route.Idempotent() {
-			break
+	}
+	pc.finish()
+}
+
+// next returns the endpoint to send to, or nil if there is none left or the
+// budget for repeats is used up.
+func (pc *plainCall) next() *dispatch.PlainEndpoint {
+	now := pc.sv.Clock.Now()
+	ep := pc.sv.Plain.Pick(pc.service, pc.tried, now)
+	if ep == nil {
+		return nil
+	}
+	if pc.sends > 0 && !pc.sv.Budget.Spend(pc.service, now) {
+		pc.sv.Plain.Dropped(ep)
+		pc.log.Info("front: not sent again.", "reason", "retry-budget")
+		return nil
+	}
+	pc.tried = append(pc.tried, ep)
+	return ep
+}
+
+// take notes what came of an attempt and tells whether it was the last one.
+func (pc *plainCall) take(an *answer, err error) bool {
+	pc.err = err
+	if err != nil {
+		if verdictOf(err) == verdict.NotRun {
+			return false
 		}
+		pc.state = verdict.MayHaveRun
+		return !pc.route.Idempotent()
+	}
+	pc.last = an
+	if an.notRun {
+		return false
 	}
-	ca.finishPlain(last, lastErr, state, len(tried))
+	pc.state = verdict.Ran
+	return an.status < http.StatusInternalServerError || !pc.route.Idempotent()
 }
 
 // try sends the request to one endpoint.
@@ -130,19 +147,19 @@
 	return verdict.MayHaveRun
 }
 
-// finishPlain gives the caller the last answer, or says what is known.
-func (ca *call) finishPlain(last *answer, err error, state verdict.Verdict, tried int) {
+// finish gives the caller the last answer, or says what is known.
+func (pc *plainCall) finish() {
 	switch {
-	case last != nil && !last.notRun && (err == nil || ca.route.Idempotent()):
-		ca.pass(last)
-	case state == verdict.NotRun && tried == 0:
-		ca.refuse(refusal{status: http.StatusServiceUnavailable, reason: "no-endpoint", again: againNoEndpoint})
-	case state == verdict.NotRun:
-		ca.refuse(refusal{status: http.StatusServiceUnavailable, reason: "endpoints-refused", again: againBusy, cause: err})
-	case ca.left() <= 0:
-		ca.refuse(refusal{status: http.StatusGatewayTimeout, reason: "timeout", cause: err})
+	case pc.last != nil && !pc.last.notRun && (pc.err == nil || pc.route.Idempotent()):
+		pc.pass(pc.last)
+	case pc.state == verdict.NotRun && len(pc.tried) == 0:
+		pc.refuse(refusal{status: http.StatusServiceUnavailable, reason: "no-endpoint", again: againNoEndpoint})
+	case pc.state == verdict.NotRun:
+		pc.refuse(refusal{status: http.StatusServiceUnavailable, reason: "endpoints-refused", again: againBusy, cause: pc.err})
+	case pc.left() <= 0:
+		pc.refuse(refusal{status: http.StatusGatewayTimeout, reason: "timeout", cause: pc.err})
 	default:
-		ca.refuse(refusal{status: http.StatusBadGateway, reason: "answer-lost", cause: err})
+		pc.refuse(refusal{status: http.StatusBadGateway, reason: "answer-lost", cause: pc.err})
 	}
 }
 
