--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -42,7 +42,11 @@
 	lastID int64
 	hasID  bool
 	lastAt time.Time
-	state  verdict.Verdict
+	// first is when the caller got the first event after its request, pause the
+	// longest time between two; choice is the last group with what was predicted.
+	first, pause time.Duration
+	choice       dispatch.Choice
+	state        verdict.Verdict
 	// final is an answer without events, to be passed on as it is.
 	final *answer
 	cause error
@@ -94,6 +98,7 @@
 		return ch, true
 	}
 	st.tried = append(st.tried, ch.Group)
+	st.choice = ch
 	st.log.Debug("front: sent.", "group", ch.Group.Name, "predicted-ms", ch.First.Milliseconds(), "fits", ch.Fits)
 	sent := st.sv.Clock.Now()
 	ex, err := st.sv.Pool.Send(part, ch.Group.Head().Address, st.request(ch.Group.Head().ID))
@@ -182,8 +187,10 @@
 		return err
 	}
 	if st.passed == 0 {
-		firstEvents.Update(now.Sub(st.arrived).Seconds())
+		st.first = now.Sub(st.arrived)
+		firstEvents.Update(st.first.Seconds())
 	} else {
+		st.pause = max(st.pause, now.Sub(st.lastAt))
 		pauses.Update(now.Sub(st.lastAt).Seconds())
 	}
 	rc := http.NewResponseController(st.w)
@@ -221,7 +228,8 @@
 
 func (st *stream) finish() {
 	st.log.Info("front: answered.", "outcome", "whole", "status", http.StatusOK, "sends", st.sends, "events", st.passed,
-		"group", st.tried[len(st.tried)-1].Name, "ms", st.sv.Clock.Now().Sub(st.arrived).Milliseconds())
+		"group", st.choice.Group.Name, "first-ms", st.first.Milliseconds(), "predicted-ms", st.choice.First.Milliseconds(),
+		"fits", st.choice.Fits, "pause-ms", st.pause.Milliseconds(), "ms", st.sv.Clock.Now().Sub(st.arrived).Milliseconds())
 	st.count("passed-2xx")
 }
 
