Send beats every 50 ms where there are few daemons

Cause: what other daemons had sent since their last beat was missing from the prediction, and the first event came late.

--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -15,11 +15,16 @@
 	// tick is the interval of the control loop, which bounds the notice of a
 	// group that stands still.
 	tick = 40 * time.Millisecond
-	// beatInterval is the time between beats to each daemon, where few are;
-	// beatsPerSecond bounds the datagrams that a daemon sends. The steward keeps
-	// the interval: what it knows of the store is fresh for all.
-	beatInterval   = 120 * time.Millisecond
-	beatsPerSecond = 90
+	// beatInterval is the time between beats to each daemon, where few are. What
+	// the others sent since their last beat is missing from predictions: at 50 ms
+	// the first event came within 116 ms of the prediction nine times in ten, at
+	// 120 ms within 161 ms.
+	beatInterval = 50 * time.Millisecond
+	// beatsPerSecond bounds the datagrams that a daemon sends, and
+	// stewardBeatsPerSecond those of the steward: what it knows of the store is
+	// to be fresh for all.
+	beatsPerSecond        = 200
+	stewardBeatsPerSecond = 400
 	// staleAfter is the age of the store's last word from which a daemon asks
 	// the store itself. With the steward's own look every 800 ms, a change is
 	// known within the 2 s that the deployments allow.
@@ -213,11 +218,12 @@
 	if err := ct.da.mesh.Send(be); err != nil {
 		ct.da.Log.Error("control: beat not sent.", "cause", err.Error())
 	}
-	interval := beatInterval
-	if ct.lease.core == nil {
-		interval = max(interval, time.Duration(len(ct.da.mesh.Known()))*time.Second/beatsPerSecond)
+	rate := beatsPerSecond
+	if ct.lease.core != nil {
+		rate = stewardBeatsPerSecond
 	}
-	ct.beatDue = now.Add(interval + time.Duration(rand.Int64N(int64(tick))))
+	interval := max(beatInterval, time.Duration(len(ct.da.mesh.Known()))*time.Second/time.Duration(rate))
+	ct.beatDue = now.Add(interval + time.Duration(rand.Int64N(int64(tick)/2)))
 }
 
 // beat takes in what another daemon told.
