--- /dev/null
+++ b/internal/core/steward/facts.go
@@ -0,0 +1,256 @@
+package steward
+
+import (
+	"slices"
+	"time"
+
+	"corianderhub.dev/corianderhub/internal/core/catalog"
+)
+
+// Register takes an endpoint's entry in.
+func (co *Core) Register(ep catalog.Endpoint, now time.Time) {
+	if co.services[ep.Service] == nil {
+		return
+	}
+	vm, ok := co.vms[ep.ID]
+	if !ok {
+		co.vms[ep.ID] = co.newVM(ep, now)
+		return
+	}
+	co.hear(vm, ep, now)
+	vm.registered = true
+	vm.ep.Leaving = ep.Leaving
+	vm.ep.Address = ep.Address
+	vm.ep.Revision = ep.Revision
+	if vm.down {
+		vm.askBy(now)
+	}
+}
+
+func (co *Core) newVM(ep catalog.Endpoint, now time.Time) *vm {
+	return &vm{ep: ep, registered: true, askAt: now, idleSince: now}
+}
+
+// Recall tells of a member that an earlier steward knew and that has no entry.
+// It is asked; if it does not answer, its group does not wait for it.
+func (co *Core) Recall(gr catalog.Group, me catalog.Member, now time.Time) {
+	if co.services[gr.Service] == nil || co.vms[me.ID] != nil {
+		return
+	}
+	vm := co.newVM(catalog.Endpoint{ID: me.ID, Service: gr.Service, Address: me.Address, DataCenter: gr.DataCenter}, now)
+	vm.registered, vm.recalled = false, key(gr.Name, gr.Epoch)
+	co.vms[me.ID] = vm
+}
+
+// hear takes in what an entry says of the VM's group. An entry follows each
+// change at once, where a report lags by some hundred milliseconds, but it may
+// be older than the last order. So it moves a group that is known on, and
+// makes the VM be asked where it says something else.
+func (co *Core) hear(vm *vm, ep catalog.Endpoint, now time.Time) {
+	known, said := vm.ep.Member, ep.Member
+	switch {
+	case said == nil && known == nil:
+	case said != nil && known != nil && said.Group == known.Group && said.Epoch == known.Epoch:
+		if progress(said.State) > progress(known.State) {
+			moved := *known
+			moved.State = said.State
+			vm.ep.Member, vm.ep.Staged = &moved, ep.Staged
+			vm.holds(ep.Loaded)
+			if !vm.urgent && !vm.unsure && vm.registered {
+				vm.askAt = time.Time{}
+			}
+		}
+	case now.Sub(vm.ordered) > co.lag(vm):
+		vm.askBy(now)
+	}
+}
+
+// holds notes that the weights of a model are in memory.
+func (vm *vm) holds(model string) {
+	if model != "" {
+		vm.ep.Loaded, vm.last = model, model
+	}
+}
+
+// progress orders the states that a group goes through.
+func progress(st catalog.GroupState) int {
+	return slices.Index([]catalog.GroupState{catalog.Joining, catalog.Ready, catalog.Open, catalog.Closing, catalog.Broken}, st)
+}
+
+// lag is how old what a VM reports may be.
+func (co *Core) lag(vm *vm) time.Duration {
+	if en := co.services[vm.ep.Service]; en != nil {
+		return en.ReportLag + lagMargin
+	}
+	return lagMargin
+}
+
+// lagMargin is added to the stated lag of reports, for the ways and for
+// machines that are slow for a moment.
+const lagMargin = 150 * time.Millisecond
+
+// Unregister tells that an endpoint's entry is gone. The VM may still serve as
+// a member, but not as a head, and it is given to no new group.
+func (co *Core) Unregister(id string, now time.Time) {
+	vm, ok := co.vms[id]
+	if !ok {
+		return
+	}
+	vm.registered = false
+	vm.urgent = true
+	vm.askBy(now)
+}
+
+// Reported takes in what an endpoint said of itself when it was asked at that
+// time. An order that was answered since may have changed what it said.
+func (co *Core) Reported(id string, re catalog.Report, asked, now time.Time) {
+	vm, ok := co.vms[id]
+	if !ok {
+		return
+	}
+	if vm.busy || asked.Before(vm.ordered) || re.Orders < vm.ep.Orders && asked.Sub(vm.ordered) < co.lag(vm) {
+		// The report is from before the last order.
+		vm.failures = 0
+		vm.askBy(now.Add(askInterval))
+		return
+	}
+	if vm.down {
+		co.note(Event{What: "vm-back", VM: id})
+	}
+	vm.ep = re.Apply(vm.ep)
+	vm.known, vm.down, vm.failures, vm.urgent, vm.unsure = true, false, 0, false, false
+	vm.holds(vm.ep.Loaded)
+	if vm.ep.Loaded == "" && vm.ep.Member == nil && !vm.ep.HasStaged(vm.last) {
+		// The load was broken off before the weights were there.
+		vm.last = ""
+	}
+	vm.running = re.Running + re.Waiting
+	vm.askAt = time.Time{}
+	if !vm.registered {
+		vm.askBy(now.Add(askDownInterval))
+	}
+	if mb := vm.ep.Member; mb != nil && mb.State == catalog.Joining {
+		vm.askBy(now.Add(askLoadInterval))
+	}
+}
+
+// Failed tells that an endpoint did not answer a question.
+func (co *Core) Failed(id, reason string, now time.Time) {
+	vm, ok := co.vms[id]
+	if !ok {
+		return
+	}
+	vm.failures++
+	if !vm.registered && vm.failures >= maxFailures {
+		co.note(Event{What: "vm-gone", VM: id, Reason: reason})
+		delete(co.vms, id)
+		co.lost[vm.recalled] = true
+		if gr := co.groups[vm.recalled]; gr != nil {
+			gr.suspect = true
+		}
+		return
+	}
+	if vm.failures < maxFailures {
+		vm.askBy(now)
+		return
+	}
+	if !vm.down {
+		co.note(Event{What: "vm-down", VM: id, Reason: reason})
+	}
+	vm.down = true
+	vm.urgent = false
+	vm.askAt = now.Add(askDownInterval)
+}
+
+// Suspect asks all members of a group at once, since its streams stand still.
+func (co *Core) Suspect(name string, epoch int64, now time.Time) {
+	gr := co.groups[key(name, epoch)]
+	if gr == nil {
+		return
+	}
+	gr.suspect = true
+	for _, id := range gr.members {
+		if vm := co.vms[id]; vm != nil && !vm.down {
+			vm.urgent = true
+			vm.askBy(now)
+		}
+	}
+}
+
+// Done tells what came of a command.
+func (co *Core) Done(cd Command, out Outcome, now time.Time) {
+	vm, ok := co.vms[cd.ID]
+	if !ok {
+		return
+	}
+	vm.busy = false
+	vm.ordered = now
+	switch out {
+	case Accepted:
+		vm.failures = 0
+		co.apply(vm, cd.Order, now)
+	case Refused:
+		vm.unsure = true
+		vm.askBy(now)
+	case Unanswered:
+		vm.unsure = true
+		vm.urgent = true
+		vm.askBy(now)
+	}
+}
+
+// apply updates a VM by an order that it has accepted.
+func (co *Core) apply(vm *vm, order catalog.Order, now time.Time) {
+	vm.ep.Orders++
+	switch od := order.(type) {
+	case catalog.Join:
+		wait := co.joinTime(vm, od.Model)
+		vm.loading = !vm.has(od.Model)
+		vm.ep.Member = &catalog.Membership{Group: od.Group, Epoch: od.Epoch,
+			Rank: slices.Index(od.Members, vm.ep.ID), State: catalog.Joining}
+		vm.ep.Loaded, vm.last = od.Model, od.Model
+		vm.askBy(now.Add(wait + co.lag(vm)))
+	case catalog.OpenGroup:
+		if gr := co.groups[key(od.Group, od.Epoch)]; gr != nil {
+			gr.opening = now
+		}
+		wait := askInterval
+		if en := co.services[vm.ep.Service]; en != nil {
+			wait = en.Form
+		}
+		vm.askBy(now.Add(wait + co.lag(vm)))
+	case catalog.CloseGroup:
+		vm.askBy(now.Add(rejoinTime + co.lag(vm)))
+	case catalog.Leave:
+		vm.ep.Member = nil
+		vm.idleSince = now
+	case catalog.Stage:
+		vm.askBy(now.Add(askLoadInterval))
+	}
+}
+
+// joinTime is how long the VM takes to be ready for the model.
+func (co *Core) joinTime(vm *vm, model string) time.Duration {
+	en := co.services[vm.ep.Service]
+	mo, ok := en.Model(model)
+	switch {
+	case vm.last == model:
+		return rejoinTime
+	case !ok:
+		return askInterval
+	case vm.ep.HasStaged(model):
+		return mo.Warm
+	case co.Initial:
+		return mo.Load / initialSpeedup
+	}
+	return mo.Load
+}
+
+// initialSpeedup is how much faster loads are before the first request.
+const initialSpeedup = 10
+
+func (vm *vm) askBy(at time.Time) {
+	if vm.askAt.IsZero() || at.Before(vm.askAt) {
+		vm.askAt = at
+	}
+}
