--- a/internal/core/steward/steward.go
+++ b/internal/core/steward/steward.go
@@ -159,7 +159,7 @@
 	// Term numbers the stewards; epochs and names come from it.
 	Term int64
 	// Initial is set until callers have sent requests: loads are then free.
-	Initial bool
+	Initial  bool
 	services map[string]*catalog.Engine
 	vms      map[string]*vm
 	groups   map[string]*group
