Keep endpoints gone that were seen to leave, whatever a steward says that was cut off

Cause: a steward that the store turned away went on by promise; when it was back it waited for entries that may have lapsed in an outage, and its view named a head that the others had seen leave 2.4 s before.

--- a/internal/core/catalog/view.go
+++ b/internal/core/catalog/view.go
@@ -1,5 +1,7 @@
 package catalog
 
+import "slices"
+
 // View is what a daemon routes by: the endpoints and the groups that serve.
 // It is replaced as a whole and never changed.
 type View struct {
@@ -58,3 +60,12 @@
 	}
 	return vi.Revision >= than.Revision
 }
+
+// Without returns the view without the endpoints for which gone is true and
+// without the groups whose heads they are.
+func (vi *View) Without(gone func(id string) bool) *View {
+	left := *vi
+	left.Plain = slices.DeleteFunc(slices.Clone(vi.Plain), func(ep PlainEndpoint) bool { return gone(ep.ID) })
+	left.Groups = slices.DeleteFunc(slices.Clone(vi.Groups), func(gr Group) bool { return gone(gr.Head().ID) })
+	return &left
+}
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -50,6 +50,7 @@
 	endpoints map[string]catalog.Endpoint
 	missing   map[string]time.Time
 	revision  int64
+	gone      goneEndpoints
 	// told is the newest view of a steward.
 	told *catalog.View
 	// confirmed is when the store last confirmed what is known; shared under mu.
@@ -84,7 +85,7 @@
 
 func newControl(da *Daemon) *control {
 	return &control{da: da, events: make(chan func(), queueSize), endpoints: make(map[string]catalog.Endpoint),
-		missing: make(map[string]time.Time), fetching: make(map[string]bool)}
+		missing: make(map[string]time.Time), gone: make(goneEndpoints), fetching: make(map[string]bool)}
 }
 
 // post hands an event to the control loop.
@@ -202,7 +203,7 @@
 	set := ct.da.Settings
 	be := mesh.Beat{IP: set.IP, Started: ct.da.started, Number: ct.number, Name: set.Name, DataCenter: set.DataCenter,
 		Callers: set.Callers, Taking: ct.da.taking(), Age: ct.age(now), Served: ct.served || ct.da.front.Served() > 0,
-		Loads: ct.da.table.Own(), Suspects: suspects}
+		Loads: ct.da.table.Own(), Gone: ct.gone.lately(now), Suspects: suspects}
 	if co := ct.da.config.Load(); co != nil {
 		be.Config = co.Revision
 	}
@@ -232,6 +233,7 @@
 	ct.da.table.PeerLoads(be.IP, be.Loads, now)
 	ct.served = ct.served || be.Served
 	ct.lease.promised(be)
+	ct.hearGone(be.Gone, now)
 	if ct.lease.core != nil {
 		for _, su := range be.Suspects {
 			ct.lease.core.Suspect(su.Group, su.Epoch, now)
@@ -340,6 +342,7 @@
 	if vi == nil {
 		return
 	}
+	vi = ct.gone.filter(vi)
 	ct.da.view.Store(vi)
 	ct.da.table.Update(vi, cfg, ct.da.Clock.Now())
 	ct.da.plain.Update(vi)
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -322,6 +322,54 @@
 	}
 }
 
+// An endpoint's entry goes while the steward can't reach the store. The other
+// daemons see it go. When the steward is back it waits for entries that may have
+// been lost in an outage, and its view names the endpoint; the others must go by
+// what they have seen themselves.
+func TestGoneEndpointStaysGone(t *testing.T) {
+	sk := newStack(t, 3)
+	st := sk.steward()
+	st.gate.SetFault(emulator.Busy)
+	id := "desk-8"
+	sv := sk.de.Server(id)
+	sk.until("the others follow the store themselves", func() bool {
+		for _, ru := range sk.daemons {
+			if ru != st && !ru.da.control.follows() {
+				return false
+			}
+		}
+		return true
+	})
+	sk.de.Forget(id)
+	quiet := func(ru *running) bool {
+		before := len(sv.Runs())
+		for range 10 {
+			sk.ask(ru, "/slot/", "id")
+		}
+		return len(sv.Runs()) == before
+	}
+	for _, ru := range sk.daemons {
+		sk.until("the endpoint is left alone", func() bool { return quiet(ru) })
+	}
+	st.gate.SetFault(emulator.Sound)
+	sk.until("the steward's word is taken again", func() bool {
+		for _, ru := range sk.daemons {
+			if ru != st && ru.da.control.follows() {
+				return false
+			}
+			if !quiet(ru) {
+				t.Fatal("the endpoint gets requests again")
+			}
+		}
+		return true
+	})
+	for _, ru := range sk.daemons {
+		if !quiet(ru) {
+			t.Error("the endpoint gets requests again")
+		}
+	}
+}
+
 // A daemon is told to stop while it passes a stream on and other callers hold
 // its address still. The stream ends whole, and the others stop naming it.
 func TestHoldGracefulStop(t *testing.T) {
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -254,6 +254,11 @@
 	}
 	delete(ct.missing, ep.ID)
 	ct.endpoints[ep.ID] = ep
+	if ep.Leaving {
+		ct.gone.note(ep.ID, ct.da.Clock.Now())
+	} else {
+		delete(ct.gone, ep.ID)
+	}
 	if ct.lease.core != nil {
 		ct.lease.core.Register(ep, ct.da.Clock.Now())
 	}
@@ -267,6 +272,7 @@
 	ct.da.Log.Info("control: endpoint gone.", "endpoint", id, "service", ep.Service)
 	delete(ct.endpoints, id)
 	delete(ct.missing, id)
+	ct.gone.note(id, ct.da.Clock.Now())
 	if ct.lease.core != nil {
 		ct.lease.core.Unregister(id, ct.da.Clock.Now())
 	}
--- a/internal/mesh/beat.go
+++ b/internal/mesh/beat.go
@@ -53,6 +53,8 @@
 	Uptime time.Duration `cbor:"19,keyasint,omitempty"`
 	// Leaving daemons will not become steward any more.
 	Leaving bool `cbor:"18,keyasint,omitempty"`
+	// Gone are endpoints that the daemon has lately seen leave at the store.
+	Gone []string `cbor:"20,keyasint,omitempty"`
 	// Suspects are groups that stand still.
 	Suspects []Suspect `cbor:"15,keyasint,omitempty"`
 }
