--- a/internal/core/dispatch/dispatch_test.go
+++ b/internal/core/dispatch/dispatch_test.go
@@ -139,6 +139,30 @@
 	}
 }
 
+// A loaded group takes long for its first event, and nothing of this daemon's
+// writes there yet. It stands still only if it is far beyond the prediction;
+// and once its members have answered it is used again.
+func TestSlowFirstEventIsNoStall(t *testing.T) {
+	ta := table(group("a", "here"))
+	ta.PeerLoads("other", map[string]Load{"a": {Requests: 22, Context: 30000, Reading: 9000}}, begin)
+	ne := need()
+	ne.Objective, ne.Pause = time.Second, time.Second
+	if _, ti := ta.Pick(ne, ignore, begin); ti == nil {
+		t.Fatal("not picked")
+	}
+	if got := ta.Stalled(begin.Add(400 * time.Millisecond)); len(got) != 0 {
+		t.Errorf("taken as standing still after 400 ms with a first event predicted at some 300 ms")
+	}
+	later := begin.Add(3 * time.Second)
+	if got := ta.Stalled(later); len(got) != 1 {
+		t.Fatal("not taken as standing still after 3 s")
+	}
+	ta.Sound("a")
+	if ch, _ := ta.Pick(ne, ignore, later); ch.Group == nil {
+		t.Error("not used although all members have answered")
+	}
+}
+
 // A group leaves the view while its streams flow: they finish. If they stand
 // still, they go on elsewhere without any question.
 func TestGroupLeavesView(t *testing.T) {
--- a/internal/core/dispatch/table.go
+++ b/internal/core/dispatch/table.go
@@ -263,18 +263,26 @@
 			gr.abandon()
 			continue
 		}
-		gr.stalled = true
 		if now.Sub(gr.checked) > checkAgain {
-			gr.checked = now
+			gr.checked, gr.stalled = now, true
 			stalled = append(stalled, gr.Group)
 		}
 	}
 	return stalled
 }
 
+// patience is how long the group may emit nothing. Where no request of this
+// daemon writes yet, that is no more than a first event that takes longer than
+// predicted, as it does under load; taking such groups as lost would put their
+// load on the others and make those late in turn.
 func (gr *Group) patience() time.Duration {
-	pass := predict(gr.engine, gr.model, gr.slowness(), gr.own.plus(gr.peers), 0).Pass
-	return max(minStall, scale(pass, stallPasses))
+	pr := predict(gr.engine, gr.model, gr.slowness(), gr.own.plus(gr.peers), 0)
+	for ti := range gr.streams {
+		if ti.first {
+			return max(minStall, scale(pr.Pass, stallPasses))
+		}
+	}
+	return max(minStall, scale(pr.First, stallPasses))
 }
 
 func (gr *Group) abandon() {
@@ -294,13 +302,13 @@
 	}
 }
 
-// Sound tells that all members of a group that stood still have answered.
-func (ta *Table) Sound(name string, now time.Time) {
+// Sound tells that all members of a group that stood still have answered. It
+// is used again until it is asked about the next time.
+func (ta *Table) Sound(name string) {
 	ta.mu.Lock()
 	defer ta.mu.Unlock()
-	if gr := ta.groups[name]; gr != nil && len(gr.streams) == 0 {
+	if gr := ta.groups[name]; gr != nil {
 		gr.stalled = false
-		gr.activity = now
 	}
 }
 
--- a/internal/core/steward/compose.go
+++ b/internal/core/steward/compose.go
@@ -18,11 +18,14 @@
 // and which are spare.
 type split []int
 
-// lossLevels are the shares of a domain's VMs that may be lost before others
+// lossLevels are the numbers of a domain's VMs that may be lost before others
 // have loaded in their place, with the weight that each has in the choice. On
-// days of many losses a domain loses one VM in ten each 8 s, and a load takes
-// 16 s; on quiet days what counts is that all serve.
-var lossLevels = []struct{ share, weight float64 }{{0, 0.4}, {0.1, 0.25}, {0.2, 0.2}, {0.3, 0.15}}
+// days of many losses a domain loses a VM each 8 s, and a load takes 16 s; on
+// quiet days what counts is that all serve.
+var lossLevels = []struct {
+	lost   int
+	weight float64
+}{{0, 0.4}, {1, 0.25}, {2, 0.2}, {3, 0.15}}
 
 // compose returns how to split each domain, so that the work of the models is
 // spread as evenly as the sizes allow, now and after losses. It improves one
@@ -63,7 +66,7 @@
 		for mi, mo := range models {
 			groups := 0.0
 			for _, sp := range plan {
-				groups += sp.groups(mi, mo.size, le.share)
+				groups += sp.groups(mi, mo.size, le.lost)
 			}
 			sum += le.weight * mo.weight * math.Log(groups+emptyGroups)
 		}
@@ -74,14 +77,14 @@
 // emptyGroups makes a model without any group cost much, but not everything.
 const emptyGroups = 0.05
 
-// groups is the expected number of a model's groups after a share of the
-// domain's VMs, drawn at random, is lost.
-func (sp split) groups(mi, size int, share float64) float64 {
+// groups is the expected number of a model's groups after so many of the
+// domain's VMs, drawn at random, are lost.
+func (sp split) groups(mi, size, lost int) float64 {
 	total := 0
 	for _, num := range sp {
 		total += num
 	}
-	lost := int(math.Round(share * float64(total)))
+	lost = min(lost, total)
 	sum := 0.0
 	for gone := 0; gone <= min(lost, sp[mi]); gone++ {
 		sum += hypergeometric(total, sp[mi], lost, gone) * float64((sp[mi]-gone)/size)
--- a/internal/core/steward/facts.go
+++ b/internal/core/steward/facts.go
@@ -15,6 +15,7 @@
 	vm, ok := co.vms[ep.ID]
 	if !ok {
 		co.vms[ep.ID] = co.newVM(ep, now)
+		co.resort = true
 		return
 	}
 	co.hear(vm, ep, now)
@@ -40,6 +41,7 @@
 	vm := co.newVM(catalog.Endpoint{ID: me.ID, Service: gr.Service, Address: me.Address, DataCenter: gr.DataCenter}, now)
 	vm.registered, vm.recalled = false, key(gr.Name, gr.Epoch)
 	co.vms[me.ID] = vm
+	co.resort = true
 }
 
 // hear takes in what an entry says of the VM's group. An entry follows each
@@ -144,6 +146,7 @@
 	if !vm.registered && vm.failures >= maxFailures {
 		co.note(Event{What: "vm-gone", VM: id, Reason: reason})
 		delete(co.vms, id)
+		co.resort = true
 		co.lost[vm.recalled] = true
 		if gr := co.groups[vm.recalled]; gr != nil {
 			gr.suspect = true
--- a/internal/core/steward/form.go
+++ b/internal/core/steward/form.go
@@ -61,6 +61,7 @@
 
 // domains returns the service's domains with their free VMs, by name.
 func (co *Core) domains(service string) []*domain {
+	promised := co.promised()
 	byName := make(map[string]*domain)
 	for _, id := range co.ids() {
 		vm := co.vms[id]
@@ -72,7 +73,7 @@
 			do = &domain{service: service, name: vm.ep.Domain}
 			byName[vm.ep.Domain] = do
 		}
-		if !co.free(vm) {
+		if promised[id] || !co.free(vm) {
 			continue
 		}
 		if mb := vm.ep.Member; mb != nil && mb.State == catalog.Joining {
@@ -90,20 +91,25 @@
 	if !vm.usable() || vm.busy || vm.failures > 0 {
 		return false
 	}
-	if mb := vm.ep.Member; mb != nil && !isSpare(mb.Group) {
-		return false
-	}
-	return !co.promised(vm)
+	mb := vm.ep.Member
+	return mb == nil || isSpare(mb.Group)
 }
 
-// promised tells whether a planned group counts on the VM.
-func (co *Core) promised(vm *vm) bool {
+// promised returns the VMs that planned groups count on and that have not
+// joined them yet.
+func (co *Core) promised() map[string]bool {
+	promised := make(map[string]bool)
 	for _, gr := range co.groups {
-		if !gr.doomed && !gr.planned.IsZero() && !co.belongs(vm, gr) && slices.Contains(gr.members, vm.ep.ID) {
-			return true
+		if gr.doomed || gr.planned.IsZero() {
+			continue
+		}
+		for _, id := range gr.members {
+			if vm := co.vms[id]; vm != nil && !co.belongs(vm, gr) {
+				promised[id] = true
+			}
 		}
 	}
-	return false
+	return promised
 }
 
 // formFirst deals all VMs out when nothing is loaded anywhere.
@@ -282,9 +288,10 @@
 // replaceable tells whether a free VM of the domain could take a member's
 // place without a load.
 func (co *Core) replaceable(member *vm, model string) bool {
+	promised := co.promised()
 	for _, id := range co.ids() {
 		vm := co.vms[id]
-		if vm.ep.Service == member.ep.Service && vm.ep.Domain == member.ep.Domain && co.free(vm) &&
+		if vm.ep.Service == member.ep.Service && vm.ep.Domain == member.ep.Domain && !promised[id] && co.free(vm) &&
 			vm.has(model) {
 			return true
 		}
@@ -314,6 +321,7 @@
 // splits returns what the VMs of each domain hold, and the place of one domain.
 func (co *Core) splits(service string, en *catalog.Engine, domain string) (plan []split, at int) {
 	places := make(map[string]int)
+	planned := co.plannedModels()
 	for _, id := range co.ids() {
 		vm := co.vms[id]
 		if vm.ep.Service != service || vm.down {
@@ -325,8 +333,12 @@
 			places[vm.ep.Domain] = place
 			plan = append(plan, make(split, len(en.Models)))
 		}
+		model, ok := planned[id]
+		if !ok {
+			model = vm.last
+		}
 		for mi, mo := range en.Models {
-			if co.holding(vm) == mo.Name {
+			if model == mo.Name {
 				plan[place][mi]++
 			}
 		}
@@ -334,16 +346,6 @@
 	return plan, places[domain]
 }
 
-// holding returns the model that a VM holds, loads, or is promised to.
-func (co *Core) holding(vm *vm) string {
-	for _, gr := range co.groups {
-		if !gr.planned.IsZero() && !gr.doomed && slices.Contains(gr.members, vm.ep.ID) {
-			return gr.model
-		}
-	}
-	return vm.last
-}
-
 func (co *Core) weightedSizes(en *catalog.Engine) []weightedSize {
 	models := make([]weightedSize, len(en.Models))
 	for mi, weight := range co.weights(en) {
--- a/internal/core/steward/loads.go
+++ b/internal/core/steward/loads.go
@@ -97,10 +97,11 @@
 // bestLoad returns the most useful load that can be begun now.
 func (co *Core) bestLoad(service string, en *catalog.Engine, doms []*domain, now time.Time) *loadChoice {
 	weights, counts := co.weights(en), co.counts(service, en)
+	held := co.heldOrLoading(service)
 	var best *loadChoice
 	for _, do := range doms {
 		for mi, mo := range en.Models {
-			ch := co.loadFor(do, mo, now)
+			ch := loadFor(do, mo, held[holding{do.name, mo.Name}], now)
 			if ch == nil {
 				continue
 			}
@@ -119,8 +120,7 @@
 
 // loadFor returns the VM of a domain that should load the model, with the
 // value of the load: one over the loads that the next group lacks.
-func (co *Core) loadFor(do *domain, mo catalog.Model, now time.Time) *loadChoice {
-	have := co.heldOrLoading(do, mo.Name)
+func loadFor(do *domain, mo catalog.Model, have int, now time.Time) *loadChoice {
 	lack := mo.Size - have%mo.Size
 	var pick *vm
 	empty, idle := 0, 0
@@ -148,18 +148,38 @@
 	return nil
 }
 
-// heldOrLoading counts the VMs of a domain that hold the model without serving,
-// or load it.
-func (co *Core) heldOrLoading(do *domain, model string) int {
-	num := 0
-	for _, id := range co.ids() {
-		vm := co.vms[id]
-		if vm.ep.Service != do.service || vm.ep.Domain != do.name || !vm.usable() || co.holding(vm) != model || vm.wanted != "" {
+// holding is a model in a domain.
+type holding struct{ domain, model string }
+
+// heldOrLoading counts the VMs that hold a model without serving, or load it.
+func (co *Core) heldOrLoading(service string) map[holding]int {
+	held := make(map[holding]int)
+	planned := co.plannedModels()
+	for id, vm := range co.vms {
+		if vm.ep.Service != service || !vm.usable() || vm.wanted != "" {
 			continue
 		}
+		model, ok := planned[id]
+		if !ok {
+			model = vm.last
+		}
 		if mb := vm.ep.Member; mb == nil || isSpare(mb.Group) {
-			num++
+			held[holding{vm.ep.Domain, model}]++
 		}
 	}
-	return num
+	return held
+}
+
+// plannedModels returns the models that VMs are to hold for planned groups.
+func (co *Core) plannedModels() map[string]string {
+	planned := make(map[string]string)
+	for _, gr := range co.groups {
+		if gr.planned.IsZero() || gr.doomed {
+			continue
+		}
+		for _, id := range gr.members {
+			planned[id] = gr.model
+		}
+	}
+	return planned
 }
--- a/internal/core/steward/steward.go
+++ b/internal/core/steward/steward.go
@@ -163,9 +163,12 @@
 	services map[string]*catalog.Engine
 	vms      map[string]*vm
 	groups   map[string]*group
-	made     int64
-	loads    loadLimit
-	demand   map[string]float64
+	// sorted are the VMs' IDs; resort is set when they may have changed.
+	sorted []string
+	resort bool
+	made   int64
+	loads  loadLimit
+	demand map[string]float64
 	// lost are the keys of groups that a recalled member is missing from.
 	lost map[string]bool
 	// rebalanced is when groups were last given up for another model.
@@ -238,7 +241,14 @@
 // keys returns the groups' keys in a fixed order.
 func (co *Core) keys() []string { return slices.Sorted(maps.Keys(co.groups)) }
 
-func (co *Core) ids() []string { return slices.Sorted(maps.Keys(co.vms)) }
+// ids returns the VMs' IDs in a fixed order. They are sorted again only when
+// VMs have come or gone: a step asks for them several times.
+func (co *Core) ids() []string {
+	if len(co.sorted) != len(co.vms) || co.resort {
+		co.sorted, co.resort = slices.Sorted(maps.Keys(co.vms)), false
+	}
+	return co.sorted
+}
 
 // Busy tells whether anything is on its way that short intervals matter for.
 func (co *Core) Busy() bool {
--- a/internal/core/steward/world_test.go
+++ b/internal/core/steward/world_test.go
@@ -14,7 +14,7 @@
 // world plays a steward against emulated VMs on a clock of its own. Calls take
 // time, answers get lost and orders are carried out late, as the test asks.
 type world struct {
-	t     *testing.T
+	t     testing.TB
 	rnd   *rand.Rand
 	now   time.Time
 	fleet *emulator.Fleet
@@ -52,11 +52,15 @@
 	{Name: "small", Size: 3, Pace: 0.6, Share: 0.43, Load: 12 * time.Second, Warm: 1100 * time.Millisecond},
 }
 
-func newWorld(t *testing.T, seed uint64, domains, each int) *world {
+func newWorld(t testing.TB, seed uint64, domains, each int) *world {
+	return newWorldOf(t, seed, domains, each, worldModels)
+}
+
+func newWorldOf(t testing.TB, seed uint64, domains, each int, models []catalog.Model) *world {
 	wo := &world{t: t, rnd: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0), term: 10,
-		fleet: &emulator.Fleet{Models: worldModels, InitialLoads: true}, entries: make(map[string]catalog.Endpoint)}
+		fleet: &emulator.Fleet{Models: models, InitialLoads: true}, entries: make(map[string]catalog.Endpoint)}
 	wo.cfg = &catalog.Config{Services: map[string]catalog.Service{"engine": {Name: "engine", Engine: &catalog.Engine{
-		Slots: 26, Stride: 7, Models: worldModels, ReportLag: emulator.ReportLag, LoadsPerSecond: 4.5, LoadsAtOnce: 6, Form: emulator.FormTime}}}}
+		Slots: 26, Stride: 7, Models: models, ReportLag: emulator.ReportLag, LoadsPerSecond: 4.5, LoadsAtOnce: 6, Form: emulator.FormTime}}}}
 	for do := range domains {
 		for range each {
 			wo.add(fmt.Sprintf("domain-%d", do))
--- a/internal/entry/stall.go
+++ b/internal/entry/stall.go
@@ -54,7 +54,7 @@
 			return
 		}
 	}
-	ct.da.table.Sound(gr.Name, ct.da.Clock.Now())
+	ct.da.table.Sound(gr.Name)
 }
 
 // answers tells whether a member is there and still belongs to the group.
