Weigh all groups that are given up for another model's

Cause: one group of 16 was weighed against one of 4, though four had to go for it. TestBalancedGroupsStay failed before.

--- a/internal/core/steward/big_test.go
+++ b/internal/core/steward/big_test.go
@@ -24,6 +24,18 @@
 	}
 }
 
+// A group of 16 is worth more than one of 4, but not more than the four that
+// would have to be given up for it. Balanced groups are left as they are.
+func TestBalancedGroupsStay(t *testing.T) {
+	wo := newWorldOf(t, 2, 8, 37, bigModels)
+	wo.settle(5 * time.Second)
+	large, small := wo.serving()
+	wo.run(12 * time.Second)
+	if la, sm := wo.serving(); la < large || sm < small {
+		t.Errorf("serving %d large and %d small groups, %d and %d before", la, sm, large, small)
+	}
+}
+
 // BenchmarkStep is the cost of a step of a settled fleet of 296 VMs, which the
 // steward takes after each event and some 25 times a second.
 func BenchmarkStep(b *testing.B) {
--- a/internal/core/steward/rebalance.go
+++ b/internal/core/steward/rebalance.go
@@ -8,7 +8,7 @@
 
 const (
 	// rebalanceGain is how many times more a group must be worth to the model
-	// that gets it than to the one that gives it up. A load takes 12 to 16 s, in
+	// that gets it than the groups given up for it are to theirs. A load takes 12 to 16 s, in
 	// which the group serves nobody, so small differences don't pay.
 	rebalanceGain = 2.5
 	// rebalancePause is the time between two changes, so that the effect of one
@@ -22,12 +22,12 @@
 	if now.Sub(co.rebalanced) < rebalancePause {
 		return
 	}
-	to, from := co.neediest(service, en)
+	to, from, ratio := co.neediest(service, en)
 	if to < 0 || from < 0 {
 		return
 	}
-	do, groups := co.cheapest(service, en, doms, en.Models[to], en.Models[from].Name)
-	if do == nil {
+	do, groups := co.cheapest(service, doms, en.Models[to], en.Models[from].Name)
+	if do == nil || ratio < rebalanceGain*float64(len(groups)) {
 		return
 	}
 	co.rebalanced = now
@@ -43,9 +43,10 @@
 	}
 }
 
-// neediest returns the model that gains most by a group and the one that loses
-// least, or -1 where the difference does not pay.
-func (co *Core) neediest(service string, en *catalog.Engine) (to, from int) {
+// neediest returns the model that gains most by a group, the one that loses
+// least by giving one up, and the ratio of the gain to the loss; -1 where there
+// is none.
+func (co *Core) neediest(service string, en *catalog.Engine) (to, from int, ratio float64) {
 	weights, counts := co.weights(en), co.counts(service, en)
 	to, from = -1, -1
 	gain := func(mi int) float64 { return weights[mi] / float64(counts[mi]+1) }
@@ -64,10 +65,10 @@
 			from = mi
 		}
 	}
-	if to < 0 || from < 0 || gain(to) < rebalanceGain*loss(from) {
-		return -1, -1
+	if to < 0 || from < 0 {
+		return -1, -1, 0
 	}
-	return to, from
+	return to, from, gain(to) / loss(from)
 }
 
 // loadingFor tells whether VMs are loading the model or are meant for it.
@@ -86,7 +87,7 @@
 
 // cheapest returns the domain in which the fewest groups have to be given up
 // for one of the model, and these groups.
-func (co *Core) cheapest(service string, en *catalog.Engine, doms []*domain, mo catalog.Model, from string) (*domain, []*group) {
+func (co *Core) cheapest(service string, doms []*domain, mo catalog.Model, from string) (*domain, []*group) {
 	var bestDom *domain
 	var best []*group
 	for _, do := range doms {
