Decode the tables of operators' files key by key

Cause: the TOML library decodes a table in the random order of a Go map and stops at the first wrong type. Ruled out: the position of the error and the order of the problems, both stable.

--- a/internal/operator/file.go
+++ b/internal/operator/file.go
@@ -105,15 +105,8 @@
 
 func readTable[T intent.Object](rd *reader, table string, nth int, pr toml.Primitive) {
 	var ob T
-	if err := rd.md.PrimitiveDecode(pr, &ob); err != nil {
-		problem := TOMLProblem(rd.de.file, err)
-		if problem.Line == 0 {
-			problem.Line = rd.de.lines.Table(table, nth)
-		}
-		if problem.Key == "" {
-			problem.Key = table
-		}
-		rd.problems = append(rd.problems, problem)
+	if problems := rd.decode(table, nth, pr, &ob); len(problems) > 0 {
+		rd.problems = append(rd.problems, problems...)
 		return
 	}
 	done := withDefaults(ob)
--- a/internal/operator/file_test.go
+++ b/internal/operator/file_test.go
@@ -40,6 +40,10 @@
 		{"unknown table", "[[modle]]\nname = \"a\"\n", []string{"f.toml:1: modle: unknown key", "f.toml:2: modle.name: unknown key"}},
 		{"unknown key", good + "spears = 1\n", []string{"f.toml:14: group.spears: unknown key"}},
 		{"wrong type", "[[model]]\nname = \"linden\"\nvms = \"two\"\n", []string{"f.toml:3: model.vms: incompatible types: TOML value has type string; destination has type integer"}},
+		{"two wrong types and an unknown key", "[[model]]\nname = 7\nvms = \"two\"\nspears = 1\nload-time = \"1s\"\n", []string{
+			"f.toml:2: model.name: incompatible types: TOML value has type int64; destination has type string",
+			"f.toml:3: model.vms: incompatible types: TOML value has type string; destination has type integer",
+			"f.toml:4: model.spears: unknown key"}},
 		{"bad duration", "[[endpoint]]\nname = \"o\"\ntimeout = \"soon\"\n", []string{`f.toml:3: endpoint.timeout: time: invalid duration "soon"`}},
 		{"key twice", "[[model]]\nname = \"a\"\nname = \"b\"\n", []string{"f.toml:3: model.name: Key 'model.name' has already been defined."}},
 		{"object twice", good + "[[group]]\nname = \"g\"\nmodel = \"linden\"\ndata-center = \"gent\"\n", []string{"f.toml:14: group/g: stands twice in the file"}},
