Tell loads through the steward where there are many daemons

Cause: with 68 daemons every one sent every other its whole load three times a second. Each change of the view made 67 daemons fetch 16 KB of it. Change: beyond 16 others, a daemon tells its load to the steward, which tells each one what all others have sent; beats to the rest say who is alive. The steward names silent daemons. A change of the view comes with the beat; whole views and configurations travel compressed. Few daemons do as before.

--- a/internal/core/catalog/view.go
+++ b/internal/core/catalog/view.go
@@ -45,8 +45,8 @@
 
 // Member is an endpoint of a group, in the order of its rank.
 type Member struct {
-	ID      string `json:"id"`
-	Address string `json:"address"`
+	ID      string `json:"id" cbor:"1,keyasint"`
+	Address string `json:"address" cbor:"2,keyasint"`
 }
 
 // Newer tells whether a view replaces another. Views are ordered by term and
--- a/internal/core/dispatch/dispatch_test.go
+++ b/internal/core/dispatch/dispatch_test.go
@@ -99,6 +99,30 @@
 	}
 }
 
+// One daemon adds up the loads of all and tells each one what the others have
+// sent. Nobody's load counts twice, whichever way it was told last.
+func TestRelayedLoads(t *testing.T) {
+	steward, other := table(group("a", "here"), group("b", "here")), table(group("a", "here"), group("b", "here"))
+	if _, ti := steward.Pick(need(other.groups["b"], steward.groups["b"]), ignore, begin); ti == nil {
+		t.Fatal("not picked")
+	}
+	steward.PeerLoads("one", map[string]Load{"a": {Requests: 2}, "b": {Requests: 1}}, begin)
+	steward.PeerLoads("two", map[string]Load{"a": {Requests: 5}}, begin)
+	steward.PeerLoads("two", map[string]Load{"a": {Requests: 4}}, begin)
+	if got := steward.LoadsBut("one"); got["a"].Requests != 5 || got["b"].Requests != 0 {
+		t.Errorf("others than one have sent %v, want 4 + 1 requests to a", got)
+	}
+	other.PeerLoads("two", map[string]Load{"a": {Requests: 9}}, begin)
+	other.RelayedLoads(steward.LoadsBut("one"), begin)
+	if got := other.groups["a"].peers.Requests; got != 5 {
+		t.Errorf("%d requests of others at a, want 5", got)
+	}
+	other.PeerLoads("two", map[string]Load{"a": {Requests: 3}}, begin)
+	if got := other.groups["a"].peers.Requests; got != 3 {
+		t.Errorf("%d requests of others at a after one told directly, want 3", got)
+	}
+}
+
 // A group's streams stand still. New requests go elsewhere at once; when a
 // member turns out to be lost, the requests end there so that they can go on
 // at another group.
--- a/internal/core/dispatch/predict.go
+++ b/internal/core/dispatch/predict.go
@@ -9,20 +9,25 @@
 	"corianderhub.dev/corianderhub/internal/core/catalog"
 )
 
-// Load is the work that a group has.
+// Load is the work that a group has. Daemons tell each other of it many times
+// a second, hence the short names.
 type Load struct {
 	// Requests is how many run or wait.
-	Requests int `json:"requests"`
+	Requests int `cbor:"1,keyasint,omitempty"`
 	// Reading is the number of prompt tokens that are still to be read.
-	Reading int64 `json:"reading"`
+	Reading int64 `cbor:"2,keyasint,omitempty"`
 	// Context is the number of tokens that the writing requests hold.
-	Context int64 `json:"context"`
+	Context int64 `cbor:"3,keyasint,omitempty"`
 }
 
 func (lo Load) plus(other Load) Load {
 	return Load{lo.Requests + other.Requests, lo.Reading + other.Reading, lo.Context + other.Context}
 }
 
+func (lo Load) minus(other Load) Load {
+	return Load{lo.Requests - other.Requests, lo.Reading - other.Reading, lo.Context - other.Context}
+}
+
 // Prediction is what a request can expect of a group.
 type Prediction struct {
 	// First is the time until its first event.
--- a/internal/core/dispatch/table.go
+++ b/internal/core/dispatch/table.go
@@ -23,8 +23,6 @@
 	// checkAgain is the time between questions to the members of a group that
 	// goes on standing still although all of them answer.
 	checkAgain = 700 * time.Millisecond
-	// peerLoadAge is how long what another daemon told of its load counts.
-	peerLoadAge = 2 * time.Second
 	// localBonus is taken off the prediction for groups of the own data
 	// centre: what a round trip between data centres costs, and its bytes.
 	localBonus = 4 * time.Millisecond
@@ -37,11 +35,8 @@
 	mu         sync.Mutex
 	groups     map[string]*Group
 	peers      map[string]peerLoad
-}
-
-type peerLoad struct {
-	at    time.Time
-	loads map[string]Load
+	// expired is when old loads of other daemons were last looked for.
+	expired time.Time
 }
 
 // Need is what a request asks of a group.
@@ -91,47 +86,6 @@
 	ta.sumPeers(now)
 }
 
-// PeerLoads takes in what another daemon has sent to the groups.
-func (ta *Table) PeerLoads(peer string, loads map[string]Load, now time.Time) {
-	ta.mu.Lock()
-	defer ta.mu.Unlock()
-	if ta.peers == nil {
-		return
-	}
-	ta.peers[peer] = peerLoad{at: now, loads: loads}
-	ta.sumPeers(now)
-}
-
-func (ta *Table) sumPeers(now time.Time) {
-	for _, gr := range ta.groups {
-		gr.peers = Load{}
-	}
-	for peer, pl := range ta.peers {
-		if now.Sub(pl.at) > peerLoadAge {
-			delete(ta.peers, peer)
-			continue
-		}
-		for name, lo := range pl.loads {
-			if gr := ta.groups[name]; gr != nil {
-				gr.peers = gr.peers.plus(lo)
-			}
-		}
-	}
-}
-
-// Own returns the load that this daemon has sent to each group.
-func (ta *Table) Own() map[string]Load {
-	ta.mu.Lock()
-	defer ta.mu.Unlock()
-	loads := make(map[string]Load, len(ta.groups))
-	for name, gr := range ta.groups {
-		if gr.own.Requests > 0 {
-			loads[name] = gr.own
-		}
-	}
-	return loads
-}
-
 // candidate is a group with what the request can expect of it.
 type candidate struct {
 	gr *Group
--- a/internal/entry/act.go
+++ b/internal/entry/act.go
@@ -14,6 +14,7 @@
 	"corianderhub.dev/corianderhub/internal/core/catalog"
 	"corianderhub.dev/corianderhub/internal/core/steward"
 	"corianderhub.dev/corianderhub/internal/http1"
+	"corianderhub.dev/corianderhub/internal/mesh"
 	"corianderhub.dev/corianderhub/pkg/verdict"
 	"corianderhub.dev/corianderhub/platform"
 )
@@ -85,6 +86,10 @@
 	}
 }
 
+// maxChangeMembers bounds the members that a change names which goes out with a
+// beat: some 40 bytes each, so that it stays within a few packets.
+const maxChangeMembers = 64
+
 // publish replaces the view if anything in it has changed, and tells the other
 // daemons at once.
 func (ct *control) publish() {
@@ -96,9 +101,15 @@
 	}
 	sh.sequence++
 	vi.Sequence = sh.sequence
+	ex := beatExtra{to: mesh.ToEveryone}
+	if sh.published != nil {
+		if ch := sh.published.ChangeTo(vi); ch.Members() <= maxChangeMembers {
+			ex.change = ch
+		}
+	}
 	sh.published = vi
 	ct.hearView(vi)
-	ct.sendBeat(nil)
+	ct.sendBeat(ex)
 	st := sh.core.Stats()
 	ct.da.Log.Info("steward: view published.", "term", sh.term, "view", sh.sequence, "serving", st.Serving, "forming", st.Forming,
 		"broken", st.Broken, "spares", st.Spares, "stranded", st.Stranded, "down", st.Down)
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -15,16 +14,8 @@
 	// tick is the interval of the control loop, which bounds the notice of a
 	// group that stands still.
 	tick = 40 * time.Millisecond
-	// beatInterval is the time between beats to each daemon, where few are. What
-	// the others sent since their last beat is missing from predictions: at 50 ms
-	// the first event came within 116 ms of the prediction nine times in ten, at
-	// 120 ms within 161 ms.
-	beatInterval = 50 * time.Millisecond
-	// beatsPerSecond bounds the datagrams that a daemon sends, and
-	// stewardBeatsPerSecond those of the steward: what it knows of the store is
-	// to be fresh for all.
-	beatsPerSecond        = 200
-	stewardBeatsPerSecond = 400
+	// beatCheck is the time between looks whether beats are due.
+	beatCheck = 15 * time.Millisecond
 	// staleAfter is the age of the store's last word from which a daemon asks
 	// the store itself. With the steward's own look every 800 ms, a change is
 	// known within the 2 s that the deployments allow.
@@ -62,13 +53,13 @@
 	// reads all anew.
 	turn int
 	// haveAll is set once all endpoints were read since following began.
-	haveAll  bool
-	fetching map[string]bool
-	number   uint64
-	beatDue  time.Time
-	sweepDue time.Time
-	served   bool
-	lease    stewardship
+	haveAll   bool
+	fetching  map[string]bool
+	number    uint64
+	beatCheck time.Time
+	sweepDue  time.Time
+	served    bool
+	lease     stewardship
 	// begun is when the control loop began to run.
 	begun time.Time
 	// campaigning is set while this daemon looks at the lease.
@@ -143,8 +134,11 @@
 	ct.stepMissing(now)
 	ct.stepSteward(now)
 	ct.stepStalls(now)
-	if now.After(ct.beatDue) {
-		ct.sendBeat(nil)
+	if now.Sub(ct.beatCheck) >= beatCheck {
+		ct.beatCheck = now
+		if ct.da.mesh.AnyDue() {
+			ct.sendBeat(beatExtra{})
+		}
 	}
 	if now.After(ct.sweepDue) {
 		ct.sweepDue = now.Add(poolSweep)
@@ -196,14 +190,21 @@
 	})
 }
 
+// beatExtra is what a beat tells besides what all of them do.
+type beatExtra struct {
+	suspects []mesh.Suspect
+	change   *catalog.Change
+	to       mesh.Audience
+}
+
 // sendBeat tells the others what this daemon is and knows.
-func (ct *control) sendBeat(suspects []mesh.Suspect) {
+func (ct *control) sendBeat(ex beatExtra) {
 	now := ct.da.Clock.Now()
 	ct.number++
 	set := ct.da.Settings
 	be := mesh.Beat{IP: set.IP, Started: ct.da.started, Number: ct.number, Name: set.Name, DataCenter: set.DataCenter,
 		Callers: set.Callers, Taking: ct.da.taking(), Age: ct.age(now), Served: ct.served || ct.da.front.Served() > 0,
-		Loads: ct.da.table.Own(), Gone: ct.gone.lately(now), Suspects: suspects}
+		Gone: ct.gone.lately(now), Suspects: ex.suspects, Change: ex.change}
 	if co := ct.da.config.Load(); co != nil {
 		be.Config = co.Revision
 	}
@@ -213,24 +214,27 @@
 		be.HeardTerm, be.HeardNumber = ct.steward.Term, ct.steward.Number
 	}
 	ct.lease.sent(ct.number)
+	loads := mesh.Loads{Own: ct.da.table.Own()}
 	if ct.lease.settled() {
 		be.Steward, be.Term, be.View = true, ct.lease.term, ct.lease.sequence
+		be.Silent = ct.da.mesh.Silent()
+		loads.But = ct.da.table.LoadsBut
 	}
-	if err := ct.da.mesh.Send(be); err != nil {
+	if err := ct.da.mesh.Send(be, loads, ex.to); err != nil {
 		ct.da.Log.Error("control: beat not sent.", "cause", err.Error())
 	}
-	rate := beatsPerSecond
-	if ct.lease.core != nil {
-		rate = stewardBeatsPerSecond
-	}
-	interval := max(beatInterval, time.Duration(len(ct.da.mesh.Known()))*time.Second/time.Duration(rate))
-	ct.beatDue = now.Add(interval + time.Duration(rand.Int64N(int64(tick)/2)))
 }
 
 // beat takes in what another daemon told.
 func (ct *control) beat(be mesh.Beat) {
 	now := ct.da.Clock.Now()
-	ct.da.table.PeerLoads(be.IP, be.Loads, now)
+	switch be.LoadsOf {
+	case mesh.LoadsOwn:
+		ct.da.table.PeerLoads(be.IP, be.Loads, now)
+	case mesh.LoadsRelayed:
+		ct.da.table.RelayedLoads(be.Loads, now)
+	case mesh.LoadsNone:
+	}
 	ct.served = ct.served || be.Served
 	ct.lease.promised(be)
 	ct.hearGone(be.Gone, now)
@@ -247,12 +251,25 @@
 		ct.da.Log.Info("control: steward heard.", "steward", be.Name, "term", be.Term)
 	}
 	ct.steward, ct.heard = be, now
+	ct.da.mesh.SetSteward(be.IP)
 	ct.confirm(now.Add(-be.Age - hearDelay))
 	if ct.told == nil || be.Term > ct.told.Term || be.Term == ct.told.Term && be.View > ct.told.Sequence {
-		ct.fetchView(be)
+		ct.learnView(be)
 	}
 }
 
+// learnView takes in the steward's new view: by what changed, if that came with
+// the beat and fits, and else by fetching all of it.
+func (ct *control) learnView(be mesh.Beat) {
+	if be.Change != nil {
+		if next := ct.told.Apply(be.Change); next != nil {
+			ct.hearView(next)
+			return
+		}
+	}
+	ct.fetchView(be)
+}
+
 // hearDelay is added to the age that another daemon tells, for the way.
 const hearDelay = 10 * time.Millisecond
 
@@ -316,9 +333,15 @@
 		ct.lease.core.SetServices(cfg)
 	}
 	ct.updateView()
-	ct.sendBeat(nil)
+	if from == fromStore || ct.da.mesh.Direct() {
+		ct.sendBeat(beatExtra{to: mesh.ToEveryone})
+	}
 }
 
+// fromStore is where a configuration comes from that was read there. It is news
+// to the other daemons, where one that was told by a daemon is not.
+const fromStore = "store"
+
 // hearView takes in a steward's view.
 func (ct *control) hearView(vi *catalog.View) {
 	if vi == nil || ct.told != nil && !vi.Newer(ct.told) {
@@ -351,6 +374,6 @@
 // leave tells the others that this daemon takes no more requests, and gives
 // the lease back.
 func (ct *control) leave() {
-	ct.sendBeat(nil)
+	ct.sendBeat(beatExtra{to: mesh.ToEveryone})
 	ct.resign()
 }
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -134,7 +134,7 @@
 	if err != nil {
 		return eris.Wrap(err, "listen for daemons")
 	}
-	da.mesh = &mesh.Mesh{Clock: da.Clock, Log: da.Log, Conn: conn, IP: set.IP, Port: set.InnerPorts[0],
+	da.mesh = &mesh.Mesh{Clock: da.Clock, Log: da.Log, Conn: conn, IP: set.IP, DataCenter: set.DataCenter, Port: set.InnerPorts[0],
 		OnBeat: func(be mesh.Beat) { da.control.post(func() { da.control.beat(be) }) }}
 	da.peers = mesh.NewClient(set.InnerPorts[1])
 	da.front = &front.Server{Clock: da.Clock, Log: da.Log, Table: da.table, Plain: da.plain, Pool: da.pool,
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"corianderhub.dev/corianderhub/internal/clock"
+	"corianderhub.dev/corianderhub/internal/core/catalog"
 	"corianderhub.dev/corianderhub/platform"
 	"corianderhub.dev/corianderhub/platform/emulator"
 )
@@ -428,6 +429,38 @@
 	sk.checkPromises()
 }
 
+// With many daemons, load and views travel through the steward alone. A member
+// dies and is replaced, then the steward itself is lost: every daemon hears of
+// both and goes on serving by whole groups.
+func TestManyDaemons(t *testing.T) {
+	sk := newStack(t, 20)
+	if sk.daemons[0].da.mesh.Direct() {
+		t.Fatal("so few daemons tell each other everything, so the test shows nothing")
+	}
+	lost := sk.daemons[0].da.view.Load().Groups[0].Members[1].ID
+	sk.de.Kill(lost)
+	sk.de.Forget(lost)
+	usesLost := func(ru *running) bool {
+		return slices.ContainsFunc(ru.da.view.Load().Groups, func(gr catalog.Group) bool {
+			return slices.ContainsFunc(gr.Members, func(me catalog.Member) bool { return me.ID == lost })
+		})
+	}
+	old := sk.steward()
+	sk.until("the lost member is in no daemon's view", func() bool { return !slices.ContainsFunc(sk.daemons, usesLost) })
+	sk.kill(old)
+	sk.daemons = slices.DeleteFunc(sk.daemons, func(ru *running) bool { return ru == old })
+	if next := sk.steward(); next == old {
+		t.Fatal("the killed daemon is steward still")
+	}
+	for _, ru := range sk.daemons {
+		sk.until("served", func() bool { return sk.ask(ru, "/draft/", "after") == wholeStream("after") })
+	}
+	sk.until("the lost daemon is named to no caller", func() bool {
+		return !slices.ContainsFunc(sk.daemons, func(ru *running) bool { return slices.Contains(sk.addresses(ru), old.ip+":18080") })
+	})
+	sk.checkPromises()
+}
+
 // The steward dies. Another daemon takes over once the lease has run out, or
 // at once when a new process runs at the old one's address, and takes no group
 // apart.
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -45,7 +45,7 @@
 	take := func(items []platform.Item) {
 		for _, it := range items {
 			if it.Key == platform.ConfigKey && !it.Deleted {
-				ct.setConfig(it.Value, it.Revision, "store")
+				ct.setConfig(it.Value, it.Revision, fromStore)
 			}
 		}
 	}
--- a/internal/entry/lease.go
+++ b/internal/entry/lease.go
@@ -343,6 +343,7 @@
 		endpointsAt: ct.lease.endpointsAt, configAt: ct.lease.configAt,
 		sentAt: make(map[uint64]time.Duration), promises: make(map[string]promise)}
 	ct.campaigning = false
+	ct.da.mesh.SetSteward(ct.da.Settings.IP)
 	if cfg := ct.da.currentConfig(); cfg != nil {
 		ct.lease.core.SetServices(cfg)
 	}
@@ -356,6 +357,7 @@
 	ct.da.Log.Info("steward: lease given up.", "term", ct.lease.term, "reason", why)
 	ct.lease = stewardship{endpointsAt: ct.lease.endpointsAt, configAt: ct.lease.configAt}
 	ct.heard = ct.da.Clock.Now()
+	ct.da.mesh.SetSteward("")
 }
 
 // resign gives the lease back, so that another daemon can take it at once.
--- a/internal/entry/stall.go
+++ b/internal/entry/stall.go
@@ -28,7 +28,7 @@
 		}
 		ct.da.once(&ct.wg, func(ctx context.Context) { ct.probe(ctx, gr) })
 	}
-	ct.sendBeat(suspects)
+	ct.sendBeat(beatExtra{suspects: suspects, to: mesh.ToSteward})
 	if ct.lease.core != nil {
 		ct.stepSteward(now)
 	}
--- a/internal/mesh/beat.go
+++ b/internal/mesh/beat.go
@@ -13,10 +13,10 @@
 	"sync"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-	"github.com/rotisserie/eris"
+	"github.com/VictoriaMetrics/metrics"
 
 	"corianderhub.dev/corianderhub/internal/clock"
+	"corianderhub.dev/corianderhub/internal/core/catalog"
 	"corianderhub.dev/corianderhub/internal/core/dispatch"
 )
 
@@ -42,8 +42,9 @@
 	Age time.Duration `cbor:"12,keyasint,omitempty"`
 	// Served is set once callers have sent requests.
 	Served bool `cbor:"13,keyasint,omitempty"`
-	// Loads is the work that the daemon has sent to groups, by name.
-	Loads map[string]dispatch.Load `cbor:"14,keyasint,omitempty"`
+	// Loads is work at groups, by their names; LoadsOf says whose.
+	Loads   map[string]dispatch.Load `cbor:"14,keyasint,omitempty"`
+	LoadsOf LoadsOf                  `cbor:"21,keyasint,omitempty"`
 	// HeardTerm and HeardNumber name the last beat of a steward that the daemon
 	// heard. With them it promises not to look at the lease for a while; they
 	// are 0 while it does.
@@ -57,8 +58,26 @@
 	Gone []string `cbor:"20,keyasint,omitempty"`
 	// Suspects are groups that stand still.
 	Suspects []Suspect `cbor:"15,keyasint,omitempty"`
+	// Silent are daemons that the steward does not hear any more.
+	Silent []string `cbor:"22,keyasint,omitempty"`
+	// Change makes the steward's view of the one before; it is told once, and
+	// whoever misses it fetches the view.
+	Change *catalog.Change `cbor:"23,keyasint,omitempty"`
 }
 
+// LoadsOf says whose work at groups a beat tells.
+type LoadsOf uint8
+
+// Whose work a beat tells.
+const (
+	// LoadsNone means that the beat says nothing of work.
+	LoadsNone LoadsOf = iota
+	// LoadsOwn is what the sender has sent.
+	LoadsOwn
+	// LoadsRelayed is what all daemons but the receiver have sent.
+	LoadsRelayed
+)
+
 // Suspect names a group whose requests stand still.
 type Suspect struct {
 	Group string `cbor:"1,keyasint"`
@@ -92,16 +111,25 @@
 	Clock clock.Clock
 	Log   *slog.Logger
 	Conn  *net.UDPConn
-	// IP is the daemon's own; Port is that of all daemons.
-	IP   string
-	Port int
+	// IP and DataCenter are the daemon's own; Port is that of all daemons.
+	IP, DataCenter string
+	Port           int
 	// OnBeat is called for each new beat of another daemon.
 	OnBeat func(Beat)
 
 	mu    sync.Mutex
 	peers map[string]*Peer
+	// steward is the steward's address, silent what it told in its last beat.
+	steward string
+	silent  map[string]bool
 }
 
+// The traffic of beats, in bytes.
+var (
+	sentBytes  = metrics.NewCounter(`corianderhub_beat_bytes_total{way="sent"}`)
+	heardBytes = metrics.NewCounter(`corianderhub_beat_bytes_total{way="heard"}`)
+)
+
 // Run receives beats until the socket is closed.
 func (me *Mesh) Run(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, func() { me.Conn.Close() })
@@ -119,8 +147,9 @@
 			}
 			continue
 		}
-		var be Beat
-		if err := cbor.Unmarshal(buf[:num], &be); err != nil {
+		heardBytes.Add(num)
+		be, err := decode(buf[:num])
+		if err != nil {
 			me.Log.Warn("mesh: datagram not understood.", "cause", err.Error())
 			continue
 		}
@@ -142,10 +171,12 @@
 	if be.Started < pe.Started || be.Started == pe.Started && be.Number <= pe.Number {
 		return false
 	}
-	if !pe.alive(now) {
+	if pa := me.pace(); !pa.heardLately(be.IP, pe, now) {
 		me.Log.Info("mesh: daemon joined.", "daemon", be.Name, "ip", be.IP)
 	}
 	pe.Beat, pe.At = be, now
+	pe.Loads, pe.Change = nil, nil
+	me.hearSilent(be)
 	return true
 }
 
@@ -161,8 +192,6 @@
 	return pe
 }
 
-func (pe *Peer) alive(now time.Time) bool { return !pe.At.IsZero() && now.Sub(pe.At) < aliveFor }
-
 // Know adds daemons that were heard of.
 func (me *Mesh) Know(ips []string) {
 	me.mu.Lock()
@@ -186,9 +215,10 @@
 	me.mu.Lock()
 	defer me.mu.Unlock()
 	now := me.Clock.Now()
+	pa := me.pace()
 	var alive []Peer
 	for _, ip := range slices.Sorted(maps.Keys(me.peers)) {
-		if pe := me.peers[ip]; pe.alive(now) {
+		if pe := me.peers[ip]; pa.heardLately(ip, pe, now) && !me.silent[ip] {
 			alive = append(alive, *pe)
 		}
 	}
@@ -208,41 +238,3 @@
 	}
 	return heard
 }
-
-// Send sends a beat to all daemons, to silent ones less often.
-func (me *Mesh) Send(be Beat) error {
-	raw, err := cbor.Marshal(be)
-	if err != nil {
-		return eris.Wrap(err, "beat")
-	}
-	for _, addr := range me.due() {
-		// A datagram that is lost is made up for by the next one.
-		if _, err := me.Conn.WriteToUDPAddrPort(raw, addr); err != nil {
-			me.Log.Debug("mesh: datagram not sent.", "to", addr.String(), "cause", err.Error())
-		}
-	}
-	return nil
-}
-
-func (me *Mesh) due() []netip.AddrPort {
-	me.mu.Lock()
-	defer me.mu.Unlock()
-	now := me.Clock.Now()
-	var addrs []netip.AddrPort
-	for ip, pe := range me.peers {
-		heard := pe.At
-		if heard.IsZero() {
-			heard = pe.known
-		}
-		if now.Sub(heard) > forgetAfter {
-			delete(me.peers, ip)
-			continue
-		}
-		if now.Sub(heard) > aliveFor && now.Sub(pe.sent) < silentEvery {
-			continue
-		}
-		pe.sent = now
-		addrs = append(addrs, netip.AddrPortFrom(netip.MustParseAddr(ip), uint16(me.Port)))
-	}
-	return addrs
-}
--- a/internal/mesh/call.go
+++ b/internal/mesh/call.go
@@ -1,12 +1,15 @@
 package mesh
 
 import (
+	"bytes"
+	"compress/gzip"
 	"context"
 	"encoding/json"
 	"io"
 	"net"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -41,7 +44,7 @@
 func NewClient(port int) *Client {
 	dialer := &net.Dialer{Timeout: callTimeout}
 	return &Client{Port: port, client: http.Client{Timeout: callTimeout, Transport: &http.Transport{
-		DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: 10 * time.Second, DisableCompression: true}}}
+		DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: 10 * time.Second}}}
 }
 
 func (cl *Client) get(ctx context.Context, ip, path string) ([]byte, http.Header, error) {
@@ -101,31 +104,82 @@
 	View    func() *catalog.View
 	Config  func() (raw []byte, revision int64)
 	Daemons func() []string
+
+	view, config packed
 }
 
 // Handler returns the calls' handler.
 func (se *Server) Handler() *http.ServeMux {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+PathView, func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, se.View()) })
-	mux.HandleFunc("GET "+PathDaemons, func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, se.Daemons()) })
-	mux.HandleFunc("GET "+PathConfig, func(w http.ResponseWriter, _ *http.Request) {
-		raw, rev := se.Config()
-		if rev == 0 {
-			http.Error(w, "no configuration yet", http.StatusServiceUnavailable)
+	mux.HandleFunc("GET "+PathView, se.sendView)
+	mux.HandleFunc("GET "+PathConfig, se.sendConfig)
+	mux.HandleFunc("GET "+PathDaemons, func(w http.ResponseWriter, _ *http.Request) {
+		raw, err := json.Marshal(se.Daemons())
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusInternalServerError)
 			return
 		}
-		w.Header().Set(headerRevision, strconv.FormatInt(rev, 10))
 		_, _ = w.Write(raw) // The other side sees that the answer is short.
 	})
 	return mux
 }
 
-func writeJSON(w http.ResponseWriter, val any) {
-	raw, err := json.Marshal(val)
+func (se *Server) sendView(w http.ResponseWriter, _ *http.Request) {
+	vi := se.View()
+	se.view.send(w, vi, func() ([]byte, error) { return json.Marshal(vi) })
+}
+
+func (se *Server) sendConfig(w http.ResponseWriter, _ *http.Request) {
+	raw, rev := se.Config()
+	if rev == 0 {
+		http.Error(w, "no configuration yet", http.StatusServiceUnavailable)
+		return
+	}
+	w.Header().Set(headerRevision, strconv.FormatInt(rev, 10))
+	se.config.send(w, rev, func() ([]byte, error) { return raw, nil })
+}
+
+// packed keeps the last answer of a kind compressed. All daemons fetch the same
+// one at about the same time, from a link that may be slow: a view of 300 VMs
+// shrinks to a quarter.
+type packed struct {
+	mu  sync.Mutex
+	of  any
+	raw []byte
+}
+
+// send answers with what encode returns; of tells apart what is encoded.
+func (pa *packed) send(w http.ResponseWriter, of any, encode func() ([]byte, error)) {
+	raw, err := pa.pack(of, encode)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 		return
 	}
-	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Encoding", "gzip")
 	_, _ = w.Write(raw) // The other side sees that the answer is short.
 }
+
+func (pa *packed) pack(of any, encode func() ([]byte, error)) ([]byte, error) {
+	pa.mu.Lock()
+	defer pa.mu.Unlock()
+	if pa.raw != nil && pa.of == of {
+		return pa.raw, nil
+	}
+	raw, err := encode()
+	if err != nil {
+		return nil, err
+	}
+	var buf bytes.Buffer
+	zw, err := gzip.NewWriterLevel(&buf, gzip.BestSpeed)
+	if err != nil {
+		return nil, err
+	}
+	if _, err := zw.Write(raw); err != nil {
+		return nil, err
+	}
+	if err := zw.Close(); err != nil {
+		return nil, err
+	}
+	pa.of, pa.raw = of, buf.Bytes()
+	return pa.raw, nil
+}
--- /dev/null
+++ b/internal/mesh/pace_test.go
@@ -0,0 +1,199 @@
+package mesh
+
+import (
+	"fmt"
+	"log/slog"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"corianderhub.dev/corianderhub/internal/clock"
+	"corianderhub.dev/corianderhub/internal/core/dispatch"
+)
+
+// crowd is a mesh of one daemon that knows many others, spread over four data
+// centres, all of which it hears all the time.
+type crowd struct {
+	*Mesh
+	clock   *clock.Manual
+	started int64
+	number  uint64
+}
+
+func newCrowd(others int) *crowd {
+	cl := clock.NewManual(time.Unix(1000, 0))
+	cr := &crowd{clock: cl, Mesh: &Mesh{Clock: cl, Log: slog.New(slog.DiscardHandler), IP: "10.0.0.1", DataCenter: "dc-0", Port: 7}}
+	for i := range others {
+		cr.hear(i, Beat{})
+	}
+	return cr
+}
+
+func otherIP(num int) string { return fmt.Sprintf("10.0.%d.%d", 1+num/200, 1+num%200) }
+
+// hear makes a beat of that daemon come in.
+func (cr *crowd) hear(num int, be Beat) {
+	cr.number++
+	be.IP, be.DataCenter, be.Number, be.Started = otherIP(num), fmt.Sprint("dc-", num%4), cr.number, cr.started
+	cr.accept(be)
+}
+
+// hearAll makes all others but some be heard.
+func (cr *crowd) hearAll(others int, but ...int) {
+	for i := range others {
+		if !slices.Contains(but, i) {
+			cr.hear(i, Beat{Steward: cr.steward == otherIP(i)})
+		}
+	}
+}
+
+// count returns how many beats each daemon is sent in that time.
+func (cr *crowd) count(others int, span time.Duration) map[addressee]int {
+	sent := make(map[addressee]int)
+	for step := range int(span / countStep) {
+		for _, ad := range cr.due(ToDue) {
+			sent[ad]++
+		}
+		if step%20 == 0 {
+			cr.hearAll(others)
+		}
+		cr.clock.Advance(countStep)
+	}
+	return sent
+}
+
+// countStep is the interval at which beats are sent when they are due.
+const countStep = 10 * time.Millisecond
+
+func to(num int, tell LoadsOf) addressee {
+	return addressee{netip.AddrPortFrom(netip.MustParseAddr(otherIP(num)), 7), tell}
+}
+
+// Few daemons tell each other of their load directly, many through the
+// steward. Whatever their number, what a daemon sends stays bounded.
+func TestPace(t *testing.T) {
+	tests := []struct {
+		name            string
+		others, steward int
+		// perSecond bounds what is sent in all; load, near and far are the beats
+		// that the daemons 1 (the steward), 4 and 2 are sent in 10 s.
+		perSecond       int
+		load, near, far int
+		loadTells       LoadsOf
+	}{
+		{"few", 8, 1, 200, 200, 200, 200, LoadsOwn},
+		{"many", 67, 1, 80, 100, 23, 3, LoadsOwn},
+		{"very many", 369, 1, 70, 19, 4, 1, LoadsOwn},
+		{"steward of many", 67, -1, 1000, 125, 125, 125, LoadsRelayed},
+		{"steward of very many", 369, -1, 1000, 27, 27, 27, LoadsRelayed},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			cr := newCrowd(tc.others)
+			cr.SetSteward(cr.IP)
+			if tc.steward >= 0 {
+				cr.SetSteward(otherIP(tc.steward))
+			}
+			sent := cr.count(tc.others, 10*time.Second)
+			total := 0
+			for _, num := range sent {
+				total += num
+			}
+			if total > tc.perSecond*10*11/10 {
+				t.Errorf("%d beats in 10 s, want %d at most", total, tc.perSecond*10)
+			}
+			others := LoadsNone
+			if tc.loadTells == LoadsRelayed || tc.others <= directMost {
+				others = tc.loadTells
+			}
+			for _, want := range []struct{ num, beats int }{{1, tc.load}, {4, tc.near}, {2, tc.far}} {
+				tell := others
+				if want.num == 1 {
+					tell = tc.loadTells
+				}
+				if got := sent[to(want.num, tell)]; got < want.beats*8/10 || got > want.beats+2 {
+					t.Errorf("daemon %d got %d beats in 10 s, want some %d; all: %v", want.num, got, want.beats, sent[to(want.num, LoadsNone)])
+				}
+			}
+		})
+	}
+}
+
+// A daemon dies among many. Its neighbours hear it seldom and would name it to
+// callers for seconds; the steward, which hears it often, tells them.
+func TestStewardTellsWhoIsSilent(t *testing.T) {
+	const others, dead = 67, 4
+	steward, neighbour := newCrowd(others), newCrowd(others)
+	steward.SetSteward(steward.IP)
+	neighbour.SetSteward(otherIP(1))
+	for _, cr := range []*crowd{steward, neighbour} {
+		cr.clock.Advance(700 * time.Millisecond)
+		cr.hearAll(others, dead)
+	}
+	silent := steward.Silent()
+	if !slices.Equal(silent, []string{otherIP(dead)}) {
+		t.Fatalf("silent: %v, want daemon %d alone", silent, dead)
+	}
+	alive := func() bool {
+		return slices.ContainsFunc(neighbour.Alive(), func(pe Peer) bool { return pe.IP == otherIP(dead) })
+	}
+	if !alive() {
+		t.Fatal("a neighbour takes the daemon as dead already, so the test shows nothing")
+	}
+	neighbour.hear(2, Beat{Steward: true, Silent: silent})
+	if !alive() {
+		t.Error("believed another daemon than the steward")
+	}
+	neighbour.hear(1, Beat{Steward: true, Silent: silent})
+	if alive() {
+		t.Error("the dead daemon still counts as alive")
+	}
+	neighbour.hear(1, Beat{Steward: true})
+	if !alive() {
+		t.Error("the daemon does not count as alive although the steward hears it again")
+	}
+}
+
+// Who is told what of the load: one letter for all that are told the same.
+func TestLetters(t *testing.T) {
+	own := map[string]dispatch.Load{"a": {Requests: 3}}
+	ma := mailer{be: Beat{IP: "10.0.0.1"}, lo: Loads{Own: own,
+		But: func(ip string) map[string]dispatch.Load { return map[string]dispatch.Load{ip: {Requests: 1}} }}}
+	tests := []struct {
+		tell LoadsOf
+		want map[string]dispatch.Load
+	}{
+		{LoadsOwn, own},
+		{LoadsNone, nil},
+		{LoadsRelayed, map[string]dispatch.Load{otherIP(1): {Requests: 1}}},
+		{LoadsOwn, own},
+	}
+	for _, tc := range tests {
+		raw, err := ma.letter(to(1, tc.tell))
+		if err != nil {
+			t.Fatal(err)
+		}
+		be, err := decode(raw)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if be.LoadsOf != tc.tell || len(be.Loads) != len(tc.want) {
+			t.Errorf("told %v: %v, want %v", be.LoadsOf, be.Loads, tc.want)
+		}
+		for name, lo := range tc.want {
+			if be.Loads[name] != lo {
+				t.Errorf("load of %s: %v, want %v", name, be.Loads[name], lo)
+			}
+		}
+	}
+}
+
+func BenchmarkAnyDue(b *testing.B) {
+	cr := newCrowd(67)
+	cr.SetSteward(otherIP(1))
+	cr.due(ToEveryone)
+	for b.Loop() {
+		cr.AnyDue()
+	}
+}
