--- a/internal/core/dispatch/dispatch_test.go
+++ b/internal/core/dispatch/dispatch_test.go
@@ -87,13 +87,13 @@
 // counts, and stops counting when they fall silent.
 func TestPeersCount(t *testing.T) {
 	ta := table(group("a", "here"), group("b", "here"))
-	ta.PeerLoads("other", map[string]Load{"a": {Requests: 26, Context: 30000}}, begin)
+	ta.PeerWork("other", Work{Loads: map[string]Load{"a": {Requests: 26, Context: 30000}}}, begin)
 	for range 5 {
 		if ch, _ := ta.Pick(need(), ignore, begin); ch.Group == nil || ch.Group.Name != "b" {
 			t.Fatalf("picked %v though the other daemon has filled group a", ch.Group)
 		}
 	}
-	ta.PeerLoads("third", nil, begin.Add(peerLoadAge+time.Second))
+	ta.PeerWork("third", Work{}, begin.Add(peerLoadAge+time.Second))
 	if ch, _ := ta.Pick(need(), ignore, begin.Add(peerLoadAge+time.Second)); ch.Group.Name != "a" {
 		t.Error("load told long ago still counts")
 	}
@@ -101,23 +101,23 @@
 
 // One daemon adds up the loads of all and tells each one what the others have
 // sent. Nobody's load counts twice, whichever way it was told last.
-func TestRelayedLoads(t *testing.T) {
+func TestRelayedWork(t *testing.T) {
 	steward, other := table(group("a", "here"), group("b", "here")), table(group("a", "here"), group("b", "here"))
 	if _, ti := steward.Pick(need(other.groups["b"], steward.groups["b"]), ignore, begin); ti == nil {
 		t.Fatal("not picked")
 	}
-	steward.PeerLoads("one", map[string]Load{"a": {Requests: 2}, "b": {Requests: 1}}, begin)
-	steward.PeerLoads("two", map[string]Load{"a": {Requests: 5}}, begin)
-	steward.PeerLoads("two", map[string]Load{"a": {Requests: 4}}, begin)
-	if got := steward.LoadsBut("one"); got["a"].Requests != 5 || got["b"].Requests != 0 {
+	steward.PeerWork("one", Work{Loads: map[string]Load{"a": {Requests: 2}, "b": {Requests: 1}}}, begin)
+	steward.PeerWork("two", Work{Loads: map[string]Load{"a": {Requests: 5}}}, begin)
+	steward.PeerWork("two", Work{Loads: map[string]Load{"a": {Requests: 4}}}, begin)
+	if got := steward.WorkBut("one", begin).Loads; got["a"].Requests != 5 || got["b"].Requests != 0 {
 		t.Errorf("others than one have sent %v, want 4 + 1 requests to a", got)
 	}
-	other.PeerLoads("two", map[string]Load{"a": {Requests: 9}}, begin)
-	other.RelayedLoads(steward.LoadsBut("one"), begin)
+	other.PeerWork("two", Work{Loads: map[string]Load{"a": {Requests: 9}}}, begin)
+	other.RelayedWork(steward.WorkBut("one", begin), begin)
 	if got := other.groups["a"].peers.Requests; got != 5 {
 		t.Errorf("%d requests of others at a, want 5", got)
 	}
-	other.PeerLoads("two", map[string]Load{"a": {Requests: 3}}, begin)
+	other.PeerWork("two", Work{Loads: map[string]Load{"a": {Requests: 3}}}, begin)
 	if got := other.groups["a"].peers.Requests; got != 3 {
 		t.Errorf("%d requests of others at a after one told directly, want 3", got)
 	}
@@ -168,7 +168,7 @@
 // and once its members have answered it is used again.
 func TestSlowFirstEventIsNoStall(t *testing.T) {
 	ta := table(group("a", "here"))
-	ta.PeerLoads("other", map[string]Load{"a": {Requests: 22, Context: 30000, Reading: 9000}}, begin)
+	ta.PeerWork("other", Work{Loads: map[string]Load{"a": {Requests: 22, Context: 30000, Reading: 9000}}}, begin)
 	ne := need()
 	ne.Objective, ne.Pause = time.Second, time.Second
 	if _, ti := ta.Pick(ne, ignore, begin); ti == nil {
@@ -209,17 +209,17 @@
 func TestLoadIsGivenBack(t *testing.T) {
 	ta := table(group("a", "here"))
 	_, ti := ta.Pick(need(), ignore, begin)
-	if got, want := ta.Own()["a"], (Load{Requests: 1, Reading: 1000}); got != want {
+	if got, want := ta.Own(begin).Loads["a"], (Load{Requests: 1, Reading: 1000}); got != want {
 		t.Errorf("before the first event: %+v, want %+v", got, want)
 	}
 	ti.Event(begin)
 	ti.Event(begin)
-	if got, want := ta.Own()["a"], (Load{Requests: 1, Context: 1014}); got != want {
+	if got, want := ta.Own(begin).Loads["a"], (Load{Requests: 1, Context: 1014}); got != want {
 		t.Errorf("after two events: %+v, want %+v", got, want)
 	}
 	ti.End()
 	ti.End()
-	if got := ta.Own(); len(got) != 0 {
+	if got := ta.Own(begin).Loads; len(got) != 0 {
 		t.Errorf("after the end: %+v", got)
 	}
 }
--- a/internal/core/dispatch/peers.go
+++ b/internal/core/dispatch/peers.go
@@ -9,23 +9,31 @@
 // is kept, where one daemon adds it up for the others.
 const relayedPeer = ""
 
-// peerLoad is what another daemon has sent to the groups, by their names.
-type peerLoad struct {
-	at    time.Time
-	loads map[string]Load
+// Work is what one or several daemons have to do with groups.
+type Work struct {
+	// Loads is what they have sent to each group, by its name.
+	Loads map[string]Load `cbor:"1,keyasint,omitempty"`
+	// Rates are the requests that they get for each model, in a second.
+	Rates map[string]float32 `cbor:"2,keyasint,omitempty"`
 }
 
-// PeerLoads takes in what another daemon has sent to the groups. It replaces
-// what was relayed, which holds the same load.
-func (ta *Table) PeerLoads(peer string, loads map[string]Load, now time.Time) {
+// peerWork is another daemon's work, told at that time.
+type peerWork struct {
+	Work
+	at time.Time
+}
+
+// PeerWork takes in another daemon's work. It replaces what was relayed, which
+// holds the same.
+func (ta *Table) PeerWork(peer string, wo Work, now time.Time) {
 	ta.mu.Lock()
 	defer ta.mu.Unlock()
 	if ta.peers == nil {
 		return
 	}
-	ta.replace(relayedPeer, nil)
-	ta.replace(peer, loads)
-	ta.peers[peer] = peerLoad{at: now, loads: loads}
+	ta.replace(relayedPeer, Work{})
+	ta.replace(peer, wo)
+	ta.peers[peer] = peerWork{wo, now}
 	delete(ta.peers, relayedPeer)
 	if now.Sub(ta.expired) > peerLoadAge/4 {
 		ta.expired = now
@@ -33,30 +41,42 @@
 	}
 }
 
-// replace counts a daemon's load at the groups instead of what it told before.
-func (ta *Table) replace(peer string, loads map[string]Load) {
-	for name, lo := range ta.peers[peer].loads {
+// replace counts a daemon's work instead of what it told before.
+func (ta *Table) replace(peer string, wo Work) {
+	before := ta.peers[peer]
+	for name, lo := range before.Loads {
 		if gr := ta.groups[name]; gr != nil {
 			gr.peers = gr.peers.minus(lo)
 		}
 	}
-	for name, lo := range loads {
+	for model, perSecond := range before.Rates {
+		ta.peerRates[model] -= perSecond
+	}
+	ta.count(wo)
+}
+
+// count adds a daemon's work to that of all others.
+func (ta *Table) count(wo Work) {
+	for name, lo := range wo.Loads {
 		if gr := ta.groups[name]; gr != nil {
 			gr.peers = gr.peers.plus(lo)
 		}
 	}
+	for model, perSecond := range wo.Rates {
+		ta.peerRates[model] += perSecond
+	}
 }
 
-// RelayedLoads takes in what all other daemons together have sent to the
-// groups. It replaces what single daemons told.
-func (ta *Table) RelayedLoads(loads map[string]Load, now time.Time) {
+// RelayedWork takes in the work of all other daemons together. It replaces what
+// single daemons told.
+func (ta *Table) RelayedWork(wo Work, now time.Time) {
 	ta.mu.Lock()
 	defer ta.mu.Unlock()
 	if ta.peers == nil {
 		return
 	}
 	clear(ta.peers)
-	ta.peers[relayedPeer] = peerLoad{at: now, loads: loads}
+	ta.peers[relayedPeer] = peerWork{wo, now}
 	ta.sumPeers(now)
 }
 
@@ -65,43 +85,45 @@
 	for _, gr := range ta.groups {
 		gr.peers = Load{}
 	}
-	for peer, pl := range ta.peers {
-		if now.Sub(pl.at) > peerLoadAge {
+	clear(ta.peerRates)
+	for peer, pe := range ta.peers {
+		if now.Sub(pe.at) > peerLoadAge {
 			delete(ta.peers, peer)
 			continue
 		}
-		for name, lo := range pl.loads {
-			if gr := ta.groups[name]; gr != nil {
-				gr.peers = gr.peers.plus(lo)
-			}
-		}
+		ta.count(pe.Work)
 	}
 }
 
-// Own returns the load that this daemon has sent to each group.
-func (ta *Table) Own() map[string]Load {
+// Own returns the work of this daemon.
+func (ta *Table) Own(now time.Time) Work {
 	ta.mu.Lock()
 	defer ta.mu.Unlock()
-	loads := make(map[string]Load, len(ta.groups))
+	wo := Work{Loads: make(map[string]Load, len(ta.groups)), Rates: ta.rates.all(now)}
 	for name, gr := range ta.groups {
 		if gr.own.Requests > 0 {
-			loads[name] = gr.own
+			wo.Loads[name] = gr.own
 		}
 	}
-	return loads
+	return wo
 }
 
-// LoadsBut returns the load of each group without what one other daemon has
-// sent there: what that daemon can't know by itself.
-func (ta *Table) LoadsBut(peer string) map[string]Load {
+// WorkBut returns the work of all daemons without that of another one: what
+// that one can't know by itself.
+func (ta *Table) WorkBut(peer string, now time.Time) Work {
 	ta.mu.Lock()
 	defer ta.mu.Unlock()
-	told := ta.peers[peer].loads
-	loads := make(map[string]Load, len(ta.groups))
+	told := ta.peers[peer]
+	wo := Work{Loads: make(map[string]Load, len(ta.groups)), Rates: ta.rates.all(now)}
 	for name, gr := range ta.groups {
-		if lo := gr.own.plus(gr.peers).minus(told[name]); lo.Requests > 0 {
-			loads[name] = lo
+		if lo := gr.own.plus(gr.peers).minus(told.Loads[name]); lo.Requests > 0 {
+			wo.Loads[name] = lo
+		}
+	}
+	for model, perSecond := range ta.peerRates {
+		if others := perSecond - told.Rates[model]; others > minRate {
+			wo.Rates[model] += others
 		}
 	}
-	return loads
+	return wo
 }
--- a/internal/core/dispatch/table.go
+++ b/internal/core/dispatch/table.go
@@ -23,9 +23,6 @@
 	// checkAgain is the time between questions to the members of a group that
 	// goes on standing still although all of them answer.
 	checkAgain = 700 * time.Millisecond
-	// localBonus is taken off the prediction for groups of the own data
-	// centre: what a round trip between data centres costs, and its bytes.
-	localBonus = 4 * time.Millisecond
 )
 
 // Table holds the groups that requests may be sent to.
@@ -34,7 +31,13 @@
 	DataCenter string
 	mu         sync.Mutex
 	groups     map[string]*Group
-	peers      map[string]peerLoad
+	peers      map[string]peerWork
+	// delay is how old what others tell of their work is when it counts.
+	delay time.Duration
+	// rates are the requests that this daemon gets for each model, peerRates
+	// those that the others get, a second.
+	rates     arrivals
+	peerRates map[string]float32
 	// expired is when old loads of other daemons were last looked for.
 	expired time.Time
 }
@@ -50,17 +53,28 @@
 	Pause time.Duration
 	// Wait is the longest useful wait for the first event.
 	Wait time.Duration
+	// Begun is set for a request whose caller has a part of the answer.
+	Begun bool
 	// Except are groups that the request was sent to before.
 	Except []*Group
 }
 
+// SetDelay tells how old what other daemons tell of their work is when it
+// counts.
+func (ta *Table) SetDelay(delay time.Duration) {
+	ta.mu.Lock()
+	defer ta.mu.Unlock()
+	ta.delay = delay
+}
+
 // Update takes a view in. What is known of groups that stay is kept.
 func (ta *Table) Update(vi *catalog.View, cfg *catalog.Config, now time.Time) {
 	ta.mu.Lock()
 	defer ta.mu.Unlock()
 	if ta.groups == nil {
 		ta.groups = make(map[string]*Group)
-		ta.peers = make(map[string]peerLoad)
+		ta.peers = make(map[string]peerWork)
+		ta.peerRates = make(map[string]float32)
 	}
 	for _, gr := range ta.groups {
 		gr.listed = false
@@ -90,8 +104,13 @@
 type candidate struct {
 	gr *Group
 	Prediction
-	cost time.Duration
 	fits bool
+	// running is how many requests the group is expected to run, of those that
+	// are known of.
+	running float64
+	// weight is the number of requests that the group is to get of those that
+	// all daemons send now.
+	weight float64
 }
 
 // Choice is the outcome of a pick.
@@ -106,13 +125,17 @@
 	Again time.Duration
 }
 
-// Pick returns the group for a request and counts the request there. Two
-// random groups that meet the objective are compared, since daemons that all
-// took the best would choose the same one until they hear of each other.
+// Pick returns the group for a request and counts the request there.
 func (ta *Table) Pick(ne Need, cancel context.CancelCauseFunc, now time.Time) (Choice, *Ticket) {
 	ta.mu.Lock()
 	defer ta.mu.Unlock()
-	cands := ta.candidates(ne)
+	if ta.rates == nil {
+		ta.rates = make(arrivals)
+	}
+	if !ne.Begun {
+		ta.rates.add(ne.Model, now)
+	}
+	cands, left := ta.candidates(ne)
 	ch := Choice{Groups: len(cands)}
 	if len(cands) == 0 {
 		ch.Again = againNoGroup
@@ -120,7 +143,7 @@
 	}
 	best := choose(cands)
 	ch.Prediction, ch.Fits = best.Prediction, best.fits
-	if !best.fits && !admissible(best, ne) {
+	if crowded := !ne.Begun && rand.Float64() < left; crowded || !best.fits && !admissible(best, ne) {
 		ch.Again = max(againFull, best.First-ne.Objective)
 		return ch, nil
 	}
@@ -144,54 +167,83 @@
 	return !ca.Full && ca.First < ne.Wait && ca.Pass <= ne.Pause
 }
 
-func (ta *Table) candidates(ne Need) []candidate {
+// candidates returns the groups that the request may be sent to, and the part
+// of the requests of its kind that none of them has room for.
+func (ta *Table) candidates(ne Need) ([]candidate, float64) {
 	var cands []candidate
+	var levels []level
 	for _, gr := range ta.groups {
 		if !gr.listed || gr.leaving || gr.stalled || gr.Service != ne.Service || gr.Model != ne.Model || slices.Contains(ne.Except, gr) {
 			continue
 		}
-		pr := predict(gr.engine, gr.model, gr.slowness(), gr.own.plus(gr.peers), ne.Prompt)
-		ca := candidate{gr: gr, Prediction: pr, cost: pr.First}
-		if gr.DataCenter == ta.DataCenter {
-			ca.cost -= localBonus
-		}
-		ca.fits = !pr.Full && pr.First <= ne.Objective && pr.Pass <= scale(ne.Pause, pauseMargin)
-		cands = append(cands, ca)
+		le, distance := ta.level(gr), ta.distance(gr)
+		cands = append(cands, candidate{gr: gr, running: le.load})
+		levels = append(levels, level{le.load + distance, le.room + distance})
+	}
+	unseen := max(0, float64(ta.peerRates[ne.Model])) * ta.delay.Seconds()
+	shares, left := fill(levels, unseen+1)
+	for i := range cands {
+		ca := &cands[i]
+		ca.weight = shares[i]
+		lo := ca.gr.own.plus(ca.gr.peers)
+		lo.Requests = int(ca.running + shares[i]*unseen/(unseen+1))
+		ca.Prediction = predict(ca.gr.engine, ca.gr.model, ca.gr.slowness(), lo, ne.Prompt)
+		ca.fits = !ca.Full && ca.First <= ne.Objective && ca.Pass <= scale(ne.Pause, pauseMargin)
 	}
-	return cands
+	return cands, left / (unseen + 1)
 }
 
-// pauseMargin is the part of the longest pause that a prediction may fill.
-const pauseMargin = 0.8
+// level estimates a group's load. Of what the others told, some requests have
+// ended since.
+func (ta *Table) level(gr *Group) level {
+	life := answerTime(gr.engine, gr.own.plus(gr.peers), max(gr.model.Pace, minPace)*gr.slowness())
+	still := max(0, 1-ta.delay.Seconds()/life.Seconds())
+	return level{load: float64(gr.own.Requests) + float64(gr.peers.Requests)*still, room: float64(gr.engine.Slots)}
+}
 
-// choose returns the better of two random candidates that fit, or else the
+// distance is how many requests more the group should look to run than it does.
+func (ta *Table) distance(gr *Group) float64 {
+	if gr.DataCenter == ta.DataCenter {
+		return 0
+	}
+	return remoteLoad
+}
+
+const (
+	// pauseMargin is the part of the longest pause that a prediction may fill.
+	pauseMargin = 0.8
+	// remoteLoad is how many requests more a group of the own data centre may
+	// run than one of another, for what a round trip and its bytes cost.
+	remoteLoad = 2
+)
+
+// choose returns one of the candidates that fit, by their weights, or else the
 // best of all.
 func choose(cands []candidate) candidate {
-	rand.Shuffle(len(cands), func(i, j int) { cands[i], cands[j] = cands[j], cands[i] })
-	var fit []candidate
+	sum := 0.0
 	for _, ca := range cands {
 		if ca.fits {
-			fit = append(fit, ca)
+			sum += ca.weight
 		}
 	}
-	if len(fit) > choices {
-		fit = fit[:choices]
-	}
-	if len(fit) > 0 {
-		cands = fit
+	at := rand.Float64() * sum
+	for _, ca := range cands {
+		if !ca.fits || ca.weight <= 0 {
+			continue
+		}
+		if at -= ca.weight; at < 0 {
+			return ca
+		}
 	}
 	best := cands[0]
 	for _, ca := range cands[1:] {
-		if ca.Full == best.Full && ca.cost < best.cost || best.Full && !ca.Full {
+		if ca.Full == best.Full && ca.First < best.First || best.Full && !ca.Full {
 			best = ca
 		}
 	}
 	return best
 }
 
-// choices is how many groups that fit are compared.
-const choices = 2
-
 func (ta *Table) begin(gr *Group, ne Need, cancel context.CancelCauseFunc, now time.Time) *Ticket {
 	ti := &Ticket{Group: gr, ta: ta, load: Load{Requests: 1, Reading: ne.Prompt}, cancel: cancel}
 	if gr.own.Requests == 0 {
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"corianderhub.dev/corianderhub/internal/core/catalog"
+	"corianderhub.dev/corianderhub/internal/core/dispatch"
 	"corianderhub.dev/corianderhub/internal/mesh"
 	"corianderhub.dev/corianderhub/platform"
 )
@@ -144,6 +145,7 @@
 		ct.sweepDue = now.Add(poolSweep)
 		ct.da.pool.Sweep()
 		ct.shareBudget()
+		ct.da.table.SetDelay(ct.da.mesh.LoadDelay())
 	}
 }
 
@@ -214,13 +216,13 @@
 		be.HeardTerm, be.HeardNumber = ct.steward.Term, ct.steward.Number
 	}
 	ct.lease.sent(ct.number)
-	loads := mesh.Loads{Own: ct.da.table.Own()}
+	work := mesh.Work{Own: ct.da.table.Own(now)}
 	if ct.lease.settled() {
 		be.Steward, be.Term, be.View = true, ct.lease.term, ct.lease.sequence
 		be.Silent = ct.da.mesh.Silent()
-		loads.But = ct.da.table.LoadsBut
+		work.But = func(ip string) dispatch.Work { return ct.da.table.WorkBut(ip, now) }
 	}
-	if err := ct.da.mesh.Send(be, loads, ex.to); err != nil {
+	if err := ct.da.mesh.Send(be, work, ex.to); err != nil {
 		ct.da.Log.Error("control: beat not sent.", "cause", err.Error())
 	}
 }
@@ -228,12 +230,12 @@
 // beat takes in what another daemon told.
 func (ct *control) beat(be mesh.Beat) {
 	now := ct.da.Clock.Now()
-	switch be.LoadsOf {
-	case mesh.LoadsOwn:
-		ct.da.table.PeerLoads(be.IP, be.Loads, now)
-	case mesh.LoadsRelayed:
-		ct.da.table.RelayedLoads(be.Loads, now)
-	case mesh.LoadsNone:
+	switch be.WorkOf {
+	case mesh.WorkOwn:
+		ct.da.table.PeerWork(be.IP, be.Work, now)
+	case mesh.WorkRelayed:
+		ct.da.table.RelayedWork(be.Work, now)
+	case mesh.WorkNone:
 	}
 	ct.served = ct.served || be.Served
 	ct.lease.promised(be)
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -139,7 +139,7 @@
 	for waited := time.Duration(0); ; waited += goOnPause {
 		now := st.sv.Clock.Now()
 		need := dispatch.Need{Service: st.service, Model: st.model, Prompt: st.prompt, Pause: st.route.PauseObjective,
-			Objective: st.route.Objective - now.Sub(st.arrived) - callerDelay, Wait: min(lateWait, st.left()), Except: st.tried}
+			Objective: st.route.Objective - now.Sub(st.arrived) - callerDelay, Wait: min(lateWait, st.left()), Begun: st.started, Except: st.tried}
 		if st.started {
 			// The caller has the first event: what counts now is a short gap.
 			need.Objective = st.route.PauseObjective
--- a/internal/mesh/beat.go
+++ b/internal/mesh/beat.go
@@ -42,9 +42,9 @@
 	Age time.Duration `cbor:"12,keyasint,omitempty"`
 	// Served is set once callers have sent requests.
 	Served bool `cbor:"13,keyasint,omitempty"`
-	// Loads is work at groups, by their names; LoadsOf says whose.
-	Loads   map[string]dispatch.Load `cbor:"14,keyasint,omitempty"`
-	LoadsOf LoadsOf                  `cbor:"21,keyasint,omitempty"`
+	// Work is what daemons have to do with groups; WorkOf says which daemons.
+	Work   dispatch.Work `cbor:"14,keyasint,omitzero"`
+	WorkOf WorkOf        `cbor:"21,keyasint,omitempty"`
 	// HeardTerm and HeardNumber name the last beat of a steward that the daemon
 	// heard. With them it promises not to look at the lease for a while; they
 	// are 0 while it does.
@@ -65,17 +65,17 @@
 	Change *catalog.Change `cbor:"23,keyasint,omitempty"`
 }
 
-// LoadsOf says whose work at groups a beat tells.
-type LoadsOf uint8
+// WorkOf says whose work a beat tells.
+type WorkOf uint8
 
 // Whose work a beat tells.
 const (
-	// LoadsNone means that the beat says nothing of work.
-	LoadsNone LoadsOf = iota
-	// LoadsOwn is what the sender has sent.
-	LoadsOwn
-	// LoadsRelayed is what all daemons but the receiver have sent.
-	LoadsRelayed
+	// WorkNone means that the beat says nothing of work.
+	WorkNone WorkOf = iota
+	// WorkOwn is the sender's.
+	WorkOwn
+	// WorkRelayed is that of all daemons but the receiver.
+	WorkRelayed
 )
 
 // Suspect names a group whose requests stand still.
@@ -175,7 +175,7 @@
 		me.Log.Info("mesh: daemon joined.", "daemon", be.Name, "ip", be.IP)
 	}
 	pe.Beat, pe.At = be, now
-	pe.Loads, pe.Change = nil, nil
+	pe.Work, pe.Change = dispatch.Work{}, nil
 	me.hearSilent(be)
 	return true
 }
--- a/internal/mesh/pace.go
+++ b/internal/mesh/pace.go
@@ -58,6 +58,25 @@
 	return len(me.peers) <= directMost
 }
 
+// LoadDelay is how old what other daemons tell of their load is when it counts,
+// on average: half of each interval on its way, and the ways themselves.
+func (me *Mesh) LoadDelay() time.Duration {
+	me.mu.Lock()
+	defer me.mu.Unlock()
+	pa := me.pace()
+	switch {
+	case pa.direct:
+		return pa.each/2 + wayDelay
+	case pa.stewardIP == pa.ownIP:
+		return pa.load/2 + wayDelay
+	}
+	return (pa.load+pa.steward)/2 + 2*wayDelay
+}
+
+// wayDelay is the time that a beat takes: until the next look whether one is
+// due, and the way.
+const wayDelay = 15 * time.Millisecond
+
 // SetSteward tells which daemon is the steward; "" when none is known.
 func (me *Mesh) SetSteward(ip string) {
 	me.mu.Lock()
@@ -162,15 +181,15 @@
 	return since >= pa.toward(ip, pe)
 }
 
-// tells says which loads a daemon is told.
-func (pa *pace) tells(ip string) LoadsOf {
+// tells says which work a daemon is told.
+func (pa *pace) tells(ip string) WorkOf {
 	switch {
 	case pa.direct, pa.stewardIP == ip:
-		return LoadsOwn
+		return WorkOwn
 	case pa.stewardIP == pa.ownIP:
-		return LoadsRelayed
+		return WorkRelayed
 	}
-	return LoadsNone
+	return WorkNone
 }
 
 // Silent returns the daemons that have fallen silent lately, for the steward
@@ -209,17 +228,17 @@
 	}
 }
 
-// Loads is what a beat may tell of the work at groups.
-type Loads struct {
-	// Own is what this daemon has sent.
-	Own map[string]dispatch.Load
-	// But returns what all daemons but one have sent; the steward sets it.
-	But func(ip string) map[string]dispatch.Load
+// Work is what a beat may tell of the work at groups.
+type Work struct {
+	// Own is this daemon's.
+	Own dispatch.Work
+	// But returns that of all daemons but one; the steward sets it.
+	But func(ip string) dispatch.Work
 }
 
 // Send sends a beat.
-func (me *Mesh) Send(be Beat, lo Loads, to Audience) error {
-	ma := mailer{be: be, lo: lo}
+func (me *Mesh) Send(be Beat, wo Work, to Audience) error {
+	ma := mailer{be: be, wo: wo}
 	for _, ad := range me.due(to) {
 		raw, err := ma.letter(ad)
 		if err != nil {
@@ -234,10 +253,10 @@
 	return nil
 }
 
-// addressee is a daemon to send a beat to, and which loads it is told.
+// addressee is a daemon to send a beat to, and which work it is told.
 type addressee struct {
 	to   netip.AddrPort
-	tell LoadsOf
+	tell WorkOf
 }
 
 func (me *Mesh) due(to Audience) []addressee {
@@ -287,22 +306,22 @@
 // mailer encodes a beat once for all daemons that are told the same.
 type mailer struct {
 	be        Beat
-	lo        Loads
+	wo        Work
 	own, none []byte
 }
 
 func (ma *mailer) letter(ad addressee) ([]byte, error) {
 	be := ma.be
-	be.LoadsOf = ad.tell
+	be.WorkOf = ad.tell
 	switch {
-	case ad.tell == LoadsRelayed && ma.lo.But != nil:
-		be.Loads = ma.lo.But(ad.to.Addr().String())
+	case ad.tell == WorkRelayed && ma.wo.But != nil:
+		be.Work = ma.wo.But(ad.to.Addr().String())
 		return encode(be)
-	case ad.tell == LoadsOwn:
-		be.Loads = ma.lo.Own
+	case ad.tell == WorkOwn:
+		be.Work = ma.wo.Own
 		return once(&ma.own, be)
 	}
-	be.LoadsOf = LoadsNone
+	be.WorkOf = WorkNone
 	return once(&ma.none, be)
 }
 
--- a/internal/mesh/pace_test.go
+++ b/internal/mesh/pace_test.go
@@ -66,7 +66,7 @@
 // countStep is the interval at which beats are sent when they are due.
 const countStep = 10 * time.Millisecond
 
-func to(num int, tell LoadsOf) addressee {
+func to(num int, tell WorkOf) addressee {
 	return addressee{netip.AddrPortFrom(netip.MustParseAddr(otherIP(num)), 7), tell}
 }
 
@@ -80,13 +80,13 @@
 		// that the daemons 1 (the steward), 4 and 2 are sent in 10 s.
 		perSecond       int
 		load, near, far int
-		loadTells       LoadsOf
+		loadTells       WorkOf
 	}{
-		{"few", 8, 1, 200, 200, 200, 200, LoadsOwn},
-		{"many", 67, 1, 80, 100, 23, 3, LoadsOwn},
-		{"very many", 369, 1, 70, 19, 4, 1, LoadsOwn},
-		{"steward of many", 67, -1, 1000, 125, 125, 125, LoadsRelayed},
-		{"steward of very many", 369, -1, 1000, 27, 27, 27, LoadsRelayed},
+		{"few", 8, 1, 200, 200, 200, 200, WorkOwn},
+		{"many", 67, 1, 80, 100, 23, 3, WorkOwn},
+		{"very many", 369, 1, 70, 19, 4, 1, WorkOwn},
+		{"steward of many", 67, -1, 1000, 125, 125, 125, WorkRelayed},
+		{"steward of very many", 369, -1, 1000, 27, 27, 27, WorkRelayed},
 	}
 	for _, tc := range tests {
 		t.Run(tc.name, func(t *testing.T) {
@@ -103,8 +103,8 @@
 			if total > tc.perSecond*10*11/10 {
 				t.Errorf("%d beats in 10 s, want %d at most", total, tc.perSecond*10)
 			}
-			others := LoadsNone
-			if tc.loadTells == LoadsRelayed || tc.others <= directMost {
+			others := WorkNone
+			if tc.loadTells == WorkRelayed || tc.others <= directMost {
 				others = tc.loadTells
 			}
 			for _, want := range []struct{ num, beats int }{{1, tc.load}, {4, tc.near}, {2, tc.far}} {
@@ -113,7 +113,7 @@
 					tell = tc.loadTells
 				}
 				if got := sent[to(want.num, tell)]; got < want.beats*8/10 || got > want.beats+2 {
-					t.Errorf("daemon %d got %d beats in 10 s, want some %d; all: %v", want.num, got, want.beats, sent[to(want.num, LoadsNone)])
+					t.Errorf("daemon %d got %d beats in 10 s, want some %d; all: %v", want.num, got, want.beats, sent[to(want.num, WorkNone)])
 				}
 			}
 		})
@@ -158,16 +158,18 @@
 // Who is told what of the load: one letter for all that are told the same.
 func TestLetters(t *testing.T) {
 	own := map[string]dispatch.Load{"a": {Requests: 3}}
-	ma := mailer{be: Beat{IP: "10.0.0.1"}, lo: Loads{Own: own,
-		But: func(ip string) map[string]dispatch.Load { return map[string]dispatch.Load{ip: {Requests: 1}} }}}
+	ma := mailer{be: Beat{IP: "10.0.0.1"}, wo: Work{Own: dispatch.Work{Loads: own},
+		But: func(ip string) dispatch.Work {
+			return dispatch.Work{Loads: map[string]dispatch.Load{ip: {Requests: 1}}, Rates: map[string]float32{"linden": 2.5}}
+		}}}
 	tests := []struct {
-		tell LoadsOf
+		tell WorkOf
 		want map[string]dispatch.Load
 	}{
-		{LoadsOwn, own},
-		{LoadsNone, nil},
-		{LoadsRelayed, map[string]dispatch.Load{otherIP(1): {Requests: 1}}},
-		{LoadsOwn, own},
+		{WorkOwn, own},
+		{WorkNone, nil},
+		{WorkRelayed, map[string]dispatch.Load{otherIP(1): {Requests: 1}}},
+		{WorkOwn, own},
 	}
 	for _, tc := range tests {
 		raw, err := ma.letter(to(1, tc.tell))
@@ -178,12 +180,12 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		if be.LoadsOf != tc.tell || len(be.Loads) != len(tc.want) {
-			t.Errorf("told %v: %v, want %v", be.LoadsOf, be.Loads, tc.want)
+		if be.WorkOf != tc.tell || len(be.Work.Loads) != len(tc.want) {
+			t.Errorf("told %v: %v, want %v", be.WorkOf, be.Work.Loads, tc.want)
 		}
 		for name, lo := range tc.want {
-			if be.Loads[name] != lo {
-				t.Errorf("load of %s: %v, want %v", name, be.Loads[name], lo)
+			if be.Work.Loads[name] != lo {
+				t.Errorf("load of %s: %v, want %v", name, be.Work.Loads[name], lo)
 			}
 		}
 	}
