--- a/internal/core/dispatch/table.go
+++ b/internal/core/dispatch/table.go
@@ -341,6 +341,21 @@
 	gr.stalled = true
 }
 
+// Requests returns how many requests run or wait at groups: those of this
+// daemon, or those of all.
+func (ta *Table) Requests(all bool) int {
+	ta.mu.Lock()
+	defer ta.mu.Unlock()
+	num := 0
+	for _, gr := range ta.groups {
+		num += gr.own.Requests
+		if all {
+			num += gr.peers.Requests
+		}
+	}
+	return num
+}
+
 // GroupStatus is what operators see of a group.
 type GroupStatus struct {
 	Name, Model string
--- a/internal/entry/act.go
+++ b/internal/entry/act.go
@@ -60,6 +60,8 @@
 		return
 	}
 	ct.execute(sh.core.Step(now))
+	st := sh.core.Stats()
+	ct.da.stats.Store(&st)
 	ct.logEvents(sh.core.Events())
 	ct.publish()
 }
@@ -115,7 +117,7 @@
 	sh.published = vi
 	ct.hearView(vi)
 	ct.sendBeat(ex)
-	st := sh.core.Stats()
+	st := ct.da.stats.Load()
 	ct.da.Log.Info("steward: view published.", "term", sh.term, "view", sh.sequence, "serving", st.Serving, "forming", st.Forming,
 		"broken", st.Broken, "spares", st.Spares, "stranded", st.Stranded, "down", st.Down)
 }
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"corianderhub.dev/corianderhub/internal/core/catalog"
@@ -50,6 +51,12 @@
 	confirmed time.Time
 	// following is set while this daemon follows the store itself; shared.
 	following bool
+	// newGone is set when an endpoint was just seen to leave.
+	newGone bool
+	// deputyAt is when the store last confirmed what a deputy knows, shared under
+	// mu; deputy is set while this daemon is one, shared.
+	deputyAt time.Time
+	deputy   atomic.Bool
 	// turn counts how often following began; shared. A follower whose turn is over
 	// reads all anew.
 	turn int
@@ -59,6 +66,7 @@
 	number    uint64
 	beatCheck time.Time
 	sweepDue  time.Time
+	totalsDue time.Time
 	served    bool
 	lease     stewardship
 	// begun is when the control loop began to run.
@@ -157,8 +165,8 @@
 }
 
 // startPatience is how long a daemon that starts waits for a steward's word
-// before it asks the store itself.
-const startPatience = 20 * time.Millisecond
+// before it asks the store itself. It has read by then who else is there.
+const startPatience = 150 * time.Millisecond
 
 // step does what is due.
 func (ct *control) step() {
@@ -167,17 +175,24 @@
 	ct.stepMissing(now)
 	ct.stepSteward(now)
 	ct.stepStalls(now)
+	if ct.newGone && ct.lease.core == nil && !ct.da.mesh.Direct() {
+		// The others would hear of it only with the next beats, seconds later.
+		ct.sendBeat(beatExtra{to: mesh.ToEveryone})
+	}
+	ct.newGone = false
 	if now.Sub(ct.beatCheck) >= beatCheck {
 		ct.beatCheck = now
 		if ct.da.mesh.AnyDue() {
 			ct.sendBeat(beatExtra{})
 		}
 	}
+	ct.logTotals(now)
 	if now.After(ct.sweepDue) {
 		ct.sweepDue = now.Add(poolSweep)
 		ct.da.pool.Sweep()
 		ct.shareBudget()
 		ct.da.table.SetDelay(ct.da.mesh.LoadDelay())
+		ct.deputy.Store(ct.isDeputy(now))
 	}
 }
 
@@ -206,7 +221,15 @@
 // deployment asks for that.
 func (ct *control) tooOld() bool {
 	bo := ct.da.Settings.Bounds
-	return bo.RevokeFailClosed && ct.age(ct.da.Clock.Now()) > bo.Revoke*9/10
+	return bo.RevokeFailClosed && ct.keyAge(ct.da.Clock.Now()) > bo.Revoke*9/10
+}
+
+// keyAge is how long ago the store last confirmed the keys that are accepted:
+// to this daemon, to the steward, or to a deputy.
+func (ct *control) keyAge(now time.Time) time.Duration {
+	ct.mu.Lock()
+	defer ct.mu.Unlock()
+	return min(now.Sub(ct.confirmed), now.Sub(ct.deputyAt))
 }
 
 // wrongPause bounds the lines about endpoints that are not the ones expected.
@@ -239,7 +262,7 @@
 	be := mesh.Beat{IP: set.IP, Started: ct.da.started, Number: ct.number, Name: set.Name, DataCenter: set.DataCenter,
 		Callers: set.Callers, Taking: ct.da.taking(), Age: ct.age(now), Served: ct.served || ct.da.front.Served() > 0,
 		Gone: ct.gone.lately(now), Suspects: ex.suspects, Change: ex.change,
-		Power: int(set.CPUShare * 1000)}
+		Power: int(set.CPUShare * 1000), Follows: ct.follows()}
 	if co := ct.da.config.Load(); co != nil {
 		be.Config = co.Revision
 	}
@@ -280,6 +303,7 @@
 		}
 	}
 	ct.hearConfig(be)
+	ct.hearDeputy(be, now)
 	if !be.Steward || be.Term < ct.steward.Term || ct.lease.core != nil && be.Term <= ct.lease.term {
 		return
 	}
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -20,6 +20,7 @@
 	"corianderhub.dev/corianderhub/internal/clock"
 	"corianderhub.dev/corianderhub/internal/core/catalog"
 	"corianderhub.dev/corianderhub/internal/core/dispatch"
+	"corianderhub.dev/corianderhub/internal/core/steward"
 	"corianderhub.dev/corianderhub/internal/front"
 	"corianderhub.dev/corianderhub/internal/http1"
 	"corianderhub.dev/corianderhub/internal/mesh"
@@ -74,8 +75,11 @@
 	table   *dispatch.Table
 	plain   *dispatch.Plain
 	// config and view are what traffic goes by.
-	config   atomic.Pointer[configuration]
-	view     atomic.Pointer[catalog.View]
+	config atomic.Pointer[configuration]
+	view   atomic.Pointer[catalog.View]
+	// stats are the steward's, nil while this daemon is not the steward.
+	stats    atomic.Pointer[steward.Stats]
+	gauges   *metrics.Set
 	stopping atomic.Bool
 	group    run.Group
 	// base ends the daemon at once and without farewell, as a kill does; tests
@@ -175,7 +179,8 @@
 	}
 	if da.MetricsPort != 0 {
 		mux := http.NewServeMux()
-		mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
+		da.gauges = da.newGauges()
+		mux.HandleFunc("GET /metrics", da.sendMetrics)
 		listeners = append(listeners, struct {
 			name, addr string
 			handler    http.Handler
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -30,6 +31,27 @@
 	daemons []*running
 	client  *http.Client
 	subnet  int
+	// log holds what all daemons have logged.
+	log *logBuffer
+}
+
+// logBuffer keeps log lines for tests that read them.
+type logBuffer struct {
+	mu  sync.Mutex
+	buf strings.Builder
+}
+
+func (lb *logBuffer) add(line []byte) {
+	lb.mu.Lock()
+	defer lb.mu.Unlock()
+	lb.buf.Write(line)
+}
+
+// String returns all lines so far.
+func (lb *logBuffer) String() string {
+	lb.mu.Lock()
+	defer lb.mu.Unlock()
+	return lb.buf.String()
 }
 
 // running is a daemon with its way to the store.
@@ -56,7 +78,7 @@
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
-	sk := &stack{t: t, ctx: ctx, subnet: <-subnets, client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
+	sk := &stack{t: t, ctx: ctx, subnet: <-subnets, log: &logBuffer{}, client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
 		de: &emulator.Deployment{Models: 7, Desks: 2, EventEvery: 20 * time.Millisecond}}
 	if err := sk.de.Start(ctx); err != nil {
 		t.Fatal(err)
@@ -103,7 +125,7 @@
 	ctx, stop := context.WithCancel(sk.ctx)
 	dead, kill := context.WithCancel(sk.ctx)
 	ru := &running{ip: ip, gate: gate, kill: kill, stop: stop, dead: dead, done: make(chan error, 1),
-		da: &Daemon{base: dead, Settings: set, Clock: clock.System{}, Log: slog.New(slog.NewTextHandler(testWriter{sk.t}, nil))}}
+		da: &Daemon{base: dead, Settings: set, Clock: clock.System{}, Log: slog.New(slog.NewTextHandler(testWriter{sk.t, sk.log}, nil))}}
 	go func() { ru.done <- ru.da.Run(ctx) }()
 	if num < len(sk.daemons) {
 		sk.daemons[num] = ru
@@ -126,9 +148,13 @@
 	}
 }
 
-type testWriter struct{ t *testing.T }
+type testWriter struct {
+	t   *testing.T
+	log *logBuffer
+}
 
 func (tw testWriter) Write(line []byte) (int, error) {
+	tw.log.add(line)
 	if tw.t.Context().Err() == nil {
 		tw.t.Log(strings.TrimSpace(string(line)))
 	}
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -4,9 +4,11 @@
 	"context"
 	"errors"
 	"maps"
+	"slices"
 	"time"
 
 	"corianderhub.dev/corianderhub/internal/core/catalog"
+	"corianderhub.dev/corianderhub/internal/mesh"
 	"corianderhub.dev/corianderhub/platform"
 )
 
@@ -21,6 +23,9 @@
 	// doubles up to maxRetryPause, since refused calls count like others.
 	retryPause    = 250 * time.Millisecond
 	maxRetryPause = time.Second
+	// maxRetryPauseOthers is the same for daemons that are no deputies: they
+	// hear of the store's return from those.
+	maxRetryPauseOthers = 4 * time.Second
 	// idlePause is the time between looks whether to follow the store again.
 	idlePause = 100 * time.Millisecond
 )
@@ -121,7 +126,7 @@
 	if !fo.failing {
 		fo.ct.da.Log.Warn("store: lost.", "prefix", fo.prefix, "cause", err.Error())
 	}
-	fo.pause = min(maxRetryPause, max(retryPause, 2*fo.pause))
+	fo.pause = min(fo.ct.maxPause(), max(retryPause, 2*fo.pause))
 	fo.failing = true
 	fo.after = 0
 }
@@ -149,6 +154,14 @@
 	ct.confirm(at)
 }
 
+// maxPause is the longest time between calls to a store that does not answer.
+func (ct *control) maxPause() time.Duration {
+	if ct.deputy.Load() {
+		return maxRetryPause
+	}
+	return maxRetryPauseOthers
+}
+
 // follows tells whether this daemon follows the store itself.
 func (ct *control) follows() bool { return ct.followTurn() > 0 }
 
@@ -172,7 +185,7 @@
 	switch {
 	case ct.lease.core != nil:
 		want = true
-	case age > staleAfter:
+	case age > staleAfter && (ct.isDeputy(now) || ct.deputySilence(now) > staleAfter+deputyPatience):
 		want = true
 	case now.Sub(ct.heard) < freshAfter && ct.steward.Age < freshAfter:
 		want = false
@@ -191,6 +204,64 @@
 	ct.updateView()
 }
 
+// Without a steward every daemon would read the store and wait for its changes:
+// with 68 of them some 40 calls for each second and change. Where daemons are
+// many, the deputies of each data centre do so and tell the rest.
+const (
+	// deputies is how many daemons of a data centre follow the store in the
+	// steward's place. The store may turn a third of the daemons away.
+	deputies = 3
+	// deputyPatience is added to the silence of the deputies before others read
+	// the store themselves.
+	deputyPatience = 700 * time.Millisecond
+	// startSettle is how long a daemon that starts does not know yet who is
+	// alive. When 68 daemons start together and all follow the store, each entry
+	// of 300 endpoints that register wakes all of them: some 1,400 calls, more
+	// than in the rest of a calm day.
+	startSettle = 2 * time.Second
+)
+
+// isDeputy tells whether this daemon is one of the first of its data centre, or
+// when it starts, one of the first that are known.
+func (ct *control) isDeputy(now time.Time) bool {
+	if now.Sub(ct.begun) < startSettle {
+		return slices.Index(slices.Sorted(slices.Values(ct.da.mesh.Known())), ct.da.Settings.IP) < deputies
+	}
+	if ct.da.mesh.Direct() {
+		return true
+	}
+	before := 0
+	for _, pe := range ct.da.mesh.Alive() {
+		if pe.DataCenter == ct.da.Settings.DataCenter && ct.before(pe) {
+			before++
+		}
+	}
+	return before < deputies
+}
+
+// deputySilence is how long no deputy has told anything fresh, since the start
+// of this daemon at most.
+func (ct *control) deputySilence(now time.Time) time.Duration {
+	ct.mu.Lock()
+	defer ct.mu.Unlock()
+	return min(now.Sub(ct.deputyAt), now.Sub(ct.begun))
+}
+
+// hearDeputy takes in how fresh a daemon of the same data centre is that follows
+// the store. Its configuration must be in force here; what it saw leave came
+// with the same beat.
+func (ct *control) hearDeputy(be mesh.Beat, now time.Time) {
+	co := ct.da.config.Load()
+	if !be.Follows || be.DataCenter != ct.da.Settings.DataCenter || co == nil || co.Revision < be.Config {
+		return
+	}
+	ct.mu.Lock()
+	defer ct.mu.Unlock()
+	if at := now.Add(-be.Age - hearDelay); at.After(ct.deputyAt) {
+		ct.deputyAt = at
+	}
+}
+
 // snapshot takes in all endpoints that the store has registered. Those that
 // are not there any more are gone, unless the store was away: then they may be
 // back soon.
@@ -255,7 +326,7 @@
 	delete(ct.missing, ep.ID)
 	ct.endpoints[ep.ID] = ep
 	if ep.Leaving {
-		ct.gone.note(ep.ID, ct.da.Clock.Now())
+		ct.newGone = ct.gone.note(ep.ID, ct.da.Clock.Now()) || ct.newGone
 	} else {
 		delete(ct.gone, ep.ID)
 	}
@@ -272,7 +343,7 @@
 	ct.da.Log.Info("control: endpoint gone.", "endpoint", id, "service", ep.Service)
 	delete(ct.endpoints, id)
 	delete(ct.missing, id)
-	ct.gone.note(id, ct.da.Clock.Now())
+	ct.newGone = ct.gone.note(id, ct.da.Clock.Now()) || ct.newGone
 	if ct.lease.core != nil {
 		ct.lease.core.Unregister(id, ct.da.Clock.Now())
 	}
--- /dev/null
+++ b/internal/entry/follow_test.go
@@ -0,0 +1,133 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"testing"
+	"time"
+
+	"corianderhub.dev/corianderhub/internal/clock"
+	"corianderhub.dev/corianderhub/internal/core/catalog"
+	"corianderhub.dev/corianderhub/internal/mesh"
+	"corianderhub.dev/corianderhub/platform"
+)
+
+// newLoneControl returns the control state of one of 40 daemons in two data
+// centres. It holds configuration 5, and nothing of it runs by itself.
+func newLoneControl(power int) (*control, *clock.Manual) {
+	cl := clock.NewManual(time.Unix(1000, 0))
+	log := slog.New(slog.DiscardHandler)
+	da := &Daemon{Clock: cl, Log: log, work: context.Background(),
+		Settings: platform.Settings{IP: "10.0.0.200", DataCenter: "dc-0", CPUShare: float64(power) / 1000},
+		mesh:     &mesh.Mesh{Clock: cl, Log: log, IP: "10.0.0.200", DataCenter: "dc-0"}}
+	da.config.Store(&configuration{Config: &catalog.Config{Revision: 5}})
+	ct := newControl(da)
+	da.control = ct
+	ct.begun, ct.confirmed = cl.Now(), cl.Now()
+	return ct, cl
+}
+
+// hearAll makes a beat of each other daemon come in.
+func (ct *control) hearAll(number uint64, be mesh.Beat) {
+	for i := range 39 {
+		be.IP, be.DataCenter, be.Number, be.Power = fmt.Sprint("10.0.0.", i+1), fmt.Sprint("dc-", i%2), number, 192
+		ct.da.mesh.Accept(be)
+	}
+}
+
+// The steward is lost. With 40 daemons, the first three of each data centre read
+// the store at once. The others rely on them, as long as they tell what the
+// store confirms and nothing newer than these know.
+func TestDeputies(t *testing.T) {
+	fresh := mesh.Beat{IP: "10.0.0.1", DataCenter: "dc-0", Follows: true, Config: 5}
+	newer, elsewhere, idle := fresh, fresh, fresh
+	newer.Config, elsewhere.DataCenter, idle.Follows = 6, "dc-1", false
+	tests := []struct {
+		name  string
+		power int
+		// heard is what a deputy tells after staleAfter.
+		heard *mesh.Beat
+		// atOnce and later say whether the daemon follows right then, and after
+		// deputyPatience.
+		atOnce, later bool
+	}{
+		{"a deputy", 800, nil, true, true},
+		{"the deputies are silent", 192, nil, false, true},
+		{"a deputy is fresh", 192, &fresh, false, false},
+		{"a deputy knows a newer configuration", 192, &newer, false, true},
+		{"a daemon of another data centre is fresh", 192, &elsewhere, false, true},
+		{"a daemon that does not follow tells", 192, &idle, false, true},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			ct, cl := newLoneControl(tc.power)
+			cl.Advance(startSettle)
+			ct.confirmed = cl.Now()
+			ct.deputyAt = cl.Now()
+			cl.Advance(staleAfter + time.Millisecond)
+			ct.hearAll(1, mesh.Beat{})
+			if tc.heard != nil {
+				ct.hearDeputy(*tc.heard, cl.Now())
+			}
+			ct.stepFollowing(cl.Now())
+			if got := ct.follows(); got != tc.atOnce {
+				t.Errorf("follows at once: %v, want %v", got, tc.atOnce)
+			}
+			cl.Advance(deputyPatience)
+			ct.hearAll(2, mesh.Beat{})
+			ct.stepFollowing(cl.Now())
+			if got := ct.follows(); got != tc.later {
+				t.Errorf("follows after %v: %v, want %v", deputyPatience, got, tc.later)
+			}
+		})
+	}
+}
+
+// Many daemons start together. Only the first that are known read the store at
+// once; the others learn from them, or read it when they hear nothing.
+func TestStartTogether(t *testing.T) {
+	for _, tc := range []struct {
+		ip     string
+		atOnce bool
+	}{{"10.0.0.0", true}, {"10.0.0.200", false}} {
+		ct, cl := newLoneControl(800)
+		ct.da.Settings.IP, ct.da.mesh.IP = tc.ip, tc.ip
+		ct.confirmed = cl.Now().Add(-staleAfter)
+		ct.hearAll(1, mesh.Beat{})
+		cl.Advance(time.Millisecond)
+		ct.stepFollowing(cl.Now())
+		if got := ct.follows(); got != tc.atOnce {
+			t.Errorf("%s follows at once: %v, want %v", tc.ip, got, tc.atOnce)
+		}
+		cl.Advance(startSettle)
+		ct.stepFollowing(cl.Now())
+		if !ct.follows() {
+			t.Errorf("%s does not follow after %v although it has heard nothing", tc.ip, startSettle)
+		}
+	}
+}
+
+// A machine is frozen, or out of processor time, while it asks the members of a
+// group. What ran out of time meanwhile is no proof; what did later is.
+func TestLateSince(t *testing.T) {
+	ct, cl := newLoneControl(192)
+	ct.noteDelay()
+	asked := cl.Now()
+	cl.Advance(tick)
+	ct.noteDelay()
+	if ct.lateSince(asked) {
+		t.Error("late after a tick in time")
+	}
+	cl.Advance(lateRound + tick)
+	ct.noteDelay()
+	if !ct.lateSince(asked) {
+		t.Error("not late after a tick that came late")
+	}
+	asked = cl.Now()
+	cl.Advance(tick)
+	ct.noteDelay()
+	if ct.lateSince(asked) {
+		t.Error("late still for what was asked after the delay")
+	}
+}
--- a/internal/entry/lease.go
+++ b/internal/entry/lease.go
@@ -365,6 +365,7 @@
 	}
 	ct.da.Log.Info("steward: lease given up.", "term", ct.lease.term, "reason", why)
 	ct.lease = stewardship{endpointsAt: ct.lease.endpointsAt, configAt: ct.lease.configAt}
+	ct.da.stats.Store(nil)
 	ct.heard = ct.da.Clock.Now()
 	ct.da.mesh.SetSteward("")
 }
--- /dev/null
+++ b/internal/entry/story_test.go
@@ -0,0 +1,93 @@
+package entry
+
+import (
+	"bytes"
+	"net/http"
+	"strings"
+	"testing"
+
+	"corianderhub.dev/corianderhub/internal/story"
+	"corianderhub.dev/corianderhub/platform"
+	"corianderhub.dev/corianderhub/platform/emulator"
+)
+
+// A user complains, and the engineers on call have the request's identifier and
+// the daemons' logs. For a fault that was injected, the story told from the logs
+// must name it.
+func TestStoryNamesCause(t *testing.T) {
+	tests := []struct {
+		name string
+		// fail makes the request fail and returns what the story must contain.
+		fail func(sk *stack, id string) []string
+	}{
+		{"refused since a group's members were lost", func(sk *stack, id string) []string {
+			for _, vm := range sk.de.Fleet.IDs() {
+				sk.de.Kill(vm)
+				sk.de.Forget(vm)
+			}
+			sk.until("no group serves", func() bool {
+				log := sk.log.String()
+				last := log[strings.LastIndex(log, "view published"):]
+				return sk.members(sk.daemons[0]) == 0 && strings.Contains(last, " serving=0 ")
+			})
+			if got := sk.ask(sk.daemons[0], "/draft/", id); got != "status 503" {
+				sk.t.Fatalf("answer %q", got)
+			}
+			return []string{"end: refused, no-group", "steward counted 0 groups that served"}
+		}},
+		{"a stream broken off by its group and all others", func(sk *stack, id string) []string {
+			for _, vm := range sk.de.Fleet.IDs() {
+				sk.de.Server(vm).SetFault(func(req *http.Request) emulator.Fault {
+					if req.Header.Get(platform.HeaderRequestID) == id {
+						return emulator.Truncates
+					}
+					return emulator.None
+				})
+			}
+			if got := sk.ask(sk.daemons[0], "/draft/", id); got == wholeStream(id) {
+				sk.t.Fatal("the stream is whole")
+			}
+			return []string{"end: broken", "an attempt failed: "}
+		}},
+		{"an answer lost of a request that must not repeat", func(sk *stack, id string) []string {
+			for _, desk := range sk.de.IDs("desk") {
+				sk.de.Server(desk).SetFault(func(req *http.Request) emulator.Fault {
+					if req.Header.Get(platform.HeaderRequestID) == id {
+						return emulator.LosesAnswer
+					}
+					return emulator.None
+				})
+			}
+			if got := sk.ask(sk.daemons[0], "/confirm/", id); got != "status 502" {
+				sk.t.Fatalf("answer %q", got)
+			}
+			return []string{"end: refused, answer-lost", "an attempt failed: may-have-run"}
+		}},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			sk := newStack(t, 2)
+			const id = "complaint"
+			want := tc.fail(sk, id)
+			var told bytes.Buffer
+			sk.until("the story names the cause", func() bool {
+				lines, skipped, err := story.Read("log", strings.NewReader(sk.log.String()))
+				if err != nil || skipped > 0 {
+					t.Fatalf("%d lines passed over, error %v", skipped, err)
+				}
+				story.Sort(lines)
+				told.Reset()
+				if err := story.Print(&told, story.OfRequest(lines, id), id); err != nil {
+					t.Fatal(err)
+				}
+				for _, text := range want {
+					if !strings.Contains(told.String(), text) {
+						return false
+					}
+				}
+				return true
+			})
+			t.Log(told.String())
+		})
+	}
+}
--- a/internal/mesh/beat.go
+++ b/internal/mesh/beat.go
@@ -58,6 +58,8 @@
 	Gone []string `cbor:"20,keyasint,omitempty"`
 	// Suspects are groups that stand still.
 	Suspects []Suspect `cbor:"15,keyasint,omitempty"`
+	// Follows is set while the daemon follows the store itself.
+	Follows bool `cbor:"26,keyasint,omitempty"`
 	// Sound are groups that were suspected and whose members have all answered.
 	Sound []Suspect `cbor:"24,keyasint,omitempty"`
 	// Power is the daemon's part of a processor, in thousandths of a core.
@@ -157,14 +159,14 @@
 			me.Log.Warn("mesh: datagram not understood.", "cause", err.Error())
 			continue
 		}
-		if me.accept(be) {
+		if me.Accept(be) {
 			me.OnBeat(be)
 		}
 	}
 }
 
-// accept notes a beat, unless a later one of the daemon has come before it.
-func (me *Mesh) accept(be Beat) bool {
+// Accept notes a beat, unless a later one of the daemon has come before it.
+func (me *Mesh) Accept(be Beat) bool {
 	if _, err := netip.ParseAddr(be.IP); err != nil || be.IP == me.IP {
 		return false
 	}
--- a/internal/mesh/pace_test.go
+++ b/internal/mesh/pace_test.go
@@ -36,7 +36,7 @@
 func (cr *crowd) hear(num int, be Beat) {
 	cr.number++
 	be.IP, be.DataCenter, be.Number, be.Started = otherIP(num), fmt.Sprint("dc-", num%4), cr.number, cr.started
-	cr.accept(be)
+	cr.Accept(be)
 }
 
 // hearAll makes all others but some be heard.
--- /dev/null
+++ b/internal/story/story_test.go
@@ -0,0 +1,129 @@
+package story
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/rogpeppe/go-internal/txtar"
+)
+
+// Each file in testdata holds the logs of some daemons in which a request
+// failed, its identifier in the comment, and the story to be told. The logs are
+// cut from real runs, and the story must name the fault that was injected.
+func TestStories(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.txtar")
+	if err != nil || len(files) == 0 {
+		t.Fatalf("no stories: %v", err)
+	}
+	for _, file := range files {
+		t.Run(filepath.Base(file), func(t *testing.T) {
+			ar, err := txtar.ParseFile(file)
+			if err != nil {
+				t.Fatal(err)
+			}
+			id := strings.TrimSpace(string(ar.Comment))
+			var lines []Line
+			want := -1
+			for i, fi := range ar.Files {
+				if fi.Name == "story" {
+					want = i
+					continue
+				}
+				read, skipped, err := Read(strings.TrimSuffix(fi.Name, ".log"), bytes.NewReader(fi.Data))
+				if err != nil || skipped > 0 {
+					t.Fatalf("%s: %d lines passed over, error %v", fi.Name, skipped, err)
+				}
+				lines = append(lines, read...)
+			}
+			Sort(lines)
+			var got bytes.Buffer
+			if err := Print(&got, OfRequest(lines, id), id); err != nil {
+				t.Fatal(err)
+			}
+			if os.Getenv("UPDATE_GOLDEN") != "" {
+				ar.Files[want].Data = got.Bytes()
+				if err := os.WriteFile(file, txtar.Format(ar), 0o644); err != nil {
+					t.Fatal(err)
+				}
+				return
+			}
+			if diff := cmp.Diff(string(ar.Files[want].Data), got.String()); diff != "" {
+				t.Errorf("story (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+func TestRead(t *testing.T) {
+	log := strings.Join([]string{
+		`time=2026-05-01T10:00:00.250Z level=INFO msg="front: answered." request=ab outcome=refused cause="a \"b\" = c"`,
+		`{"time":"2026-05-01T10:00:00.125Z","level":"INFO","msg":"front: answered.","request":"cd","ms":7}`,
+		`n lines were lost before this one`,
+		`time=yesterday msg=x`,
+		`time=2026-05-01T10:00:00.250Z level=INFO msg="cut off in the mid`,
+	}, "\n")
+	lines, skipped, err := Read("one", strings.NewReader(log))
+	if err != nil || skipped != 3 || len(lines) != 2 {
+		t.Fatalf("%d lines read, %d passed over, error %v; want 2, 3, none", len(lines), skipped, err)
+	}
+	Sort(lines)
+	if lines[0].Get("request") != "cd" || lines[0].Get("ms") != "7" || lines[1].Get("cause") != `a "b" = c` {
+		t.Errorf("lines: %v", lines)
+	}
+	if got, want := lines[1].String(), `10:00:00.250 one front: answered. request=ab outcome=refused cause="a \"b\" = c"`; got != want {
+		t.Errorf("line %s, want %s", got, want)
+	}
+}
+
+// What a daemon believed at a moment: the newest word of each kind before it.
+func TestBelieved(t *testing.T) {
+	log := `time=2026-05-01T10:00:00Z level=INFO msg="daemon: started." name=one
+time=2026-05-01T10:00:01Z level=INFO msg="control: configuration in force." version=4
+time=2026-05-01T10:00:02Z level=INFO msg="control: configuration in force." version=9
+time=2026-05-01T10:00:03Z level=WARN msg="store: lost." prefix=op/ cause=reset
+time=2026-05-01T10:00:04Z level=INFO msg="control: group stands still." group=g1
+time=2026-05-01T10:00:20Z level=INFO msg="control: configuration in force." version=12`
+	lines, _, err := Read("one", strings.NewReader(log))
+	if err != nil {
+		t.Fatal(err)
+	}
+	at := func(second int) time.Time { return time.Date(2026, 5, 1, 10, 0, second, 0, time.UTC) }
+	tests := []struct {
+		second int
+		want   []string
+	}{
+		{5, []string{"daemon: started.", "control: configuration in force. 9", "store: lost.", "control: group stands still."}},
+		{18, []string{"daemon: started.", "control: configuration in force. 9", "store: lost."}},
+		{30, []string{"daemon: started.", "store: lost.", "control: configuration in force. 12"}},
+	}
+	for _, tc := range tests {
+		var got []string
+		for _, li := range Believed(lines, at(tc.second)) {
+			got = append(got, strings.TrimSpace(li.Message+" "+li.Get("version")))
+		}
+		if diff := cmp.Diff(tc.want, got); diff != "" {
+			t.Errorf("second %d (-want +got):\n%s", tc.second, diff)
+		}
+	}
+}
+
+func FuzzRead(f *testing.F) {
+	f.Add(`time=2026-05-01T10:00:00.250Z level=INFO msg="front: answered." request=ab`)
+	f.Add(`{"time":"2026-05-01T10:00:00.125Z","msg":"x","a":[1,{"b":2}]}`)
+	f.Fuzz(func(t *testing.T, text string) {
+		lines, _, err := Read("one", strings.NewReader(text))
+		if err != nil {
+			return
+		}
+		for _, li := range lines {
+			if li.Message == "" || li.At.IsZero() {
+				t.Errorf("a line without time or message: %+v", li)
+			}
+		}
+	})
+}
