--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -304,6 +304,11 @@
 	}
 	ct.hearConfig(be)
 	ct.hearDeputy(be, now)
+	if ct.told == nil && be.Follows && be.Taking && !ct.follows() {
+		// No steward yet, as after a loss of all daemons: the groups that serve
+		// can be used by what a daemon that reads the store made of the entries.
+		ct.fetchView(be)
+	}
 	if !be.Steward || be.Term < ct.steward.Term || ct.lease.core != nil && be.Term <= ct.lease.term {
 		return
 	}
--- a/internal/entry/lease.go
+++ b/internal/entry/lease.go
@@ -38,8 +38,10 @@
 	// daemon looks at the lease.
 	stewardSilence = 500 * time.Millisecond
 	// startSilence is the same for a daemon that has just started, so that a
-	// steward has time to be heard.
-	startSilence = 1200 * time.Millisecond
+	// steward has time to be heard: it learns of the daemon from its first beat
+	// and sends its own every 80 ms. All daemons are without a steward for so
+	// long after a loss of all.
+	startSilence = 750 * time.Millisecond
 	// promiseMargin is taken off the time that a promise holds.
 	promiseMargin = 100 * time.Millisecond
 	// electorateSpan is how long a silent daemon's promise is still asked for.
