--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -434,9 +434,13 @@
 		return
 	}
 	vi = ct.gone.filter(vi)
-	ct.da.view.Store(vi)
+	first := ct.da.view.Swap(vi) == nil
 	ct.da.table.Update(vi, cfg, ct.da.Clock.Now())
 	ct.da.plain.Update(vi)
+	if first && ct.follows() {
+		// Others that know nothing yet can use what this daemon has read.
+		ct.sendBeat(beatExtra{to: mesh.ToEveryone})
+	}
 }
 
 // leave tells the others that this daemon takes no more requests, and gives
--- a/internal/mesh/beat.go
+++ b/internal/mesh/beat.go
@@ -128,6 +128,8 @@
 	// steward is the steward's address, silent what it told in its last beat.
 	steward string
 	silent  map[string]bool
+	// stewardSince is when the steward became known.
+	stewardSince time.Time
 }
 
 // The traffic of beats, in bytes.
--- a/internal/mesh/pace.go
+++ b/internal/mesh/pace.go
@@ -82,7 +82,7 @@
 	me.mu.Lock()
 	defer me.mu.Unlock()
 	if me.steward != ip {
-		me.steward, me.silent = ip, nil
+		me.steward, me.silent, me.stewardSince = ip, nil, me.Clock.Now()
 	}
 }
 
@@ -170,10 +170,13 @@
 // are sent beats all the same, less often: they may be behind a cut.
 func (pa *pace) dueTo(ip string, pe *Peer, now time.Time, to Audience) bool {
 	since := now.Sub(pe.sent)
+	// A new steward has heard most daemons seldom until now, and they are to hear
+	// of it at once.
+	seldom := max(aliveFor, aliveBeats*max(pa.from(ip, pe), pa.between(pe)))
 	switch {
 	case pe.At.IsZero():
 		return since >= silentEvery
-	case !pa.heardLately(ip, pe, now):
+	case now.Sub(pe.At) >= seldom:
 		return since >= max(silentEvery, pa.toward(ip, pe))
 	case to == ToEveryone, to == ToSteward && (pa.direct || ip == pa.stewardIP):
 		return true
@@ -201,6 +204,9 @@
 		return nil
 	}
 	now := me.Clock.Now()
+	if now.Sub(me.stewardSince) < stewardSettle {
+		return nil
+	}
 	var silent []string
 	for ip, pe := range me.peers {
 		if age := now.Sub(pe.At); !pe.At.IsZero() && age > silentAfter && age < tellSilent {
@@ -211,6 +217,9 @@
 }
 
 const (
+	// stewardSettle is how long a new steward does not tell: until it has become
+	// known, the others send it no more than they do to everybody.
+	stewardSettle = 1500 * time.Millisecond
 	// silentAfter is the silence after which the steward tells that a daemon is
 	// silent, tellSilent how long it does; by then others have noticed.
 	silentAfter = 600 * time.Millisecond
--- a/internal/mesh/pace_test.go
+++ b/internal/mesh/pace_test.go
@@ -128,6 +128,8 @@
 	steward.SetSteward(steward.IP)
 	neighbour.SetSteward(otherIP(1))
 	for _, cr := range []*crowd{steward, neighbour} {
+		cr.clock.Advance(stewardSettle)
+		cr.hearAll(others)
 		cr.clock.Advance(700 * time.Millisecond)
 		cr.hearAll(others, dead)
 	}
@@ -155,6 +157,24 @@
 	}
 }
 
+// The steward is lost and another daemon takes over. It has heard those of other
+// data centres seconds ago, as they heard it. They hear of it at once, and it
+// does not tell that they are silent.
+func TestNewStewardIsHeardAtOnce(t *testing.T) {
+	const others = 67
+	cr := newCrowd(others)
+	cr.SetSteward(otherIP(1))
+	cr.count(others, time.Second)
+	cr.clock.Advance(2 * time.Second)
+	cr.SetSteward(cr.IP)
+	if got := len(cr.due(ToEveryone)); got != others {
+		t.Errorf("%d daemons hear of the new steward at once, want %d", got, others)
+	}
+	if silent := cr.Silent(); len(silent) > 0 {
+		t.Errorf("%d daemons are called silent that were not due to be heard", len(silent))
+	}
+}
+
 // Who is told what of the load: one letter for all that are told the same.
 func TestLetters(t *testing.T) {
 	own := map[string]dispatch.Load{"a": {Requests: 3}}
