Send to engines whose stated times are all zero

Cause: the time an answer takes was 0, and how much of the others' load is still there became 0/0; every request was refused. The test failed before and passes.

--- a/internal/core/dispatch/overload_test.go
+++ b/internal/core/dispatch/overload_test.go
@@ -188,6 +188,22 @@
 	}
 }
 
+// A configuration states no times for an engine at all. Requests are sent all the
+// same, and no number that is none decides.
+func TestEngineWithoutTimes(t *testing.T) {
+	ta := &Table{}
+	ta.Update(&catalog.View{Groups: []catalog.Group{group("a", "here"), group("b", "there")}},
+		&catalog.Config{Services: map[string]catalog.Service{"engine": {Engine: &catalog.Engine{Slots: 2, Stride: 1}}}}, begin)
+	for i := range 4 {
+		if _, ti := ta.Pick(need(), ignore, begin); ti == nil {
+			t.Fatalf("request %d of 4 for 4 places was refused", i+1)
+		}
+	}
+	if _, ti := ta.Pick(need(), ignore, begin); ti != nil {
+		t.Error("a fifth request was sent to 4 places")
+	}
+}
+
 func TestFill(t *testing.T) {
 	tests := []struct {
 		name     string
--- a/internal/core/dispatch/table.go
+++ b/internal/core/dispatch/table.go
@@ -203,11 +203,14 @@
 // level estimates a group's load. Of what the others told, some requests have
 // ended since.
 func (ta *Table) level(gr *Group) level {
-	life := answerTime(gr.engine, gr.own.plus(gr.peers), max(gr.model.Pace, minPace)*gr.slowness())
+	life := max(minLife, answerTime(gr.engine, gr.own.plus(gr.peers), max(gr.model.Pace, minPace)*gr.slowness()))
 	still := max(0, 1-ta.delay.Seconds()/life.Seconds())
 	return level{load: float64(gr.own.Requests) + float64(gr.peers.Requests)*still, room: float64(gr.engine.Slots)}
 }
 
+// minLife stands in for an engine whose stated times are all zero.
+const minLife = 10 * time.Millisecond
+
 // distance is how many requests more the group should look to run than it does.
 func (ta *Table) distance(gr *Group) float64 {
 	if gr.DataCenter == ta.DataCenter {
