Stay steward while the store can't take the lease back

With the store away the end failed, no other daemon could take the lease, and no group was repaired for 4 s. Now it goes on, by the others' promises alone, until the store has taken the lease back or its process ends; so does one told to stop while its lease was on its way. TestStewardStopsWhileStoreAway failed on the code before (the group without its member stayed in use for the minute that it waits).

--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -310,5 +310,5 @@
 // the lease back.
 func (ct *control) leave() {
 	ct.sendBeat(beatExtra{to: mesh.ToEveryone})
-	ct.resign()
+	ct.resignNow()
 }
--- a/internal/entry/lease.go
+++ b/internal/entry/lease.go
@@ -66,9 +66,11 @@
 	// core is nil unless this daemon is the steward.
 	core *steward.Core
 	term int64
-	// lease is the store's, valid until that time since boot.
-	lease int64
+	// until is the time since boot for which the store's lease is held.
 	until time.Duration
+	// resign ends the renewal of the lease; resigning is set from then on.
+	resign    context.CancelFunc
+	resigning bool
 	// sequence counts the views of the term; published is the last one.
 	sequence              int64
 	published             *catalog.View
@@ -198,9 +200,30 @@
 		_ = ct.da.store.End(ctx, lease) // It ends by itself soon.
 		return
 	}
-	ct.post(func() { ct.becomeSteward(term, lease, begin+leaseTTL-leaseMargin) })
-	ct.renew(ctx, lease)
-	ct.post(func() { ct.loseSteward("lease lost") })
+	renewing, resign := context.WithCancel(ctx)
+	defer resign()
+	ct.post(func() { ct.becomeSteward(term, begin+leaseTTL-leaseMargin, resign) })
+	lease = ct.renew(renewing, lease)
+	why := "lease lost"
+	if renewing.Err() != nil {
+		why = "stopping"
+		ct.endLease(ctx, lease)
+	}
+	ct.post(func() { ct.loseSteward(why) })
+}
+
+// endLease ends the lease of a steward that resigns. While the store is away
+// nobody else could take it, so the daemon stays steward and tries again: groups
+// would else lose members unrepaired until the store is back.
+func (ct *control) endLease(ctx context.Context, lease int64) {
+	for ctx.Err() == nil {
+		err := ct.da.store.End(ctx, lease)
+		if err == nil || errors.Is(err, platform.ErrNoLease) {
+			return
+		}
+		ct.da.Log.Info("steward: lease not given back; going on.", "cause", err.Error())
+		_ = ct.da.Clock.Sleep(ctx, campaignPause) // The loop looks at ctx.
+	}
 }
 
 // take writes the steward's key if it is still as it was read. The revision is
@@ -239,20 +262,25 @@
 	return errors.Is(err, syscall.ECONNREFUSED)
 }
 
-// renew renews the lease until it is lost or the daemon resigns. A lease that
-// ran out in an outage is taken anew, if nobody else has taken it.
-func (ct *control) renew(ctx context.Context, lease int64) {
+// renew renews the lease until it is lost or ctx ends, and returns the one it
+// renewed last. A lease that ran out in an outage is taken anew, if nobody else
+// has taken it.
+func (ct *control) renew(ctx context.Context, lease int64) int64 {
 	for ctx.Err() == nil && ct.da.Clock.Sleep(ctx, renewEvery) == nil {
 		begin := clock.SinceBoot()
 		err := ct.da.store.Renew(ctx, lease)
 		term := int64(0)
 		if errors.Is(err, platform.ErrNoLease) {
 			if !ct.stillSteward(0, 0) {
-				return
+				return lease
 			}
 			begin = clock.SinceBoot()
-			if term, lease, err = ct.retake(ctx); errors.Is(err, platform.ErrConflict) {
-				return
+			taken := int64(0)
+			if term, taken, err = ct.retake(ctx); errors.Is(err, platform.ErrConflict) {
+				return lease
+			}
+			if err == nil {
+				lease = taken
 			}
 		}
 		if err != nil {
@@ -263,12 +291,10 @@
 			until = begin + leaseTTL - leaseMargin
 		}
 		if !ct.stillSteward(until, term) {
-			return
-		}
-		if term != 0 {
-			ct.post(func() { ct.lease.lease = lease })
+			return lease
 		}
 	}
+	return lease
 }
 
 // stillSteward notes until when the lease is held, and the term if it was taken
@@ -277,7 +303,7 @@
 	held := make(chan bool, 1)
 	ct.post(func() {
 		if ct.lease.core != nil {
-			ct.lease.until = max(ct.lease.until, until)
+			ct.lease.extend(until)
 			if ct.lease.renumber(term) {
 				ct.hearView(ct.lease.published)
 			}
@@ -292,6 +318,13 @@
 	}
 }
 
+// extend notes until when the lease is held.
+func (sh *stewardship) extend(until time.Duration) {
+	if !sh.resigning {
+		sh.until = max(sh.until, until)
+	}
+}
+
 // renumber goes on under a new term with what the steward knows, and tells
 // whether there is a view to be told anew.
 func (sh *stewardship) renumber(term int64) bool {
@@ -347,13 +380,17 @@
 	return true
 }
 
-func (ct *control) becomeSteward(term, lease int64, until time.Duration) {
+func (ct *control) becomeSteward(term int64, until time.Duration, resign context.CancelFunc) {
 	now := ct.da.Clock.Now()
 	ct.da.Log.Info("steward: lease taken.", "term", term)
-	ct.lease = stewardship{core: steward.New(term, now), term: term, lease: lease, until: until, begun: now,
+	ct.lease = stewardship{core: steward.New(term, now), term: term, until: until, resign: resign, begun: now,
 		endpointsAt: ct.lease.endpointsAt, configAt: ct.lease.configAt,
 		sentAt: make(map[uint64]time.Duration), promises: make(map[string]promise)}
 	ct.campaigning = false
+	if ct.da.stopping.Load() {
+		// Told to stop while the lease was on its way.
+		ct.resignNow()
+	}
 	ct.da.mesh.SetSteward(ct.da.Settings.IP)
 	if cfg := ct.da.currentConfig(); cfg != nil {
 		ct.lease.core.SetServices(cfg)
@@ -372,18 +409,15 @@
 	ct.da.mesh.SetSteward("")
 }
 
-// resign gives the lease back, so that another daemon can take it at once.
-func (ct *control) resign() {
-	if ct.lease.core == nil {
+// resignNow gives the lease back, so that another daemon can take it at once.
+// The store may carry that out at any time from now on without an answer, so only
+// the others' promises show until then that nobody else is steward.
+func (ct *control) resignNow() {
+	if ct.lease.core == nil || ct.lease.resigning {
 		return
 	}
-	lease := ct.lease.lease
-	ct.loseSteward("stopping")
-	ct.da.once(&ct.wg, func(ctx context.Context) {
-		if err := ct.da.store.End(ctx, lease); err != nil {
-			ct.da.Log.Info("steward: lease not ended.", "cause", err.Error())
-		}
-	})
+	ct.lease.resigning, ct.lease.until = true, 0
+	ct.lease.resign()
 }
 
 // join makes the daemon known at the store and learns of the others, there or
