Keep slots for what was not told yet, and for callers that were not refused before

Now a group has room for as many requests as it has slots less the standard deviation of what is not known of yet, and 0.15 of the slots are for requests that can be in time. How long a caller has waited before is told from the time that it will wait still.

--- a/internal/core/dispatch/overload_test.go
+++ b/internal/core/dispatch/overload_test.go
@@ -21,9 +21,13 @@
 	names []string
 	// told are the works that daemons told and others have not heard yet.
 	told []toldWork
-	// inTime counts the requests that started within their objective, refused
-	// those that no daemon sent anywhere.
-	inTime, refused, sent int
+	// inTime counts the requests that started within their objective, late those
+	// that started later, refused those that no daemon sent anywhere, and given up
+	// those of them that had come back once before.
+	inTime, late, refused, sent, givenUp int
+	// comeBack is set where callers that were refused come back once.
+	comeBack bool
+	returns  []time.Time
 }
 
 type toldWork struct {
@@ -47,6 +51,8 @@
 type waitingRequest struct {
 	since  time.Time
 	ticket *Ticket
+	// again is set for a request whose caller was refused before.
+	again bool
 }
 
 const (
@@ -55,6 +61,8 @@
 	crowdTell = 100 * time.Millisecond
 	// crowdWait is how long a request may wait for a place to be in time.
 	crowdWait = 120 * time.Millisecond
+	// crowdReturn is when callers that were refused come back.
+	crowdReturn = 1250 * time.Millisecond
 )
 
 func newCrowdWorld(seed uint64, daemons, groups int) *crowdWorld {
@@ -90,7 +98,11 @@
 	due := 0.0
 	for end := cw.now.Add(dur); cw.now.Before(end); cw.now = cw.now.Add(crowdStep) {
 		for due += perSecond * crowdStep.Seconds(); due >= 1; due-- {
-			cw.arrive()
+			cw.arrive(false)
+		}
+		for len(cw.returns) > 0 && !cw.returns[0].After(cw.now) {
+			cw.returns = cw.returns[1:]
+			cw.arrive(true)
 		}
 		for _, name := range cw.names {
 			cw.run(cw.groups[name])
@@ -99,17 +111,28 @@
 	}
 }
 
-func (cw *crowdWorld) arrive() {
+// arrive lets a caller send a request, again if it was refused before.
+func (cw *crowdWorld) arrive(again bool) {
 	ta := cw.daemons[cw.rnd.IntN(len(cw.daemons))]
-	ch, ti := ta.Pick(Need{Service: "engine", Model: "large", Prompt: 100, Objective: 200 * time.Millisecond,
-		Pause: 200 * time.Millisecond, Wait: time.Second}, ignore, cw.now)
-	if ti == nil {
+	ne := Need{Service: "engine", Model: "large", Prompt: 100, Objective: 200 * time.Millisecond,
+		Pause: 200 * time.Millisecond, Wait: time.Second}
+	if again {
+		ne.Objective -= crowdReturn
+	}
+	ch, ti := ta.Pick(ne, ignore, cw.now)
+	switch {
+	case ti != nil:
+		cw.sent++
+		gr := cw.groups[ch.Group.Name]
+		gr.waiting = append(gr.waiting, waitingRequest{cw.now, ti, again})
+	case again:
+		cw.givenUp++
+	default:
 		cw.refused++
-		return
+		if cw.comeBack {
+			cw.returns = append(cw.returns, cw.now.Add(crowdReturn))
+		}
 	}
-	cw.sent++
-	gr := cw.groups[ch.Group.Name]
-	gr.waiting = append(gr.waiting, waitingRequest{cw.now, ti})
 }
 
 // run ends the requests that are done and starts waiting ones in their places.
@@ -126,8 +149,10 @@
 	for len(gr.running) < gr.places && len(gr.waiting) > 0 {
 		wr := gr.waiting[0]
 		gr.waiting = gr.waiting[1:]
-		if cw.now.Sub(wr.since) <= crowdWait {
+		if !wr.again && cw.now.Sub(wr.since) <= crowdWait {
 			cw.inTime++
+		} else {
+			cw.late++
 		}
 		life := time.Duration(float64(cw.life()) * cw.rnd.ExpFloat64())
 		gr.running = append(gr.running, runningRequest{cw.now.Add(life), wr.ticket})
@@ -158,8 +183,9 @@
 // emptiest, these would get several times their room while others stood idle,
 // and most would be late: with two random groups compared by the load told last,
 // 0.65, 0.39, 0.28 and 0.21 of the capacity were served in time at 1, 1.4, 2 and
-// 3 times the load. As many are to be served in time however many come; 0.79 to
-// 0.85 of the capacity are, so less than 0.7 is a fault.
+// 3 times the load. As many are to be served in time however many come; 0.87 to
+// 0.93 of the capacity are, so less than 0.82 is a fault. Filled to their last
+// slot, groups serve 0.79 of it.
 func TestOverloadThroughManyDaemons(t *testing.T) {
 	for _, times := range []float64{1, 1.4, 2, 3} {
 		t.Run(fmt.Sprint(times), func(t *testing.T) {
@@ -171,13 +197,36 @@
 			served := float64(cw.inTime-before) / span.Seconds() / cw.capacity()
 			t.Logf("at %.1f times the capacity: %.2f of the capacity in time, %.2f sent", times, served,
 				float64(cw.sent-sent)/span.Seconds()/cw.capacity())
-			if served < 0.7 {
+			if served < 0.82 {
 				t.Errorf("%.2f of the capacity was served in time", served)
 			}
 		})
 	}
 }
 
+// More requests come than the groups can serve, and callers that were refused
+// come back once. An answer is in time only if the caller was not refused before,
+// so those that come for the first time go first; if all were treated alike, some
+// 0.5 of the capacity were served in time. Groups that have room serve the others.
+func TestFirstAttemptsGoFirst(t *testing.T) {
+	for _, times := range []float64{1.2, 1.5, 2} {
+		t.Run(fmt.Sprint(times), func(t *testing.T) {
+			cw := newCrowdWorld(1, 40, 12)
+			cw.comeBack = true
+			cw.play(times*cw.capacity(), 5*time.Second)
+			inTime, late, givenUp := cw.inTime, cw.late, cw.givenUp
+			const span = 10 * time.Second
+			cw.play(times*cw.capacity(), span)
+			part := func(num int) float64 { return float64(num) / span.Seconds() / cw.capacity() }
+			t.Logf("at %.1f times the capacity: %.2f of it in time, %.2f late, %.2f refused twice", times,
+				part(cw.inTime-inTime), part(cw.late-late), part(cw.givenUp-givenUp))
+			if part(cw.inTime-inTime) < 0.75 {
+				t.Errorf("%.2f of the capacity was served in time", part(cw.inTime-inTime))
+			}
+		})
+	}
+}
+
 // Half of what the groups can serve comes. Nobody is refused for fear of what
 // others may have sent.
 func TestNoRefusalsAtHalfLoad(t *testing.T) {
--- a/internal/core/dispatch/table.go
+++ b/internal/core/dispatch/table.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"maps"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -65,6 +66,19 @@
 	Except []*Group
 }
 
+// late tells whether the request can't be in time any more, whatever group it is
+// sent to: its caller was refused before and has come back.
+func (ne *Need) late() bool { return ne.Objective <= 0 && !ne.Begun }
+
+// lateReserve is the part of a group's slots that is kept for requests that can
+// be in time still (trunk reservation). An answer in time is worth four times a
+// late one to callers. Without it, callers that come back take the slots from those
+// that come for the first time, who then come back in turn: with 40 daemons and 12
+// groups without the bench, of the capacity were in time 0.60, 0.52 and 0.51 at
+// 1.2, 1.5 and 2 times the load, with it 0.89, 0.87 and 0.84. As many are refused
+// twice as without it.
+const lateReserve = 0.15
+
 // SetDelay tells how old what other daemons tell of their work is when it
 // counts.
 func (ta *Table) SetDelay(delay time.Duration) {
@@ -184,9 +198,16 @@
 			continue
 		}
 		le, distance := ta.level(gr), ta.distance(gr)
+		if ne.late() {
+			le.room -= lateReserve * float64(gr.engine.Slots)
+		}
 		cands = append(cands, candidate{gr: gr, running: le.load})
 		levels = append(levels, level{le.load + distance, le.room + distance})
 	}
+	limit := ne.Objective
+	if ne.late() {
+		limit = ne.Wait
+	}
 	unseen := max(0, float64(ta.peerRates[ne.Model])) * ta.delay.Seconds()
 	shares, left := fill(levels, unseen+1)
 	for i := range cands {
@@ -195,7 +216,7 @@
 		lo := ca.gr.own.plus(ca.gr.peers)
 		lo.Requests = int(ca.running + shares[i]*unseen/(unseen+1))
 		ca.Prediction = predict(ca.gr.engine, ca.gr.model, ca.gr.slowness(), lo, ne.Prompt)
-		ca.fits = !ca.Full && ca.First <= ne.Objective && ca.Pass <= scale(ne.Pause, pauseMargin)
+		ca.fits = !ca.Full && ca.First <= limit && ca.Pass <= scale(ne.Pause, pauseMargin)
 	}
 	return cands, left / (unseen + 1)
 }
@@ -205,7 +226,21 @@
 func (ta *Table) level(gr *Group) level {
 	life := max(minLife, answerTime(gr.engine, gr.own.plus(gr.peers), max(gr.model.Pace, minPace)*gr.slowness()))
 	still := max(0, 1-ta.delay.Seconds()/life.Seconds())
-	return level{load: float64(gr.own.Requests) + float64(gr.peers.Requests)*still, room: float64(gr.engine.Slots)}
+	slots := float64(gr.engine.Slots)
+	return level{load: float64(gr.own.Requests) + float64(gr.peers.Requests)*still, room: slots - unseenSpread(slots, ta.delay, life)}
+}
+
+// unseenSpread is the standard deviation of how far a full group's load has moved
+// since it was told: requests come and go at random, as many as there are slots in
+// the life of one. Groups that daemons fill up to their last slot get more than
+// that half of the time, and what waits for a slot is late.
+//
+// With 40 daemons and 12 groups without the bench, of the capacity in time at 1,
+// 1.4, 2 and 3 times the load: 0.85, 0.79, 0.79 and 0.79 when filled to the last
+// slot, 0.91, 0.89, 0.88 and 0.86 with two slots left of 26, which is what this
+// comes to.
+func unseenSpread(slots float64, delay, life time.Duration) float64 {
+	return min(slots/2, math.Sqrt(2*slots*delay.Seconds()/life.Seconds()))
 }
 
 // minLife stands in for an engine whose stated times are all zero.
--- a/internal/front/forward.go
+++ b/internal/front/forward.go
@@ -117,7 +117,7 @@
 // only if the request did not run and never will.
 func (ca *call) refuse(re refusal) {
 	attrs := []any{"outcome", "refused", "status", re.status, "reason", re.reason, "sends", ca.sends,
-		"ms", ca.sv.Clock.Now().Sub(ca.arrived).Milliseconds()}
+		"waited-ms", ca.waited.Milliseconds(), "ms", ca.sv.Clock.Now().Sub(ca.arrived).Milliseconds()}
 	if re.cause != nil {
 		attrs = append(attrs, "cause", re.cause.Error())
 	}
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -47,6 +47,7 @@
 	working  atomic.Int64
 	served   atomic.Int64
 	models   workCount
+	waits    dispatch.Waits
 }
 
 // Stop makes the server tell callers to close their connections.
@@ -76,8 +77,10 @@
 	// arrived is when the request was read; deadline is when the caller must
 	// have an answer.
 	arrived, deadline time.Time
-	workspace         *catalog.Workspace
-	keyed             bool
+	// waited is how long the caller had waited before, since its first attempt.
+	waited    time.Duration
+	workspace *catalog.Workspace
+	keyed     bool
 	// maxIdle bounds the idle connections kept to an endpoint of the service.
 	maxIdle int
 	// sends counts the endpoints that the request was sent to.
@@ -126,6 +129,9 @@
 	ca.service = pickService(ca.route, ca.id)
 	ca.maxIdle = maxIdle(cfg.Services[ca.service].MaxConns, int(ca.sv.daemons.Load()))
 	ca.deadline = ca.arrived.Add(ca.allowed())
+	if patience, ok := ca.patience(); ok {
+		ca.waited = ca.sv.waits.Before(ca.route.Host+ca.route.Prefix, patience)
+	}
 	return ca.readBody(cfg)
 }
 
@@ -155,8 +161,7 @@
 // caller's own deadline if that is shorter.
 func (ca *call) allowed() time.Duration {
 	limit := ca.route.Timeout
-	ms, err := strconv.ParseFloat(ca.req.Header.Get(platform.HeaderDeadline), 64)
-	if own := time.Duration(ms * float64(time.Millisecond)); err == nil && (own < limit || limit <= 0) {
+	if own, ok := ca.patience(); ok && (own < limit || limit <= 0) {
 		return own
 	}
 	if limit <= 0 {
@@ -165,6 +170,12 @@
 	return limit
 }
 
+// patience is how long the caller says that it will wait.
+func (ca *call) patience() (time.Duration, bool) {
+	ms, err := strconv.ParseFloat(ca.req.Header.Get(platform.HeaderDeadline), 64)
+	return time.Duration(ms * float64(time.Millisecond)), err == nil
+}
+
 // defaultTimeout holds where neither the route nor the caller sets a limit.
 const defaultTimeout = 30 * time.Second
 
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -139,7 +139,7 @@
 	for waited := time.Duration(0); ; waited += goOnPause {
 		now := st.sv.Clock.Now()
 		need := dispatch.Need{Service: st.service, Model: st.model, Prompt: st.prompt, Pause: st.route.PauseObjective,
-			Objective: st.route.Objective - now.Sub(st.arrived) - callerDelay, Wait: min(lateWait, st.left()), Begun: st.started, Except: st.tried}
+			Objective: st.route.Objective - st.waited - now.Sub(st.arrived) - callerDelay, Wait: min(lateWait, st.left()), Begun: st.started, Except: st.tried}
 		if st.started {
 			// The caller has the first event: what counts now is a short gap.
 			need.Objective = st.route.PauseObjective
@@ -229,7 +229,7 @@
 func (st *stream) finish() {
 	st.log.Info("front: answered.", "outcome", "whole", "status", http.StatusOK, "sends", st.sends, "events", st.passed,
 		"group", st.choice.Group.Name, "first-ms", st.first.Milliseconds(), "predicted-ms", st.choice.First.Milliseconds(),
-		"fits", st.choice.Fits, "pause-ms", st.pause.Milliseconds(), "ms", st.sv.Clock.Now().Sub(st.arrived).Milliseconds())
+		"fits", st.choice.Fits, "waited-ms", st.waited.Milliseconds(), "pause-ms", st.pause.Milliseconds(), "ms", st.sv.Clock.Now().Sub(st.arrived).Milliseconds())
 	st.count("passed-2xx")
 }
 
