Suspect groups whose head can't be reached; find members that died with the steward

Now the first connection that fails keeps a daemon from the group and makes its members be asked; dials are given up after 150 ms; a registered member that does not answer counts as lost with its group. TestTakeOverFindsDeadMember failed on the code before.

--- a/internal/core/dispatch/dispatch_test.go
+++ b/internal/core/dispatch/dispatch_test.go
@@ -191,6 +191,38 @@
 	}
 }
 
+// A group's head dies while this daemon has no stream there, so nothing stands
+// still. The first request that can't connect must be the last one: each waits for
+// its time-out in vain, and the answer of the next group is late.
+func TestUnreachableHeadIsSuspected(t *testing.T) {
+	ta := table(group("a", "here"), group("b", "here"))
+	ch, ti := ta.Pick(need(), ignore, begin)
+	ta.Unreachable(ch.Group)
+	ti.End()
+	if got := ta.Stalled(begin); len(got) != 1 || got[0].Name != ch.Group.Name {
+		t.Errorf("members of %v are asked, want those of %s", got, ch.Group.Name)
+	}
+	for range 10 {
+		other, ti := ta.Pick(need(), ignore, begin)
+		if other.Group == ch.Group {
+			t.Fatal("a request was sent to a group whose head can't be reached")
+		}
+		ti.End()
+	}
+	ta.Sound(ch.Group.Name)
+	if got := ta.Stalled(begin.Add(time.Minute)); len(got) != 0 {
+		t.Errorf("members of %v are asked again though all have answered", got)
+	}
+	used := false
+	for range 40 {
+		other, _ := ta.Pick(need(), ignore, begin)
+		used = used || other.Group == ch.Group
+	}
+	if !used {
+		t.Error("the group is not used although all members have answered")
+	}
+}
+
 // A group leaves the view while its streams flow: they finish. If they stand
 // still, they go on elsewhere without any question.
 func TestGroupLeavesView(t *testing.T) {
--- a/internal/core/dispatch/group.go
+++ b/internal/core/dispatch/group.go
@@ -25,6 +25,8 @@
 	listed bool
 	// stalled is set while the group's streams stand still.
 	stalled bool
+	// unreachable is set when no connection to the head could be opened.
+	unreachable bool
 	// activity is when the group last emitted anything, or got its first
 	// request after it had none.
 	activity time.Time
@@ -56,7 +58,7 @@
 	defer ti.ta.mu.Unlock()
 	gr := ti.Group
 	gr.activity = now
-	gr.stalled = false
+	gr.stalled, gr.unreachable = false, false
 	if !ti.first {
 		ti.first = true
 		gr.own.Reading -= ti.load.Reading
--- a/internal/core/dispatch/table.go
+++ b/internal/core/dispatch/table.go
@@ -287,14 +287,14 @@
 }
 
 // Stalled returns the groups whose members are to be asked now, because this
-// daemon's requests there stand still. Requests at groups that have left the
+// daemon's requests there stand still or the head can't be reached. Requests at groups that have left the
 // view and stand still are ended, so that they go on elsewhere.
 func (ta *Table) Stalled(now time.Time) []catalog.Group {
 	ta.mu.Lock()
 	defer ta.mu.Unlock()
 	var stalled []catalog.Group
 	for _, gr := range ta.groups {
-		if len(gr.streams) == 0 || now.Sub(gr.activity) < gr.patience() {
+		if !gr.unreachable && (len(gr.streams) == 0 || now.Sub(gr.activity) < gr.patience()) {
 			continue
 		}
 		if !gr.listed {
@@ -346,10 +346,20 @@
 	ta.mu.Lock()
 	defer ta.mu.Unlock()
 	if gr := ta.groups[name]; gr != nil {
-		gr.stalled = false
+		gr.stalled, gr.unreachable = false, false
 	}
 }
 
+// Unreachable tells that no connection to a group's head could be opened. The
+// group is not used until its members have answered, and they are asked at once. A
+// daemon that has no stream at the group would else send it one request after the
+// other: on a measured day 328 waited for a time-out within two seconds.
+func (ta *Table) Unreachable(gr *Group) {
+	ta.mu.Lock()
+	defer ta.mu.Unlock()
+	gr.stalled, gr.unreachable = true, true
+}
+
 // Wrong tells that an endpoint refused a request as not its own: the view is
 // old, and the group is not used until the next one.
 func (ta *Table) Wrong(gr *Group) {
--- a/internal/core/steward/hold_test.go
+++ b/internal/core/steward/hold_test.go
@@ -1,6 +1,7 @@
 package steward
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -274,14 +275,32 @@
 	wo.takeOver()
 	wo.core.Recall(gr, lost, wo.now)
 	wo.run(appearPatience - time.Second)
-	for _, now := range wo.core.Groups() {
-		for _, me := range now.Members {
-			if me.ID == gr.Members[0].ID && now.Name != gr.Name {
-				return
-			}
-		}
+	if !wo.formedAnew(gr) {
+		t.Error("the group's members serve in no other group")
+	}
+}
+
+// formedAnew tells whether the head of a group serves in another one.
+func (wo *world) formedAnew(gr catalog.Group) bool {
+	return slices.ContainsFunc(wo.core.Groups(), func(now catalog.Group) bool {
+		return now.Name != gr.Name && slices.ContainsFunc(now.Members, func(me catalog.Member) bool { return me.ID == gr.Head().ID })
+	})
+}
+
+// A member and the steward die together. The member's entry stays for some
+// seconds, so the next steward sees where it belongs and that it does not answer.
+// Its group is formed anew at once: callers would else wait for as long as entries
+// take to be back after an outage.
+func TestTakeOverFindsDeadMember(t *testing.T) {
+	wo := newWorld(t, 8, 3, 9)
+	wo.settle(5 * time.Second)
+	gr := wo.groupWithSpare()
+	wo.kill(gr.Members[1].ID)
+	wo.takeOver()
+	wo.run(appearPatience - time.Second)
+	if !wo.formedAnew(gr) {
+		t.Error("the group's members serve in no other group")
 	}
-	t.Error("the group's members serve in no other group")
 }
 
 // Loads from the weight store are rationed: those that begin in any 5 s stay
--- a/internal/core/steward/observe.go
+++ b/internal/core/steward/observe.go
@@ -18,7 +18,9 @@
 	}
 	for _, id := range co.ids() {
 		vm := co.vms[id]
-		if mb := vm.ep.Member; mb != nil && vm.known {
+		// Where a VM that never answered this steward belonged, its entry tells. The
+		// group would else wait for that member as for one that may yet register.
+		if mb := vm.ep.Member; mb != nil && (vm.known || vm.down) {
 			co.observeMember(id, vm, mb, now)
 		}
 	}
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -29,8 +29,10 @@
 
 const (
 	// dialTimeout bounds a connection to an endpoint. A round trip takes some
-	// 3 ms; a lost opening packet would be sent again only after a second.
-	dialTimeout = 250 * time.Millisecond
+	// 3 ms; a lost opening packet would be sent again only after a second. It
+	// leaves room for a machine that stands still for a tenth of a second when its
+	// share of the processor is used up.
+	dialTimeout = 150 * time.Millisecond
 	// storeTimeout bounds a call to the store, which answers in 4 ms and,
 	// when it is slow, in some 350 ms.
 	storeTimeout = 700 * time.Millisecond
--- a/internal/front/plain.go
+++ b/internal/front/plain.go
@@ -147,6 +147,12 @@
 	return verdict.MayHaveRun
 }
 
+// connectFailed tells whether no connection could be opened.
+func connectFailed(err error) bool {
+	var he *http1.Error
+	return errors.As(err, &he) && he.Connect
+}
+
 // finish gives the caller the last answer, or says what is known.
 func (pc *plainCall) finish() {
 	switch {
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -107,6 +107,9 @@
 		sendCount.Inc()
 	}
 	if err != nil {
+		if part.Err() == nil && connectFailed(err) {
+			st.sv.Table.Unreachable(ch.Group)
+		}
 		st.failed(part, ch.Group, err, verdictOf(err))
 		return ch, false
 	}
