Leave a stream at its last group when that stands still

Now the last attempt that a request may make is not given up for a stall. TestStreamStaysAtItsLastGroup failed on the code before (unexpected EOF).

--- a/internal/front/hold_test.go
+++ b/internal/front/hold_test.go
@@ -153,6 +153,40 @@
 	}
 }
 
+// A stream's group stands still, and so does the one where it goes on. It may not be
+// sent to a third one. The caller would lose the rest of its answer if the stream
+// were cut off, for instance while a configuration changes: it waits, and gets the
+// rest when the second group goes on.
+func TestStreamStaysAtItsLastGroup(t *testing.T) {
+	ri := newRig(t)
+	for range 3 {
+		ri.head(always(emulator.Pauses)).Resume = make(chan struct{})
+	}
+	answer := make(chan result, 1)
+	go func() { answer <- ri.ask("/draft/x", "id", streaming) }()
+	standing := func(but *emulator.Server) *emulator.Server {
+		for {
+			for _, sv := range ri.heads {
+				if sv != but && len(sv.Runs()) > 0 {
+					return sv
+				}
+			}
+			time.Sleep(time.Millisecond)
+		}
+	}
+	first := standing(nil)
+	ri.table.Broken("group-"+first.ID, time.Now())
+	second := standing(first)
+	ri.table.Broken("group-"+second.ID, time.Now())
+	close(second.Resume)
+	if re := <-answer; re.status != http.StatusOK || re.body != wholeStream("id") {
+		t.Errorf("status %d, %v, body %q", re.status, re.err, re.body)
+	}
+	if num := ri.runs("id"); num != 2 {
+		t.Errorf("ran %d times, want 2", num)
+	}
+}
+
 // A caller resumes a stream itself: it gets what it lacks and nothing twice.
 func TestCallerResumes(t *testing.T) {
 	ri := newRig(t)
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -85,7 +85,11 @@
 func (st *stream) attempt(ctx context.Context) (dispatch.Choice, bool) {
 	part, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	ch, ti := st.pick(part, cancel)
+	leave := cancel
+	if !st.maySendAfter() {
+		leave = stay
+	}
+	ch, ti := st.pick(part, leave)
 	if ti == nil {
 		st.noGroup(ch)
 		return ch, true
@@ -126,6 +130,16 @@
 	return ch, false
 }
 
+// maySendAfter tells whether the request may be sent to another group after the
+// next one.
+func (st *stream) maySendAfter() bool {
+	return st.route.Idempotent() && st.sends+1 < st.route.MaxAttempts && len(st.tried)+1 < maxTried
+}
+
+// stay keeps a request at a group that stands still: there is no other for it, and
+// the group may go on. Its caller gives it up, or the group breaks it off.
+func stay(error) {}
+
 // request is the caller's, or one for what the caller lacks still.
 func (st *stream) request(endpoint string) *http1.Request {
 	rq := st.outgoing(endpoint, !st.route.Idempotent())
