--- /dev/null
+++ b/internal/soak/client.go
@@ -0,0 +1,143 @@
+package soak
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptrace"
+	"strings"
+	"time"
+
+	"corianderhub.dev/corianderhub/platform"
+	"corianderhub.dev/corianderhub/platform/emulator"
+)
+
+const (
+	// clientPatience bounds a request, as callers do.
+	clientPatience = 8 * time.Second
+	// addressLife is how long clients keep an answer to where to connect: three
+	// times what daemons state, as some callers do.
+	addressLife = 3 * time.Second
+	// draftEvents is the length of a stream; with the emulator's time between two
+	// events it lasts for a second.
+	draftEvents = 20
+	// thinkTime is the mean pause of a client between two requests.
+	thinkTime = 40 * time.Millisecond
+)
+
+// client sends one request after the other. It keeps connections open and goes on
+// using them until the process at the other end is gone.
+type client struct {
+	so   *Soak
+	num  int
+	rnd  *rand.Rand
+	http *http.Client
+	// daemons are where it may connect, until expiry.
+	daemons []int
+	expiry  time.Time
+	sent    int
+}
+
+func newClient(so *Soak, num int, seed uint64) *client {
+	return &client{so: so, num: num, rnd: rand.New(rand.NewPCG(seed, uint64(num))),
+		http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, DisableCompression: true}}}
+}
+
+func (cl *client) run(ctx context.Context) {
+	defer cl.http.CloseIdleConnections()
+	for ctx.Err() == nil {
+		if time.Now().After(cl.expiry) {
+			cl.resolve(ctx)
+		}
+		if len(cl.daemons) > 0 {
+			// What is under way ends after the run's end: its outcome counts.
+			cl.send(context.WithoutCancel(ctx))
+		}
+		cl.so.pause(ctx, time.Duration(cl.rnd.ExpFloat64()*float64(thinkTime)))
+	}
+}
+
+// resolve asks daemons where to connect, and keeps the last answer without one.
+func (cl *client) resolve(ctx context.Context) {
+	ps := pick(cl.rnd, cl.so.daemons)
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+ps.ip+":18083"+platform.PathResolve+"?name="+emulator.Host+"&zone=hall-a", nil)
+	if err != nil {
+		cl.so.check.Violate("client: %v", err)
+		return
+	}
+	rsp, err := cl.http.Do(req)
+	if err != nil {
+		return
+	}
+	defer rsp.Body.Close()
+	var an platform.ResolveAnswer
+	if json.NewDecoder(rsp.Body).Decode(&an) != nil || len(an.Addresses) == 0 {
+		return
+	}
+	cl.daemons, cl.expiry = nil, time.Now().Add(addressLife)
+	for _, addr := range an.Addresses {
+		for num, ps := range cl.so.daemons {
+			if strings.HasPrefix(addr, ps.ip+":") {
+				cl.daemons = append(cl.daemons, num)
+			}
+		}
+	}
+}
+
+// send sends one request and tells the checker what came of it.
+func (cl *client) send(ctx context.Context) {
+	cl.sent++
+	kind := pick(cl.rnd, []Kind{Draft, Draft, Slot, Confirm})
+	oc := Outcome{ID: fmt.Sprintf("%s-%d-%d", kind, cl.num, cl.sent), Kind: kind, Daemon: pick(cl.rnd, cl.daemons), Begun: time.Now()}
+	ctx, cancel := context.WithTimeout(ctx, clientPatience)
+	defer cancel()
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteRequest: func(info httptrace.WroteRequestInfo) { oc.Sent = info.Err == nil }})
+	// An unknown kind of body keeps net/http from sending a request once more itself.
+	body := io.MultiReader(strings.NewReader("question"))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+cl.so.daemons[oc.Daemon].ip+":18080/"+string(kind)+"/x", body)
+	if err != nil {
+		cl.so.check.Violate("client: %v", err)
+		return
+	}
+	req.Host = emulator.Host
+	req.Header.Set(platform.HeaderRequestID, oc.ID)
+	req.Header.Set(platform.HeaderAuthorization, "Token "+emulator.Key)
+	req.Header.Set(platform.HeaderDeadline, fmt.Sprint(clientPatience.Milliseconds()))
+	if kind == Draft {
+		req.Header.Set(platform.HeaderModel, pick(cl.rnd, []string{emulator.ModelLarge, emulator.ModelSmall}))
+		req.Header.Set(platform.HeaderTokens, fmt.Sprint("100,", draftEvents*7))
+	}
+	rsp, err := cl.http.Do(req)
+	if err == nil {
+		raw, readErr := io.ReadAll(rsp.Body)
+		rsp.Body.Close()
+		oc.Status, oc.Body, err = rsp.StatusCode, string(raw), readErr
+	}
+	oc.Ended = time.Now()
+	// A client that gave up was not cut off.
+	oc.Cut = err != nil && ctx.Err() == nil
+	if err != nil && ctx.Err() != nil && oc.Status == http.StatusOK {
+		oc.Cut, oc.Sent = true, false
+	}
+	cl.so.check.Ended(oc)
+	if err != nil && !oc.Sent {
+		cl.expiry = time.Time{}
+	}
+}
+
+// want is the whole answer to a request.
+func want(kind Kind, id string) string {
+	if kind != Draft {
+		return emulator.Body(id)
+	}
+	var all strings.Builder
+	for num := 1; num <= draftEvents; num++ {
+		all.WriteString(emulator.Event(id, num))
+	}
+	return all.String()
+}
