Keep spares that protect large groups

TestSparesStaySpares failed on the code before (2 spares of the large model left, of 10).

The log shows versions 6 and then 9 in force; the checker took the refusal of a daemon without a configuration for one that knows it.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -36,7 +36,7 @@
 	if _, err := flags.Parse(&op); err != nil {
 		os.Exit(2)
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
 	defer stop()
 	failed, err := run(ctx, op)
 	if err != nil {
--- a/internal/core/steward/big_test.go
+++ b/internal/core/steward/big_test.go
@@ -1,6 +1,7 @@
 package steward
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -36,6 +37,35 @@
 	}
 }
 
+// Domains that form two groups of sixteen have five VMs over. They replace members
+// that die; made into a group of four, they would leave a group of sixteen without
+// any, which is then lost with its first member.
+func TestSparesStaySpares(t *testing.T) {
+	models := slices.Clone(bigModels)
+	models[0].Share, models[1].Share = 0.5, 0.5
+	wo := newWorldOf(t, 3, 8, 37, models)
+	wo.settle(5 * time.Second)
+	before := wo.spares()
+	if before["large"] < 10 {
+		t.Fatalf("spares by model: %v; the test shows nothing with so few", before)
+	}
+	wo.run(20 * time.Second)
+	if after := wo.spares(); after["large"] < before["large"] {
+		t.Errorf("spares by model: %v, before %v", after, before)
+	}
+}
+
+// spares counts the VMs that hold a model without serving.
+func (wo *world) spares() map[string]int {
+	num := make(map[string]int)
+	for _, vm := range wo.core.vms {
+		if mb := vm.ep.Member; mb != nil && isSpare(mb.Group) {
+			num[vm.last]++
+		}
+	}
+	return num
+}
+
 // BenchmarkStep is the cost of a step of a settled fleet of 296 VMs, which the
 // steward takes after each event and some 25 times a second.
 func BenchmarkStep(b *testing.B) {
--- a/internal/core/steward/loads.go
+++ b/internal/core/steward/loads.go
@@ -91,9 +91,32 @@
 	do    *domain
 	vm    *vm
 	model string
+	// lack is how many VMs the next group of the model lacks in the domain.
+	lack  int
 	value float64
 }
 
+// converts tells whether the VM gives up a model that it holds as a spare.
+func (ch *loadChoice) converts() bool { return ch.vm.last != "" && ch.vm.wanted == "" }
+
+// convertGains tells whether a domain is better off with another group of the model
+// than with the spares that it is made of. Spares stand idle until a group loses a
+// member, which is no reason to give them up: a group of sixteen without a spare is
+// lost with its first member.
+func (co *Core) convertGains(service string, en *catalog.Engine, ch *loadChoice, mi int) bool {
+	models := co.weightedSizes(en)
+	plan, at := co.splits(service, en, ch.do.name)
+	before := balance(plan, models)
+	for from, mo := range en.Models {
+		if mo.Name == ch.vm.last {
+			num := min(ch.lack, plan[at][from])
+			plan[at][from] -= num
+			plan[at][mi] += num
+		}
+	}
+	return balance(plan, models) > before+balanceStep
+}
+
 // bestLoad returns the most useful load that can be begun now.
 func (co *Core) bestLoad(service string, en *catalog.Engine, doms []*domain, now time.Time) *loadChoice {
 	weights, counts := co.weights(en), co.counts(service, en)
@@ -106,6 +129,9 @@
 				continue
 			}
 			ch.value *= weights[mi] / float64(counts[mi]+1)
+			if ch.converts() && !co.convertGains(service, en, ch, mi) {
+				continue
+			}
 			if best == nil || ch.value > best.value {
 				best = ch
 			}
@@ -141,9 +167,9 @@
 	case pick == nil:
 		return nil
 	case empty+idle >= lack:
-		return &loadChoice{do, pick, mo.Name, 1 / float64(lack)}
+		return &loadChoice{do, pick, mo.Name, lack, 1 / float64(lack)}
 	case empty > 0 && pick.last == "":
-		return &loadChoice{do, pick, mo.Name, partialValue / float64(lack)}
+		return &loadChoice{do, pick, mo.Name, lack, partialValue / float64(lack)}
 	}
 	return nil
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -240,9 +240,9 @@
 	num := len(so.versions) + 1
 	so.versions = append(so.versions, emulator.Route{Name: fmt.Sprint("version-", num), Host: emulator.Host, Prefix: versionPrefix(num),
 		Kind: "safe", Timeout: 30000, Target: 10000, Attempts: 2, Service: "desk"})
-	versions := slices.Clone(so.versions)
+	// Written under the lock: an older list must not get a newer version.
+	so.deployment.Configure(slices.Clone(so.versions))
 	so.mu.Unlock()
-	so.deployment.Configure(versions)
 }
 
 func versionPrefix(num int) string { return fmt.Sprintf("/version-%d/", num) }
@@ -259,8 +259,9 @@
 		name := ps.name()
 		for num := max(1, so.newest()-1); num <= so.newest(); num++ {
 			status := so.ask(ctx, ps, versionPrefix(num))
-			if status != 0 && name == ps.name() {
-				so.check.Served(name, num, status != http.StatusNotFound)
+			// A daemon that knows no configuration yet refuses, which says nothing.
+			if known := status == http.StatusOK; name == ps.name() && (known || status == http.StatusNotFound) {
+				so.check.Served(name, num, known)
 			}
 		}
 		so.pause(ctx, probeEvery)
