--- a/internal/core/dispatch/spread.go
+++ b/internal/core/dispatch/spread.go
@@ -42,18 +42,19 @@
 // reckon brings the requests up to now that the others are expected to have sent
 // to a model's groups since they told.
 func (ta *Table) reckon(model string, now time.Time) {
-	perSecond := max(0, float64(ta.peerRates[model]))
-	from := ta.reckoned[model]
-	ta.reckoned[model] = now
-	if ta.delay <= 0 {
-		return
-	}
 	var groups []*Group
 	for _, gr := range ta.byName {
 		if gr.Model == model && gr.listed {
 			groups = append(groups, gr)
 		}
 	}
+	if ta.delay <= 0 || len(groups) == 0 {
+		// Callers may name any model: those without a group are not kept.
+		return
+	}
+	perSecond := max(0, float64(ta.peerRates[model]))
+	from := ta.reckoned[model]
+	ta.reckoned[model] = now
 	since := min(now.Sub(from), reckonDelays*ta.delay)
 	for ; since > 0; since -= reckonStep {
 		step := min(since, reckonStep)
@@ -74,20 +75,22 @@
 
 // level is a group's load and room in requests.
 type level struct {
-	// load is what the group is expected to run, without the requests that are
-	// not known of yet.
+	// load is what the group is expected to run.
 	load float64
 	// room is the load up to which it may be filled.
 	room float64
 }
 
-// level estimates a group's load. Of what the others told, some requests have
-// ended since.
+// level estimates a group's load: what this daemon sent, what the others told less
+// what has ended since, and what they are expected to have sent since.
 func (ta *Table) level(gr *Group) level {
 	life := max(minLife, answerTime(gr.engine, gr.own.plus(gr.peers), max(gr.model.Pace, minPace)*gr.slowness()))
 	still := max(0, 1-ta.delay.Seconds()/life.Seconds())
 	slots := float64(gr.engine.Slots)
-	return level{load: float64(gr.own.Requests) + float64(gr.peers.Requests)*still + gr.untold, room: slots - untoldMargin*untoldSpread(slots, ta.delay, life)}
+	return level{
+		load: float64(gr.own.Requests) + float64(gr.peers.Requests)*still + gr.untold,
+		room: slots - untoldMargin*untoldSpread(slots, ta.delay, life),
+	}
 }
 
 // untoldMargin is how many standard deviations of what is not known of a group's
--- a/internal/core/dispatch/table.go
+++ b/internal/core/dispatch/table.go
@@ -132,8 +132,7 @@
 	gr *Group
 	Prediction
 	fits bool
-	// running is how many requests the group is expected to run, of those that
-	// are known of.
+	// running is how many requests the group is expected to run.
 	running float64
 	// weight is the number of requests that the group is to get of those that
 	// all daemons send now.
@@ -203,7 +202,7 @@
 	var cands []candidate
 	var levels []level
 	for _, gr := range ta.byName {
-		if !gr.listed || gr.leaving || gr.stalled || gr.Service != ne.Service || gr.Model != ne.Model || slices.Contains(ne.Except, gr) {
+		if !gr.takes(ne) {
 			continue
 		}
 		le, distance := ta.level(gr), ta.distance(gr)
@@ -235,6 +234,14 @@
 	return cands, left / (beside + 1)
 }
 
+// takes tells whether a request may be sent to the group.
+func (gr *Group) takes(ne Need) bool {
+	if !gr.listed || gr.leaving || gr.stalled {
+		return false
+	}
+	return gr.Service == ne.Service && gr.Model == ne.Model && !slices.Contains(ne.Except, gr)
+}
+
 // distance is how many requests more the group should look to run than it does.
 func (ta *Table) distance(gr *Group) float64 {
 	if gr.DataCenter == ta.DataCenter {
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -28,8 +28,9 @@
 	Sent   bool
 	Status int
 	Body   string
-	// Cut is set if the answer, or the connection without one, broke off.
-	Cut bool
+	// Cut is set if the answer, or the connection without one, broke off, and GaveUp
+	// if the client itself did that because its patience was over.
+	Cut, GaveUp bool
 }
 
 // span is a time for which something was so.
@@ -145,7 +146,7 @@
 	case oc.Status == 200 && oc.Cut && !strings.HasPrefix(want, oc.Body):
 		ch.violate("what came of the answer of %s (%s) is not its own: %q", oc.ID, oc.Kind, oc.Body)
 	}
-	if !oc.Cut || !oc.Sent || !ch.calm(oc.Begun, oc.Ended) {
+	if !oc.Cut || oc.GaveUp || !oc.Sent || !ch.calm(oc.Begun, oc.Ended) {
 		return
 	}
 	for _, sp := range ch.stops[oc.Daemon] {
--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -119,11 +119,7 @@
 		oc.Status, oc.Body, err = rsp.StatusCode, string(raw), readErr
 	}
 	oc.Ended = time.Now()
-	// A client that gave up was not cut off.
-	oc.Cut = err != nil && ctx.Err() == nil
-	if err != nil && ctx.Err() != nil && oc.Status == http.StatusOK {
-		oc.Cut, oc.Sent = true, false
-	}
+	oc.Cut, oc.GaveUp = err != nil, ctx.Err() != nil
 	cl.so.check.Ended(oc)
 	if err != nil && !oc.Sent {
 		cl.expiry = time.Time{}
