Keep the store's calls in platform/ alone; say once what stood twice

The stand-in of the own interface served the store's calls by their names in internal/standin; platform/emulator does so now for any key-value service. The two directions of a pace, the tests' outages and the needs of a crowd's requests stood twice. Tests keep their assertions.

--- a/internal/core/dispatch/overload_test.go
+++ b/internal/core/dispatch/overload_test.go
@@ -107,8 +107,9 @@
 	}
 	for _, rr := range broken.running {
 		ti := rr.ticket
-		ch, moved := ti.ta.Pick(Need{Service: "engine", Model: "large", Prompt: 100, Objective: 200 * time.Millisecond,
-			Pause: 200 * time.Millisecond, Wait: time.Second, Begun: true, Except: []*Group{ti.Group}}, ignore, cw.now)
+		ne := crowdNeed()
+		ne.Begun, ne.Except = true, []*Group{ti.Group}
+		ch, moved := ti.ta.Pick(ne, ignore, cw.now)
 		ti.End()
 		if moved != nil {
 			gr := cw.groups[ch.Group.Name]
@@ -151,11 +152,15 @@
 	}
 }
 
+func crowdNeed() Need {
+	return Need{Service: "engine", Model: "large", Prompt: 100, Objective: 200 * time.Millisecond,
+		Pause: 200 * time.Millisecond, Wait: time.Second}
+}
+
 // arrive lets a caller send a request, again if it was refused before.
 func (cw *crowdWorld) arrive(again bool) {
 	ta := cw.daemons[cw.rnd.IntN(len(cw.daemons))]
-	ne := Need{Service: "engine", Model: "large", Prompt: 100, Objective: 200 * time.Millisecond,
-		Pause: 200 * time.Millisecond, Wait: time.Second}
+	ne := crowdNeed()
 	if again {
 		ne.Objective -= crowdReturn
 	}
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -277,3 +277,21 @@
 		return slices.ContainsFunc(gr.Members, func(me catalog.Member) bool { return me.ID == id })
 	})
 }
+
+// setStore makes the store misbehave towards all daemons.
+func (sk *stack) setStore(fault emulator.StoreFault) {
+	for _, ru := range sk.daemons {
+		ru.gate.SetFault(fault)
+	}
+}
+
+// untilNoticed lets callers come until a daemon uses no group of a lost VM.
+func (sk *stack) untilNoticed(ru *running, lost string) {
+	sk.t.Helper()
+	sk.until("the group without its member is noticed", func() bool {
+		for _, ru := range sk.daemons {
+			go sk.ask(ru, "/draft/", "stalled")
+		}
+		return !uses(ru, lost)
+	})
+}
--- a/internal/entry/steward_test.go
+++ b/internal/entry/steward_test.go
@@ -53,14 +53,10 @@
 func TestLostAnswersOfStore(t *testing.T) {
 	sk := newStack(t, 3)
 	old := sk.steward()
-	for _, ru := range sk.daemons {
-		ru.gate.SetFault(emulator.LosesAnswers)
-	}
+	sk.setStore(emulator.LosesAnswers)
 	sk.kill(old)
 	time.Sleep(100 * time.Millisecond)
-	for _, ru := range sk.daemons {
-		ru.gate.SetFault(emulator.Sound)
-	}
+	sk.setStore(emulator.Sound)
 	if next := sk.steward(); next == old {
 		t.Error("the killed daemon is steward still")
 	}
@@ -73,18 +69,11 @@
 func TestRepairWhileStoreAway(t *testing.T) {
 	sk := newStack(t, 3)
 	st := sk.steward()
-	for _, ru := range sk.daemons {
-		ru.gate.SetFault(emulator.Busy)
-	}
+	sk.setStore(emulator.Busy)
 	sk.de.Store.EndLeases()
 	time.Sleep(leaseTTL + time.Second)
 	lost := sk.loseMember(st)
-	sk.until("the group without its member is noticed", func() bool {
-		for _, ru := range sk.daemons {
-			go sk.ask(ru, "/draft/", "stalled")
-		}
-		return !uses(st, lost)
-	})
+	sk.untilNoticed(st, lost)
 	if sk.steward() != st {
 		t.Error("the steward changed while the store was away")
 	}
@@ -122,24 +111,15 @@
 func TestStewardStopsWhileStoreAway(t *testing.T) {
 	sk := newStack(t, 3)
 	st := sk.steward()
-	for _, ru := range sk.daemons {
-		ru.gate.SetFault(emulator.Busy)
-	}
+	sk.setStore(emulator.Busy)
 	st.da.stopping.Store(true)
 	st.da.control.post(st.da.control.leave)
 	lost := sk.loseMember(st)
-	sk.until("the group without its member is noticed", func() bool {
-		for _, ru := range sk.daemons {
-			go sk.ask(ru, "/draft/", "stalled")
-		}
-		return !uses(st, lost)
-	})
+	sk.untilNoticed(st, lost)
 	for _, ru := range sk.daemons {
 		sk.until("served again", func() bool { return sk.ask(ru, "/draft/", "after") == wholeStream("after") })
 	}
-	for _, ru := range sk.daemons {
-		ru.gate.SetFault(emulator.Sound)
-	}
+	sk.setStore(emulator.Sound)
 	sk.until("another steward", func() bool { return sk.steward() != st })
 	sk.checkPromises()
 }
--- a/internal/mesh/pace.go
+++ b/internal/mesh/pace.go
@@ -110,26 +110,25 @@
 
 // toward is the time between beats to a daemon.
 func (pa *pace) toward(ip string, pe *Peer) time.Duration {
-	switch {
-	case pa.direct:
-		return pa.each
-	case pa.stewardIP == pa.ownIP:
-		return pa.steward
-	case pa.stewardIP == ip:
-		return pa.load
-	}
-	return pa.between(pe)
+	return pa.interval(ip, pe, pa.steward, pa.load)
 }
 
 // from is the time between beats of a daemon.
 func (pa *pace) from(ip string, pe *Peer) time.Duration {
+	return pa.interval(ip, pe, pa.load, pa.steward)
+}
+
+// interval is the time between beats of one direction between this daemon and
+// another one: asSteward where this daemon is the steward, withSteward where the
+// other one is.
+func (pa *pace) interval(ip string, pe *Peer, asSteward, withSteward time.Duration) time.Duration {
 	switch {
 	case pa.direct:
 		return pa.each
 	case pa.stewardIP == pa.ownIP:
-		return pa.load
+		return asSteward
 	case pa.stewardIP == ip:
-		return pa.steward
+		return withSteward
 	}
 	return pa.between(pe)
 }
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -14,6 +14,7 @@
 
 	"corianderhub.dev/corianderhub/internal/clock"
 	"corianderhub.dev/corianderhub/internal/platform"
+	"corianderhub.dev/corianderhub/platform/emulator"
 )
 
 // PlatformFaults are the faults a Platform can be told to show.
@@ -77,13 +78,7 @@
 // Handler serves the platform's API.
 func (pl *Platform) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /-/kv-key", pl.faulty(pl.get))
-	mux.HandleFunc("GET /-/kv-range", pl.faulty(pl.list))
-	mux.HandleFunc("GET /-/kv-watch", pl.faulty(pl.watch))
-	mux.HandleFunc("POST /-/kv-txn", pl.faulty(pl.txn))
-	mux.HandleFunc("POST /-/kv-lease", pl.faulty(pl.grant))
-	mux.HandleFunc("POST /-/kv-keep/{id}", pl.faulty(pl.renew))
-	mux.HandleFunc("DELETE /-/kv-lease-end/{id}", pl.faulty(pl.revoke))
+	mux.HandleFunc(emulator.KeyValuePaths, pl.faulty(emulator.KeyValueHandler(pl.Store).ServeHTTP))
 	mux.HandleFunc("GET /vms", pl.faulty(pl.listVMs))
 	mux.HandleFunc("GET /weights/{model}/{version}", pl.faulty(pl.weight))
 	mux.HandleFunc("POST /vms", func(w http.ResponseWriter, req *http.Request) {
