Split the control core's long test files by what they do

world_test.go keeps the world and its daemons; engines, the platform and the checks have files of their own, as have the tests of configuration and of repairs.

--- a/internal/core/control/world_test.go
+++ b/internal/core/control/world_test.go
@@ -2,9 +2,6 @@
 
 import (
 	"container/heap"
-	"context"
-	"encoding/json"
-	"errors"
 	"fmt"
 	"maps"
 	"math/rand/v2"
@@ -16,8 +13,6 @@
 	"corianderhub.dev/corianderhub/internal/core/control"
 	"corianderhub.dev/corianderhub/internal/core/fleet"
 	"corianderhub.dev/corianderhub/internal/core/intent"
-	"corianderhub.dev/corianderhub/internal/platform"
-	"corianderhub.dev/corianderhub/internal/platform/chainstore"
 	"corianderhub.dev/corianderhub/internal/standin"
 )
 
@@ -72,22 +67,6 @@
 	life int
 }
 
-// engine is a VM's engine.
-type engine struct {
-	vm          fleet.VM
-	incarnation string
-	down        bool
-	silent      bool
-	leaving     bool
-	unchecked   bool
-	loadTime    time.Duration
-	report      fleet.Report
-	life        int
-	generation  int
-	loads       int
-	orders      int
-}
-
 type task struct {
 	at  time.Time
 	seq int
@@ -97,14 +76,18 @@
 type schedule []task
 
 func (sc schedule) Len() int { return len(sc) }
+
 func (sc schedule) Less(i, j int) bool {
 	if !sc[i].at.Equal(sc[j].at) {
 		return sc[i].at.Before(sc[j].at)
 	}
 	return sc[i].seq < sc[j].seq
 }
+
 func (sc schedule) Swap(i, j int) { sc[i], sc[j] = sc[j], sc[i] }
-func (sc *schedule) Push(x any)   { *sc = append(*sc, x.(task)) }
+
+func (sc *schedule) Push(x any) { *sc = append(*sc, x.(task)) }
+
 func (sc *schedule) Pop() any {
 	last := (*sc)[len(*sc)-1]
 	*sc = (*sc)[:len(*sc)-1]
@@ -168,15 +151,6 @@
 	}
 }
 
-// boot starts the engine afresh.
-func (en *engine) boot() {
-	en.life++
-	en.incarnation = fmt.Sprintf("boot-%d", en.life)
-	en.down, en.silent, en.leaving = false, false, false
-	en.report = fleet.Report{VM: en.vm.Name, Incarnation: en.incarnation}
-	en.generation++
-}
-
 func (w *world) addDaemon(name, dc string) *node {
 	no := &node{name: name, set: control.Settings{Name: name, DataCenter: dc, Region: "r", Caller: name, Peer: name, Timing: control.DefaultTiming}}
 	for other := range maps.Keys(w.daemons) {
@@ -332,323 +306,6 @@
 	}
 }
 
-func (w *world) probe(no *node, ac control.Probe, now time.Time) {
-	failed := control.Probed{VM: ac.VM.Name, SentAt: now}
-	w.call(no, ac.VM.Name, failed, func(answer func(control.Event)) {
-		en := w.engines[ac.VM.Name]
-		switch {
-		case en.silent:
-		case en.down:
-			answer(control.Probed{VM: ac.VM.Name, SentAt: now, Refused: true})
-		default:
-			re := en.report
-			re.Leaving = en.leaving
-			answer(control.Probed{VM: ac.VM.Name, SentAt: now, Report: &re})
-		}
-	})
-}
-
-func (w *world) order(no *node, ac control.SendOrder) {
-	vm := ac.Order.Target().Name
-	w.call(no, vm, control.OrderDone{VM: vm}, func(answer func(control.Event)) {
-		en := w.engines[vm]
-		if en.silent {
-			return
-		}
-		if !en.down {
-			w.obey(en, ac.Order)
-		}
-		answer(control.OrderDone{VM: vm})
-	})
-}
-
-// obey follows an order as the engines do.
-func (w *world) obey(en *engine, or fleet.Order) {
-	switch or := or.(type) {
-	case fleet.Join:
-		if or.Incarnation != en.incarnation || !en.unchecked && old(en.report, or.Group.Fence, or.Turn) {
-			return
-		}
-		en.orders++
-		en.generation++
-		re := &en.report
-		re.Group, re.Fence, re.Turn, re.Role, re.Adapters = or.Group.ID, or.Group.Fence, or.Turn, or.Group.Role, or.Group.Adapters
-		re.Ring = nil
-		for _, me := range or.Ring {
-			re.Ring = append(re.Ring, me.VM)
-		}
-		if re.Model == or.Group.Model && re.Version == or.Group.Version {
-			re.Ready = true
-			return
-		}
-		re.Ready = false
-		generation := en.generation
-		w.at(en.loadTime, func() {
-			if en.generation == generation && !en.down {
-				en.loads++
-				re.Model, re.Version, re.Ready = or.Group.Model, or.Group.Version, true
-			}
-		})
-	case fleet.Prepare:
-		if or.Incarnation != en.incarnation || !en.unchecked && old(en.report, or.Fence, or.Turn) {
-			return
-		}
-		en.generation++
-		re, generation := &en.report, en.generation
-		re.Fence, re.Turn = or.Fence, or.Turn
-		w.at(en.loadTime, func() {
-			if en.generation == generation && !en.down {
-				en.loads++
-				re.Model, re.Version = or.Model, or.Version
-			}
-		})
-	case fleet.Release:
-		if or.Incarnation != en.incarnation || !en.unchecked && old(en.report, or.Fence, or.Turn) {
-			return
-		}
-		en.orders++
-		en.generation++
-		re := &en.report
-		re.Group, re.Fence, re.Turn, re.Ring, re.Ready = "", or.Fence, or.Turn, nil, false
-	}
-}
-
-func old(re fleet.Report, fence, turn uint64) bool {
-	return fence < re.Fence || fence == re.Fence && turn < re.Turn
-}
-
-func (w *world) readConfig(no *node, ac control.ReadConfig) {
-	failed := control.ConfigArrived{Source: control.FlyPlatformConfig}
-	w.call(no, platformID, failed, func(answer func(control.Event)) {
-		st := chainstore.Store{KV: w.store, Clock: w.clock}
-		hd, _, err := st.Head(context.Background())
-		if err != nil {
-			return
-		}
-		up, err := st.After(context.Background(), hd, ac.After)
-		if err != nil {
-			return
-		}
-		answer(control.ConfigArrived{Source: control.FlyPlatformConfig, Known: true, Snapshot: up.Snapshot, Entries: up.Entries})
-	})
-}
-
-func (w *world) performStore(no *node, ac control.Action, now time.Time) {
-	ctx := context.Background()
-	dc := no.set.DataCenter
-	switch ac := ac.(type) {
-	case control.AcquireLease:
-		w.call(no, platformID, control.LeaseFailed{SentAt: now}, func(answer func(control.Event)) {
-			lease, err := w.store.Grant(ctx, no.set.Timing.Lease)
-			if err != nil {
-				answer(control.LeaseFailed{SentAt: now})
-				return
-			}
-			epoch, err := w.store.Put(ctx, "stewards/"+dc, []byte(no.name), 0, lease)
-			if err == nil {
-				answer(control.LeaseWon{Lease: lease, Epoch: epoch, SentAt: now})
-				return
-			}
-			w.store.Revoke(ctx, lease)
-			if errors.Is(err, platform.ErrConflict) {
-				answer(control.LeaseLost{})
-				return
-			}
-			answer(control.LeaseFailed{SentAt: now})
-		})
-	case control.RenewLease:
-		w.call(no, platformID, control.LeaseFailed{SentAt: now}, func(answer func(control.Event)) {
-			switch err := w.store.Renew(ctx, ac.Lease); {
-			case err == nil:
-				answer(control.LeaseRenewed{SentAt: now})
-			case errors.Is(err, platform.ErrConflict):
-				answer(control.LeaseLost{})
-			default:
-				answer(control.LeaseFailed{SentAt: now})
-			}
-		})
-	case control.DropLease:
-		w.call(no, platformID, nil, func(func(control.Event)) { w.store.Revoke(ctx, ac.Lease) })
-	case control.ReadDomains:
-		w.call(no, platformID, control.DomainsRead{Failed: true}, func(answer func(control.Event)) {
-			entries, err := w.store.List(ctx, control.DomainKey(dc, ""))
-			if err != nil {
-				answer(control.DomainsRead{Failed: true})
-				return
-			}
-			ev := control.DomainsRead{}
-			for _, en := range entries {
-				var dom fleet.Domain
-				if err := json.Unmarshal(en.Value, &dom); err != nil {
-					w.t.Fatal(err)
-				}
-				ev.Domains = append(ev.Domains, control.StoredDomain{Domain: dom, Revision: en.Revision})
-			}
-			answer(ev)
-		})
-	case control.ReadVMs:
-		w.call(no, platformID, control.VMsRead{}, func(answer func(control.Event)) {
-			if w.faults.Down {
-				answer(control.VMsRead{})
-				return
-			}
-			answer(control.VMsRead{VMs: w.listed(dc)})
-		})
-	case control.WriteDomain:
-		w.call(no, platformID, control.DomainUncertain{Name: ac.Domain.Name}, func(answer func(control.Event)) {
-			raw, err := json.Marshal(ac.Domain)
-			if err != nil {
-				w.t.Fatal(err)
-			}
-			rev, err := w.store.Put(ctx, control.DomainKey(dc, ac.Domain.Name), raw, ac.IfRevision, "")
-			if err != nil {
-				answer(control.DomainUncertain{Name: ac.Domain.Name})
-				return
-			}
-			answer(control.DomainWritten{StoredDomain: control.StoredDomain{Domain: ac.Domain, Revision: rev}})
-		})
-	default:
-		w.t.Fatalf("unexpected action %T", ac)
-	}
-}
-
-func (w *world) listed(dc string) []fleet.VM {
-	vms := []fleet.VM{}
-	for _, vm := range w.vms {
-		if vm.Address == dc+"/"+vm.Name {
-			vms = append(vms, vm)
-		}
-	}
-	return vms
-}
-
-// setFaults changes what the platform shows.
-func (w *world) setFaults(sf standin.StoreFaults) {
-	w.faults = sf
-	w.store.SetFaults(sf)
-}
-
-// apply puts a change in force through the daemon's chain.
-func (w *world) apply(no *node, operation string, obs ...intent.Object) (uint64, error) {
-	st := chainstore.Store{KV: w.store, Clock: clock.NewManual(w.clock.Now())}
-	cfg, _ := no.core.Config()
-	done, err := st.Apply(context.Background(), cfg, chainstore.Apply{Change: intent.Change{Puts: obs}, Operation: operation, Operator: no.name})
-	if err == nil {
-		w.deliver(no, no.life, control.ConfigArrived{Known: true, Snapshot: done.Update.Snapshot, Entries: done.Update.Entries})
-	}
-	return done.Revision, err
-}
-
-// truth returns the report of a VM's engine, whatever the daemons know.
-func (w *world) truth(vm string) (fleet.Report, bool) {
-	en := w.engines[vm]
-	return en.report, !en.down && !en.silent
-}
-
-// noteWhole remembers which groups are whole in truth.
-func (w *world) noteWhole() {
-	for _, name := range w.names {
-		no := w.daemons[name]
-		if no.core == nil {
-			continue
-		}
-		for _, dom := range no.core.Domains() {
-			for _, gr := range dom.Groups {
-				if _, ok := gr.Whole(w.truth); ok {
-					w.whole[wholeKey(gr)] = w.clock.Now()
-				}
-			}
-		}
-	}
-}
-
-func wholeKey(gr fleet.Group) string { return fmt.Sprintf("%s/%d", gr.ID, gr.Fence) }
-
-// check verifies what must always hold, from the view of one daemon.
-func (w *world) check(no *node) {
-	w.t.Helper()
-	w.noteWhole()
-	now := w.clock.Now()
-	owner := make(map[string]string)
-	for _, ta := range no.core.View().Groups {
-		if !ta.Permit.Valid(now) {
-			continue
-		}
-		age := now.Sub(w.whole[wholeKey(ta.Group)])
-		if age > no.set.Timing.Permit {
-			w.t.Fatalf("%s may send to %s, which was last whole %v ago", no.name, ta.Group.ID, age)
-		}
-		for _, me := range ta.Group.Members {
-			if other, ok := owner[me.VM]; ok {
-				w.t.Fatalf("%s may send to %s and %s, which share %s", no.name, other, ta.Group.ID, me.VM)
-			}
-			owner[me.VM] = ta.Group.ID
-		}
-	}
-	cfg, _ := no.core.Config()
-	if cfg.Revision < no.revision {
-		w.t.Fatalf("%s went back from revision %d to %d", no.name, no.revision, cfg.Revision)
-	}
-	no.revision = cfg.Revision
-	w.checkStored()
-}
-
-// checkStored verifies the written assignments.
-func (w *world) checkStored() {
-	entries, err := w.peek()
-	if err != nil {
-		return
-	}
-	owner := make(map[string]string)
-	for _, en := range entries {
-		var dom fleet.Domain
-		if err := json.Unmarshal(en.Value, &dom); err != nil {
-			w.t.Fatal(err)
-		}
-		if err := dom.Check(); err != nil {
-			w.t.Fatalf("written: %v", err)
-		}
-		if dom.Sequence < w.stored[en.Key] {
-			w.t.Fatalf("written: %s went back from sequence %d to %d", en.Key, w.stored[en.Key], dom.Sequence)
-		}
-		w.stored[en.Key] = dom.Sequence
-		for _, gr := range dom.Groups {
-			for _, me := range gr.Members {
-				if other, ok := owner[me.VM]; ok {
-					w.t.Fatalf("written: %s is in %s and %s", me.VM, other, gr.ID)
-				}
-				owner[me.VM] = gr.ID
-			}
-		}
-	}
-}
-
-// peek reads the assignments whatever the platform's faults are.
-func (w *world) peek() ([]platform.Entry, error) {
-	if w.faults.Down {
-		return nil, platform.ErrUnavailable
-	}
-	return w.store.List(context.Background(), "domains/")
-}
-
-// dump describes the world for a failure's message.
-func (w *world) dump() string {
-	text := ""
-	for _, name := range w.names {
-		no := w.daemons[name]
-		text += fmt.Sprintf("%s frozen=%v running=%v", name, no.frozen, no.core != nil)
-		if no.core != nil {
-			cfg, _ := no.core.Config()
-			text += fmt.Sprintf(" serving=%d revision=%d steward=%+v domains=%+v", no.serving(w.clock.Now()), cfg.Revision, no.core.Steward(), no.core.Domains())
-		}
-		text += "\n"
-	}
-	for _, vm := range w.vms {
-		text += fmt.Sprintf("%+v\n", *w.engines[vm.Name])
-	}
-	return text
-}
-
 // serving returns how many groups the daemon may send to.
 func (no *node) serving(now time.Time) int {
 	num := 0
