Name the beats' encoding plainly; ask for addresses by one function

The words of the platform's directory stood in the soak, a test and the demo; now in platform/ alone. What ends processes stood in both scripts. Slots were places in a test.

--- a/cmd/platform-demo/main.go
+++ b/cmd/platform-demo/main.go
@@ -92,7 +92,7 @@
 
 // resolve asks a daemon which address to use.
 func resolve(ctx context.Context, directory string) (string, error) {
-	_, raw, err := do(ctx, http.MethodGet, "http://"+directory+platform.PathResolve+"?name="+emulator.Host, nil)
+	_, raw, err := do(ctx, http.MethodGet, platform.ResolveURL(directory, emulator.Host, ""), nil)
 	if err != nil {
 		return "", err
 	}
--- a/internal/core/dispatch/overload_test.go
+++ b/internal/core/dispatch/overload_test.go
@@ -12,12 +12,12 @@
 
 // crowdWorld plays many daemons that send requests to the same groups and hear
 // of each other's load with a delay. A group runs as many requests at once as
-// it has places, in the order of their arrival; each takes some time.
+// it has slots, in the order of their arrival; each takes some time.
 type crowdWorld struct {
 	rnd     *rand.Rand
 	now     time.Time
 	daemons []*Table
-	groups  map[string]*placesQueue
+	groups  map[string]*slotQueue
 	list    []catalog.Group
 	// names are the groups' names in order, so that a seed plays the same.
 	names []string
@@ -40,9 +40,9 @@
 	work Work
 }
 
-// placesQueue is a group: requests that run until a time, and requests that wait.
-type placesQueue struct {
-	places  int
+// slotQueue is a group: requests that run until a time, and requests that wait.
+type slotQueue struct {
+	slots   int
 	running []runningRequest
 	waiting []waitingRequest
 }
@@ -67,14 +67,14 @@
 	// crowdRelayed the same where one daemon tells the others.
 	crowdWay     = 30 * time.Millisecond
 	crowdRelayed = 80 * time.Millisecond
-	// crowdWait is how long a request may wait for a place to be in time.
+	// crowdWait is how long a request may wait for a slot to be in time.
 	crowdWait = 120 * time.Millisecond
 	// crowdReturn is when callers that were refused come back.
 	crowdReturn = 1250 * time.Millisecond
 )
 
 func newCrowdWorld(seed uint64, daemons, groups int) *crowdWorld {
-	cw := &crowdWorld{rnd: rand.New(rand.NewPCG(seed, 3)), now: begin, way: crowdWay, groups: make(map[string]*placesQueue)}
+	cw := &crowdWorld{rnd: rand.New(rand.NewPCG(seed, 3)), now: begin, way: crowdWay, groups: make(map[string]*slotQueue)}
 	for range daemons {
 		ta := table()
 		ta.Rand = cw.rnd
@@ -90,7 +90,7 @@
 func (cw *crowdWorld) form(name string) {
 	cw.list = append(cw.list, group(name, "here"))
 	cw.names = append(cw.names, name)
-	cw.groups[name] = &placesQueue{places: engine().Slots}
+	cw.groups[name] = &slotQueue{slots: engine().Slots}
 	for _, ta := range cw.daemons {
 		update(ta, cw.now, cw.list...)
 	}
@@ -119,9 +119,9 @@
 }
 
 // size is how many requests a group runs and holds.
-func (pq *placesQueue) size() int { return len(pq.running) + len(pq.waiting) }
+func (sq *slotQueue) size() int { return len(sq.running) + len(sq.waiting) }
 
-// life is how long a request occupies a place.
+// life is how long a request occupies a slot.
 func (cw *crowdWorld) life() time.Duration {
 	return answerTime(engine(), Load{Requests: engine().Slots}, 1)
 }
@@ -180,8 +180,8 @@
 	}
 }
 
-// run ends the requests that are done and starts waiting ones in their places.
-func (cw *crowdWorld) run(gr *placesQueue) {
+// run ends the requests that are done and starts waiting ones in their slots.
+func (cw *crowdWorld) run(gr *slotQueue) {
 	still := gr.running[:0]
 	for _, rr := range gr.running {
 		if rr.until.After(cw.now) {
@@ -191,7 +191,7 @@
 		rr.ticket.End()
 	}
 	gr.running = still
-	for len(gr.running) < gr.places && len(gr.waiting) > 0 {
+	for len(gr.running) < gr.slots && len(gr.waiting) > 0 {
 		wr := gr.waiting[0]
 		gr.waiting = gr.waiting[1:]
 		if !wr.again && cw.now.Sub(wr.since) <= crowdWait {
@@ -339,11 +339,11 @@
 		&catalog.Config{Services: map[string]catalog.Service{"engine": {Engine: &catalog.Engine{Slots: 2, Stride: 1}}}}, begin)
 	for i := range 4 {
 		if _, ti := ta.Pick(need(), ignore, begin); ti == nil {
-			t.Fatalf("request %d of 4 for 4 places was refused", i+1)
+			t.Fatalf("request %d of 4 for 4 slots was refused", i+1)
 		}
 	}
 	if _, ti := ta.Pick(need(), ignore, begin); ti != nil {
-		t.Error("a fifth request was sent to 4 places")
+		t.Error("a fifth request was sent to 4 slots")
 	}
 }
 
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -216,7 +216,7 @@
 
 // addresses asks a daemon where to connect.
 func (sk *stack) addresses(ru *running) []string {
-	rsp, err := sk.client.Get("http://" + ru.ip + ":18083" + platform.PathResolve + "?name=" + emulator.Host + "&zone=hall-a")
+	rsp, err := sk.client.Get(platform.ResolveURL(ru.ip+":18083", emulator.Host, "hall-a"))
 	if err != nil {
 		return nil
 	}
--- a/internal/mesh/pace_test.go
+++ b/internal/mesh/pace_test.go
@@ -49,8 +49,8 @@
 }
 
 // count returns how many beats each daemon is sent in that time.
-func (cr *crowd) count(others int, span time.Duration) map[addressee]int {
-	sent := make(map[addressee]int)
+func (cr *crowd) count(others int, span time.Duration) map[recipient]int {
+	sent := make(map[recipient]int)
 	for step := range int(span / countStep) {
 		for _, ad := range cr.due(ToDue) {
 			sent[ad]++
@@ -66,8 +66,8 @@
 // countStep is the interval at which beats are sent when they are due.
 const countStep = 10 * time.Millisecond
 
-func to(num int, tell WorkOf) addressee {
-	return addressee{netip.AddrPortFrom(netip.MustParseAddr(otherIP(num)), 7), tell}
+func to(num int, tell WorkOf) recipient {
+	return recipient{netip.AddrPortFrom(netip.MustParseAddr(otherIP(num)), 7), tell}
 }
 
 // Few daemons tell each other of their load directly, many through the
@@ -175,10 +175,10 @@
 	}
 }
 
-// Who is told what of the load: one letter for all that are told the same.
-func TestLetters(t *testing.T) {
+// Who is told what of the load: one datagram for all that are told the same.
+func TestDatagrams(t *testing.T) {
 	own := map[string]dispatch.Load{"a": {Requests: 3}}
-	ma := mailer{be: Beat{IP: "10.0.0.1"}, wo: Work{Own: dispatch.Work{Loads: own},
+	en := beatEncoder{be: Beat{IP: "10.0.0.1"}, wo: Work{Own: dispatch.Work{Loads: own},
 		But: func(ip string) dispatch.Work {
 			return dispatch.Work{Loads: map[string]dispatch.Load{ip: {Requests: 1}}, Rates: map[string]float32{"linden": 2.5}}
 		}}}
@@ -192,7 +192,7 @@
 		{WorkOwn, own},
 	}
 	for _, tc := range tests {
-		raw, err := ma.letter(to(1, tc.tell))
+		raw, err := en.datagram(to(1, tc.tell))
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/mesh/send.go
+++ b/internal/mesh/send.go
@@ -20,39 +20,39 @@
 
 // Send sends a beat.
 func (me *Mesh) Send(be Beat, wo Work, to Audience) error {
-	ma := mailer{be: be, wo: wo}
-	for _, ad := range me.due(to) {
-		raw, err := ma.letter(ad)
+	en := beatEncoder{be: be, wo: wo}
+	for _, re := range me.due(to) {
+		raw, err := en.datagram(re)
 		if err != nil {
 			return err
 		}
 		sentBytes.Add(len(raw))
 		// A datagram that is lost is made up for by the next one.
-		if _, err := me.Conn.WriteToUDPAddrPort(raw, ad.to); err != nil {
-			me.Log.Debug("mesh: datagram not sent.", "to", ad.to.String(), "cause", err.Error())
+		if _, err := me.Conn.WriteToUDPAddrPort(raw, re.to); err != nil {
+			me.Log.Debug("mesh: datagram not sent.", "to", re.to.String(), "cause", err.Error())
 		}
 	}
 	return nil
 }
 
-// addressee is a daemon to send a beat to, and which work it is told.
-type addressee struct {
+// recipient is a daemon to send a beat to, and which work it is told.
+type recipient struct {
 	to   netip.AddrPort
 	tell WorkOf
 }
 
-func (me *Mesh) due(to Audience) []addressee {
+func (me *Mesh) due(to Audience) []recipient {
 	me.mu.Lock()
 	defer me.mu.Unlock()
 	now := me.Clock.Now()
 	pa := me.pace()
-	var due []addressee
+	var due []recipient
 	for ip, pe := range me.peers {
 		if me.forget(ip, pe, now) || !pa.dueTo(ip, pe, now, to) {
 			continue
 		}
 		pe.sent = now
-		due = append(due, addressee{netip.AddrPortFrom(netip.MustParseAddr(ip), uint16(me.Port)), pa.tells(ip)})
+		due = append(due, recipient{netip.AddrPortFrom(netip.MustParseAddr(ip), uint16(me.Port)), pa.tells(ip)})
 	}
 	return due
 }
@@ -85,26 +85,27 @@
 	return false
 }
 
-// mailer encodes a beat once for all daemons that are told the same.
-type mailer struct {
+// beatEncoder encodes a beat once for all daemons that are told the same.
+type beatEncoder struct {
 	be        Beat
 	wo        Work
 	own, none []byte
 }
 
-func (ma *mailer) letter(ad addressee) ([]byte, error) {
-	be := ma.be
-	be.WorkOf = ad.tell
+// datagram returns the beat for one recipient, encoded.
+func (en *beatEncoder) datagram(re recipient) ([]byte, error) {
+	be := en.be
+	be.WorkOf = re.tell
 	switch {
-	case ad.tell == WorkRelayed && ma.wo.But != nil:
-		be.Work = ma.wo.But(ad.to.Addr().String())
+	case re.tell == WorkRelayed && en.wo.But != nil:
+		be.Work = en.wo.But(re.to.Addr().String())
 		return encode(be)
-	case ad.tell == WorkOwn:
-		be.Work = ma.wo.Own
-		return once(&ma.own, be)
+	case re.tell == WorkOwn:
+		be.Work = en.wo.Own
+		return once(&en.own, be)
 	}
 	be.WorkOf = WorkNone
-	return once(&ma.none, be)
+	return once(&en.none, be)
 }
 
 func once(raw *[]byte, be Beat) ([]byte, error) {
--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -65,7 +65,7 @@
 	ps := pick(cl.rnd, cl.so.daemons)
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+ps.ip+":18083"+platform.PathResolve+"?name="+emulator.Host+"&zone=hall-a", nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, platform.ResolveURL(ps.ip+":18083", emulator.Host, "hall-a"), nil)
 	if err != nil {
 		cl.so.check.Violate("client: %v", err)
 		return
--- a/scripts/platform.sh
+++ b/scripts/platform.sh
@@ -10,14 +10,8 @@
 rm -f "$dir"/daemon-*.json
 go build -o "$dir/bin/" ./cmd/corianderhub ./cmd/emulator ./cmd/platform-demo
 
-pids=()
-stop() {
-  # Only what this script started, by its process identifiers.
-  kill -TERM "${pids[@]}" 2>/dev/null || true
-  wait 2>/dev/null || true
-}
-trap stop EXIT
-trap 'exit 0' INT TERM
+# shellcheck source=scripts/processes.sh
+source "$(dirname "$0")/processes.sh"
 
 "$dir/bin/emulator" --dir "$dir" --subnet "$subnet" >"$dir/emulator.log" 2>&1 &
 pids+=($!)
--- a/scripts/stack.sh
+++ b/scripts/stack.sh
@@ -10,14 +10,8 @@
 mkdir -p "$bin"
 go build -o "$bin/" ./cmd/...
 
-pids=()
-stop() {
-  # Only what this script started, by its process identifiers.
-  kill -TERM "${pids[@]}" 2>/dev/null || true
-  wait 2>/dev/null || true
-}
-trap stop EXIT
-trap 'exit 0' INT TERM
+# shellcheck source=scripts/processes.sh
+source "$(dirname "$0")/processes.sh"
 
 port() { echo $((base + $1)); }
 start() {
