Say once how a failed exchange is judged

The verdict of a failed exchange was told by the same function in front and entry; it belongs to http1, which makes the errors. A case of the steward's orders that did what the next one does is gone.

--- a/internal/entry/act.go
+++ b/internal/entry/act.go
@@ -15,7 +15,6 @@
 	"corianderhub.dev/corianderhub/internal/core/steward"
 	"corianderhub.dev/corianderhub/internal/http1"
 	"corianderhub.dev/corianderhub/internal/mesh"
-	"corianderhub.dev/corianderhub/pkg/verdict"
 	"corianderhub.dev/corianderhub/platform"
 )
 
@@ -226,8 +225,6 @@
 	status, answer, err := da.call(ctx, cd.Address, &http1.Request{Method: http.MethodPost, URI: platform.PathOrder,
 		Host: cd.Address, Header: header, Body: bytes.Clone(body)})
 	switch {
-	case err != nil && verdictOf(err) == verdict.NotRun:
-		return steward.Unanswered, 0, err
 	case err != nil:
 		return steward.Unanswered, 0, err
 	case status == http.StatusOK || status == http.StatusAccepted:
@@ -235,11 +232,3 @@
 	}
 	return steward.Refused, status, eris.New(string(answer))
 }
-
-func verdictOf(err error) verdict.Verdict {
-	var he *http1.Error
-	if errors.As(err, &he) {
-		return he.Verdict
-	}
-	return verdict.MayHaveRun
-}
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -205,7 +205,8 @@
 }
 
 // Without a steward every daemon would read the store and wait for its changes,
-// and each change would answer a call of each of them. Where daemons are many, the deputies of each data centre do so and tell the rest.
+// and each change would answer a call of each of them. Where daemons are many, the
+// deputies of each data centre do so and tell the rest.
 const (
 	// deputies is how many daemons of a data centre follow the store in the
 	// steward's place. The store may turn a third of the daemons away.
--- a/internal/front/plain.go
+++ b/internal/front/plain.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"slices"
 	"strconv"
@@ -79,7 +78,7 @@
 func (pc *plainCall) take(an *answer, err error) bool {
 	pc.err = err
 	if err != nil {
-		if verdictOf(err) == verdict.NotRun {
+		if http1.VerdictOf(err) == verdict.NotRun {
 			return false
 		}
 		pc.state = verdict.MayHaveRun
@@ -105,7 +104,7 @@
 	// close an idle connection just as a request is on its way, and whether it
 	// has read it is then unknown.
 	ex, err := ca.sv.Pool.Send(ctx, ep.Address, ca.outgoing(ep.ID, !ca.route.Idempotent()))
-	if verdictOf(err) != verdict.NotRun || err == nil {
+	if http1.VerdictOf(err) != verdict.NotRun || err == nil {
 		ca.sends++
 		sendCount.Inc()
 	}
@@ -138,21 +137,6 @@
 	ca.log.Info("front: attempt failed.", "endpoint", ep.ID, "cause", err.Error())
 }
 
-// verdictOf says whether the request may have run after a failed attempt.
-func verdictOf(err error) verdict.Verdict {
-	var he *http1.Error
-	if errors.As(err, &he) {
-		return he.Verdict
-	}
-	return verdict.MayHaveRun
-}
-
-// connectFailed tells whether no connection could be opened.
-func connectFailed(err error) bool {
-	var he *http1.Error
-	return errors.As(err, &he) && he.Connect
-}
-
 // finish gives the caller the last answer, or says what is known.
 func (pc *plainCall) finish() {
 	switch {
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -105,15 +105,15 @@
 	st.log.Debug("front: sent.", "group", ch.Group.Name, "predicted-ms", ch.First.Milliseconds(), "fits", ch.Fits)
 	sent := st.sv.Clock.Now()
 	ex, err := st.sv.Pool.Send(part, ch.Group.Head().Address, st.request(ch.Group.Head().ID))
-	if err == nil || verdictOf(err) != verdict.NotRun {
+	if err == nil || http1.VerdictOf(err) != verdict.NotRun {
 		st.sends++
 		sendCount.Inc()
 	}
 	if err != nil {
-		if part.Err() == nil && connectFailed(err) {
+		if part.Err() == nil && http1.ConnectFailed(err) {
 			st.sv.Table.Unreachable(ch.Group)
 		}
-		st.failed(part, ch.Group, err, verdictOf(err))
+		st.failed(part, ch.Group, err, http1.VerdictOf(err))
 		return ch, false
 	}
 	defer ex.Close()
--- a/internal/http1/exchange.go
+++ b/internal/http1/exchange.go
@@ -44,6 +44,21 @@
 // Unwrap returns the cause.
 func (er *Error) Unwrap() error { return er.Err }
 
+// VerdictOf says whether a request may have run whose exchange failed so.
+func VerdictOf(err error) verdict.Verdict {
+	var er *Error
+	if errors.As(err, &er) {
+		return er.Verdict
+	}
+	return verdict.MayHaveRun
+}
+
+// ConnectFailed tells whether no connection could be opened.
+func ConnectFailed(err error) bool {
+	var er *Error
+	return errors.As(err, &er) && er.Connect
+}
+
 // Request is a request as it is written to an endpoint.
 type Request struct {
 	Method, URI, Host string
