--- a/internal/core/steward/form.go
+++ b/internal/core/steward/form.go
@@ -282,7 +282,7 @@
 // paceExponent says how much a model's pace counts. Its share is stated of the VMs'
 // time, so the pace is in it already; a group that is fast still bears more load
 // within the same objective. Days with trouble of 296 VMs were worth 0.57 in the mean
-// with 0.67 and 0.64 with this split, days of 222 VMs 0.61 with both; 54 VMs are split
+// with 0.67 and 0.64 with this split, days of 222 VMs 0.61 and 0.60; 54 VMs are split
 // alike.
 const (
 	minShare     = 0.02
