Tell the lives of a server apart, set foreign entries aside

Cause: a server may now start again under its ID, with its counts from 0 and nothing held; entries may come from another writer. An entry of an unknown state counted as a leaving server, one without fields as a server, and each was logged with every write. What an earlier life held (orders accepted, membership, weights in memory, failures, idle connections, that it left) was kept for the next one.

Change: the incarnation is part of what endpoints, members and reports are known by. The steward forgets a VM that started again, ends its groups at once, and counts neither late reports nor answers to orders of the earlier life. Daemons tell each other of lives that left. A refused order waits for a report that is newer than the refusal, and a plan of a spare ends once its VM belongs to a later one (before: the same order refused up to 93 times in a second).

--- a/internal/core/catalog/endpoint.go
+++ b/internal/core/catalog/endpoint.go
@@ -28,9 +28,25 @@
 	State GroupState
 }
 
-// Endpoint is a registered server process. A restart has another ID.
+// Incarnation tells the lives of a server process apart that start one after the
+// other under the same ID. It is the Unix millisecond of the start; 0 stands for
+// one that is not known.
+type Incarnation int64
+
+// Differs tells whether two incarnations are certainly not the same.
+func (in Incarnation) Differs(from Incarnation) bool { return in != from && in != 0 && from != 0 }
+
+// Life is one life of a server process.
+type Life struct {
+	ID          string      `json:"id" cbor:"1,keyasint"`
+	Incarnation Incarnation `json:"incarnation,omitempty" cbor:"2,keyasint,omitempty"`
+}
+
+// Endpoint is a registered server process. One that starts again may have
+// another ID, or the same ID and another incarnation; it knows nothing of before.
 type Endpoint struct {
 	ID, Service, Address string
+	Incarnation          Incarnation
 	DataCenter           string
 	// Slots is how many requests it runs at once.
 	Slots int
@@ -54,11 +70,16 @@
 	Revision int64
 }
 
+// Life returns the life that the endpoint is known in.
+func (ep *Endpoint) Life() Life { return Life{ep.ID, ep.Incarnation} }
+
 // HasStaged tells whether the model is on the endpoint's host.
 func (ep *Endpoint) HasStaged(model string) bool { return slices.Contains(ep.Staged, model) }
 
 // Report is what an endpoint answers when it is asked directly.
 type Report struct {
+	Incarnation Incarnation
+	// Orders counts the orders accepted since the start of the process.
 	Orders   int64
 	Busy     bool
 	Domain   string
@@ -72,6 +93,9 @@
 
 // Apply puts a report over what the store said.
 func (re Report) Apply(ep Endpoint) Endpoint {
+	if re.Incarnation != 0 {
+		ep.Incarnation = re.Incarnation
+	}
 	ep.Orders = re.Orders
 	ep.Loaded = re.Loaded
 	ep.Staged = re.Staged
--- a/internal/core/catalog/fold.go
+++ b/internal/core/catalog/fold.go
@@ -30,10 +30,22 @@
 	if !ok || head.Leaving {
 		return false
 	}
+	if gr.restarted(endpoints) {
+		return false
+	}
 	mb := head.Member
 	return mb == nil || mb.Group == gr.Name && mb.Epoch == gr.Epoch && (mb.State == Open || mb.State == Ready)
 }
 
+// restarted tells whether a member has started again since it joined: it holds
+// nothing of the group any more, and what is sent to the head would stand still.
+func (gr *Group) restarted(endpoints map[string]Endpoint) bool {
+	return slices.ContainsFunc(gr.Members, func(me Member) bool {
+		ep, ok := endpoints[me.ID]
+		return ok && ep.Incarnation.Differs(me.Incarnation)
+	})
+}
+
 // openGroups returns the whole groups whose heads say that they are open.
 func openGroups(endpoints map[string]Endpoint, cfg *Config) []Group {
 	var groups []Group
@@ -66,7 +78,7 @@
 		if mb == nil || mb.Group != gr.Name || mb.Epoch != gr.Epoch || mb.Rank < 0 || mb.Rank >= mo.Size {
 			continue
 		}
-		gr.Members[mb.Rank] = Member{ID: ep.ID, Address: ep.Address}
+		gr.Members[mb.Rank] = Member{ID: ep.ID, Address: ep.Address, Incarnation: ep.Incarnation}
 		gr.Leaving = gr.Leaving || ep.Leaving
 		found++
 	}
@@ -82,7 +94,7 @@
 			continue
 		}
 		plain = append(plain, PlainEndpoint{ID: ep.ID, Service: ep.Service, Address: ep.Address,
-			DataCenter: ep.DataCenter, Slots: ep.Slots, Leaving: ep.Leaving})
+			DataCenter: ep.DataCenter, Slots: ep.Slots, Leaving: ep.Leaving, Incarnation: ep.Incarnation})
 	}
 	return plain
 }
--- a/internal/core/catalog/view.go
+++ b/internal/core/catalog/view.go
@@ -24,8 +24,13 @@
 	DataCenter string `json:"data-center"`
 	Slots      int    `json:"slots"`
 	Leaving    bool   `json:"leaving,omitempty"`
+	// Incarnation is the process's life that the view speaks of.
+	Incarnation Incarnation `json:"incarnation,omitempty"`
 }
 
+// Life returns the life that the view speaks of.
+func (pe *PlainEndpoint) Life() Life { return Life{pe.ID, pe.Incarnation} }
+
 // Group is a whole group whose head is open.
 type Group struct {
 	Name       string   `json:"name"`
@@ -47,8 +52,13 @@
 type Member struct {
 	ID      string `json:"id" cbor:"1,keyasint"`
 	Address string `json:"address" cbor:"2,keyasint"`
+	// Incarnation is the life in which the endpoint joined the group.
+	Incarnation Incarnation `json:"incarnation,omitempty" cbor:"3,keyasint,omitempty"`
 }
 
+// Life returns the life in which the endpoint joined the group.
+func (me *Member) Life() Life { return Life{me.ID, me.Incarnation} }
+
 // Newer tells whether a view replaces another. Views are ordered by term and
 // sequence; one built from the store replaces an older one by its revision.
 func (vi *View) Newer(than *View) bool {
@@ -63,9 +73,9 @@
 
 // Without returns the view without the endpoints for which gone is true and
 // without the groups whose heads they are.
-func (vi *View) Without(gone func(id string) bool) *View {
+func (vi *View) Without(gone func(li Life) bool) *View {
 	left := *vi
-	left.Plain = slices.DeleteFunc(slices.Clone(vi.Plain), func(ep PlainEndpoint) bool { return gone(ep.ID) })
-	left.Groups = slices.DeleteFunc(slices.Clone(vi.Groups), func(gr Group) bool { return gone(gr.Head().ID) })
+	left.Plain = slices.DeleteFunc(slices.Clone(vi.Plain), func(ep PlainEndpoint) bool { return gone(ep.Life()) })
+	left.Groups = slices.DeleteFunc(slices.Clone(vi.Groups), func(gr Group) bool { return gone(gr.Members[0].Life()) })
 	return &left
 }
--- a/internal/core/dispatch/dispatch_test.go
+++ b/internal/core/dispatch/dispatch_test.go
@@ -348,3 +348,32 @@
 		}
 	}
 }
+
+// An endpoint that failed is avoided. When it has started again under its ID it is
+// another one, and gets its part of the requests at once.
+func TestRestartedEndpointIsNotAvoided(t *testing.T) {
+	now := time.Unix(1000, 0)
+	pl := &Plain{}
+	view := func(in catalog.Incarnation) *catalog.View {
+		return &catalog.View{Plain: []catalog.PlainEndpoint{{ID: "i-1", Service: "desk", Incarnation: in}, {ID: "i-2", Service: "desk", Incarnation: 1}}}
+	}
+	pl.Update(view(1))
+	for range 20 {
+		ep := pl.Pick("desk", nil, now)
+		if ep.ID == "i-1" {
+			pl.Failed(ep, now)
+		} else {
+			pl.Dropped(ep)
+		}
+	}
+	pl.Update(view(2))
+	picked := 0
+	for range 100 {
+		if ep := pl.Pick("desk", nil, now); ep.ID == "i-1" {
+			picked++
+		}
+	}
+	if picked < 25 {
+		t.Errorf("%d of 100 requests go to the endpoint that has started again", picked)
+	}
+}
--- a/internal/core/dispatch/plain.go
+++ b/internal/core/dispatch/plain.go
@@ -45,7 +45,8 @@
 	avoid    time.Time
 }
 
-// Update takes a view in. What is known of endpoints that stay is kept.
+// Update takes a view in. What is known of endpoints that stay is kept; one that
+// has started again is another one.
 func (pl *Plain) Update(vi *catalog.View) {
 	pl.mu.Lock()
 	defer pl.mu.Unlock()
@@ -58,7 +59,7 @@
 	pl.services = make(map[string][]*PlainEndpoint)
 	for _, ce := range vi.Plain {
 		ep := known[ce.ID]
-		if ep == nil {
+		if ep == nil || ep.Incarnation.Differs(ce.Incarnation) {
 			ep = &PlainEndpoint{PlainEndpoint: ce}
 		}
 		ep.leaving = ce.Leaving
--- a/internal/core/steward/facts.go
+++ b/internal/core/steward/facts.go
@@ -18,6 +18,10 @@
 		co.resort = true
 		return
 	}
+	if ep.Incarnation.Differs(vm.ep.Incarnation) {
+		co.registerOther(vm, ep, now)
+		return
+	}
 	co.hear(vm, ep, now)
 	vm.registered = true
 	vm.ep.Leaving = ep.Leaving
@@ -29,16 +33,54 @@
 }
 
 func (co *Core) newVM(ep catalog.Endpoint, now time.Time) *vm {
-	return &vm{ep: ep, registered: true, askAt: now, idleSince: now}
+	return &vm{ep: ep, since: now, registered: true, askAt: now, idleSince: now}
+}
+
+// registerOther takes an entry in that speaks of another life of a VM than the one
+// that is known.
+func (co *Core) registerOther(vm *vm, ep catalog.Endpoint, now time.Time) {
+	if ep.Incarnation > vm.ep.Incarnation {
+		co.restarted(vm, ep, now)
+		return
+	}
+	// The VM itself told of its restart, and its entry is not written yet: the store
+	// is away, or the VM's heartbeat is due.
+	vm.registered = true
+	vm.askBy(now)
+}
+
+// restarted forgets all that is known of a VM whose server started again under its
+// ID. It shows as another incarnation in the entry or in a report. The groups that
+// counted on the earlier life end: their heads go on as if nothing had happened, and
+// stand still. Orders decided for the earlier life are not counted for this one, and
+// the VM is used only after it has reported.
+func (co *Core) restarted(one *vm, ep catalog.Endpoint, now time.Time) {
+	co.note(Event{What: "vm-restarted", VM: ep.ID})
+	for _, ke := range co.keys() {
+		if gr := co.groups[ke]; !gr.doomed && slices.Contains(gr.members, ep.ID) {
+			co.doom(gr, "member "+ep.ID+" started again")
+		}
+	}
+	if one.recalled != "" {
+		co.lost[one.recalled] = true
+	}
+	*one = *co.newVM(ep, now)
 }
 
-// Recall tells of a member that an earlier steward knew and that has no entry.
-// It is asked; if it does not answer, its group does not wait for it.
+// Recall tells of a member that an earlier steward knew and that has no entry, or
+// one of another life. A member without an entry is asked; if it does not answer,
+// its group does not wait for it. One that started again is lost to its group.
 func (co *Core) Recall(gr catalog.Group, me catalog.Member, now time.Time) {
-	if co.services[gr.Service] == nil || co.vms[me.ID] != nil {
+	if co.services[gr.Service] == nil {
 		return
 	}
-	vm := co.newVM(catalog.Endpoint{ID: me.ID, Service: gr.Service, Address: me.Address, DataCenter: gr.DataCenter}, now)
+	if known := co.vms[me.ID]; known != nil {
+		if known.ep.Incarnation.Differs(me.Incarnation) {
+			co.lost[key(gr.Name, gr.Epoch)] = true
+		}
+		return
+	}
+	vm := co.newVM(catalog.Endpoint{ID: me.ID, Incarnation: me.Incarnation, Service: gr.Service, Address: me.Address, DataCenter: gr.DataCenter}, now)
 	vm.registered, vm.recalled = false, key(gr.Name, gr.Epoch)
 	co.vms[me.ID] = vm
 	co.resort = true
@@ -110,6 +152,21 @@
 	if !ok {
 		return
 	}
+	if re.Incarnation.Differs(vm.ep.Incarnation) {
+		if re.Incarnation < vm.ep.Incarnation && !asked.After(vm.since) {
+			// The answer of an earlier life, on its way when the VM started again.
+			vm.askBy(now)
+			return
+		}
+		co.restarted(vm, catalog.Endpoint{ID: id, Incarnation: re.Incarnation, Service: vm.ep.Service, Address: vm.ep.Address,
+			DataCenter: vm.ep.DataCenter, Domain: vm.ep.Domain, Slots: vm.ep.Slots, Revision: vm.ep.Revision}, now)
+	}
+	if vm.refused && asked.Sub(vm.ordered) < co.lag(vm) && re.Orders == vm.ep.Orders && sameMember(re.Member, vm.ep.Member) {
+		// What was refused was decided on just this, so the report is older than
+		// the refusal. The order would be sent, and refused, with each report.
+		vm.askBy(now.Add(askInterval))
+		return
+	}
 	if vm.busy || asked.Before(vm.ordered) || re.Orders < vm.ep.Orders && asked.Sub(vm.ordered) < co.lag(vm) {
 		// The report is from before the last order.
 		vm.failures = 0
@@ -120,7 +177,7 @@
 		co.note(Event{What: "vm-back", VM: id})
 	}
 	vm.ep = re.Apply(vm.ep)
-	vm.known, vm.down, vm.failures, vm.urgent, vm.unsure = true, false, 0, false, false
+	vm.known, vm.down, vm.failures, vm.urgent, vm.unsure, vm.refused = true, false, 0, false, false, false
 	vm.heard, vm.unproven = asked, 0
 	vm.holds(vm.ep.Loaded)
 	if vm.ep.Loaded == "" && vm.ep.Member == nil && !vm.ep.HasStaged(vm.last) {
@@ -217,7 +274,8 @@
 // Done tells what came of a command.
 func (co *Core) Done(cd Command, out Outcome, now time.Time) {
 	vm, ok := co.vms[cd.ID]
-	if !ok {
+	if !ok || cd.Incarnation != vm.ep.Incarnation {
+		// What an earlier life did with the order says nothing of this one.
 		return
 	}
 	vm.busy = false
@@ -227,7 +285,7 @@
 		vm.failures = 0
 		co.apply(vm, cd.Order, now)
 	case Refused:
-		vm.unsure = true
+		vm.unsure, vm.refused = true, true
 		vm.askBy(now)
 	case Unanswered:
 		vm.unsure = true
@@ -266,6 +324,13 @@
 	}
 }
 
+func sameMember(one, other *catalog.Membership) bool {
+	if one == nil || other == nil {
+		return one == other
+	}
+	return *one == *other
+}
+
 // joinTime is how long the VM takes to be ready for the model.
 func (co *Core) joinTime(vm *vm, model string) time.Duration {
 	en := co.services[vm.ep.Service]
--- a/internal/core/steward/lifecycle.go
+++ b/internal/core/steward/lifecycle.go
@@ -91,8 +91,8 @@
 		if co.belongs(vm, gr) || !vm.ready() {
 			continue
 		}
-		if vm.ep.Member != nil && !isSpare(vm.ep.Member.Group) {
-			co.doom(gr, "member "+id+" belongs to "+vm.ep.Member.Group)
+		if mb := vm.ep.Member; mb != nil && (!isSpare(mb.Group) || vm.passed(gr)) {
+			co.doom(gr, "member "+id+" belongs to "+mb.Group)
 			return nil
 		}
 		calls = append(calls, co.command(vm, catalog.Join{Group: gr.name, Epoch: gr.epoch, Model: gr.model, Members: gr.members}))
@@ -104,7 +104,7 @@
 
 func (co *Core) command(vm *vm, order catalog.Order) Command {
 	vm.busy = true
-	return Command{ID: vm.ep.ID, Address: vm.ep.Address, Order: order, IfOrders: vm.ep.Orders}
+	return Command{ID: vm.ep.ID, Address: vm.ep.Address, Incarnation: vm.ep.Incarnation, Order: order, IfOrders: vm.ep.Orders}
 }
 
 // stepWhole opens a group whose members are all ready, and retires one that
@@ -174,13 +174,21 @@
 	return calls
 }
 
+// passed tells whether the VM belongs to a group that was decided on after this one.
+// It refuses orders to join the older one, which would be sent for as long as that
+// one may take to form.
+func (vm *vm) passed(gr *group) bool {
+	mb := vm.ep.Member
+	return mb != nil && mb.Epoch > gr.epoch
+}
+
 // stepSpare sends the order that makes a VM hold a model in memory.
 func (co *Core) stepSpare(gr *group, now time.Time) []Call {
 	if gr.planned.IsZero() {
 		return nil
 	}
 	vm := co.vms[gr.members[0]]
-	if vm == nil || vm.down || vm.ep.Leaving || !co.belongs(vm, gr) && now.Sub(gr.planned) > joinPatience {
+	if vm == nil || vm.down || vm.ep.Leaving || vm.passed(gr) || !co.belongs(vm, gr) && now.Sub(gr.planned) > joinPatience {
 		gr.doomed = true
 		return nil
 	}
--- a/internal/core/steward/steward.go
+++ b/internal/core/steward/steward.go
@@ -73,6 +73,8 @@
 // has accepted exactly IfOrders orders before.
 type Command struct {
 	ID, Address string
+	// Incarnation is the life of the endpoint that the order was decided for.
+	Incarnation catalog.Incarnation
 	Order       catalog.Order
 	IfOrders    int64
 }
@@ -96,6 +98,8 @@
 // vm is what the steward knows of an endpoint's VM.
 type vm struct {
 	ep catalog.Endpoint
+	// since is when this steward learnt of the VM's present life.
+	since time.Time
 	// known is set once the VM itself has reported.
 	known bool
 	// registered is false while the endpoint's entry is missing.
@@ -108,8 +112,9 @@
 	heard time.Time
 	busy  bool
 	// unsure is set after an order that was refused or not answered, until the
-	// VM has reported: what is known of it may be wrong.
-	unsure bool
+	// VM has reported: what is known of it may be wrong. refused is set with it if
+	// the order was refused.
+	unsure, refused bool
 	// recalled is the key of the group that an earlier steward knew the VM in.
 	recalled string
 	// wanted is the model that the VM is to load next; empty when it may be used
--- a/internal/core/steward/view.go
+++ b/internal/core/steward/view.go
@@ -22,7 +22,7 @@
 		DataCenter: co.vms[gr.members[0]].ep.DataCenter, Leaving: !gr.retiring.IsZero()}
 	for _, id := range gr.members {
 		vm := co.vms[id]
-		cg.Members = append(cg.Members, catalog.Member{ID: id, Address: vm.ep.Address})
+		cg.Members = append(cg.Members, catalog.Member{ID: id, Address: vm.ep.Address, Incarnation: vm.ep.Incarnation})
 		cg.Slowness = max(cg.Slowness, vm.ep.Slowness)
 	}
 	return cg
--- a/internal/core/steward/world_test.go
+++ b/internal/core/steward/world_test.go
@@ -79,7 +79,7 @@
 func (wo *world) add(domain string) string {
 	wo.made++
 	id := fmt.Sprintf("vm-%03d", wo.made)
-	wo.fleet.Add(&emulator.VM{ID: id, Domain: domain, Service: "engine", Address: id})
+	wo.fleet.Add(&emulator.VM{ID: id, Domain: domain, Service: "engine", Address: id, Born: catalog.Incarnation(wo.now.UnixMilli())})
 	return id
 }
 
@@ -151,7 +151,7 @@
 	}
 	for _, id := range wo.fleet.IDs() {
 		ep, ok := wo.fleet.Entry(id, wo.now)
-		if had, seen := wo.entries[id]; ok && (!seen || had.Leaving != ep.Leaving || !sameMember(had.Member, ep.Member) || len(had.Staged) != len(ep.Staged)) {
+		if had, seen := wo.entries[id]; ok && (!seen || had.Incarnation != ep.Incarnation || had.Leaving != ep.Leaving || !sameMember(had.Member, ep.Member) || len(had.Staged) != len(ep.Staged)) {
 			wo.entries[id] = ep
 			wo.core.Register(ep, wo.now)
 		}
@@ -229,13 +229,6 @@
 	return len(heads["large"]), len(heads["small"])
 }
 
-func sameMember(one, other *catalog.Membership) bool {
-	if one == nil || other == nil {
-		return one == other
-	}
-	return *one == *other
-}
-
 // settle ends the free loads, as the first request of a caller does.
 func (wo *world) settle(dur time.Duration) {
 	wo.run(dur)
--- a/internal/entry/act.go
+++ b/internal/entry/act.go
@@ -66,14 +66,14 @@
 }
 
 // recall tells a new steward of members that the last view named and the store
-// does not, so that it asks them instead of waiting for their entries.
+// does not name in the same life, so that it does not wait for their entries.
 func (ct *control) recall(now time.Time) {
 	if ct.told == nil {
 		return
 	}
 	for _, gr := range ct.told.Groups {
 		for _, me := range gr.Members {
-			if _, ok := ct.endpoints[me.ID]; !ok {
+			if ep, ok := ct.endpoints[me.ID]; !ok || ep.Incarnation.Differs(me.Incarnation) {
 				ct.lease.core.Recall(gr, me, now)
 			}
 		}
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -41,8 +41,10 @@
 	// the store was away.
 	endpoints map[string]catalog.Endpoint
 	missing   map[string]time.Time
-	revision  int64
-	gone      goneEndpoints
+	// setAside are the keys of entries that name no server and were logged.
+	setAside map[string]bool
+	revision int64
+	gone     goneEndpoints
 	// told is the newest view of a steward.
 	told *catalog.View
 	// confirmed is when the store last confirmed what is known; shared under mu.
@@ -90,7 +92,7 @@
 
 func newControl(da *Daemon) *control {
 	return &control{da: da, events: make(chan func(), queueSize), endpoints: make(map[string]catalog.Endpoint),
-		missing: make(map[string]time.Time), gone: make(goneEndpoints), sound: make(soundGroups), fetching: make(map[string]bool)}
+		missing: make(map[string]time.Time), setAside: make(map[string]bool), gone: make(goneEndpoints), sound: make(soundGroups), fetching: make(map[string]bool)}
 }
 
 // post hands an event to the control loop.
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -7,6 +7,8 @@
 	"slices"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"corianderhub.dev/corianderhub/internal/core/catalog"
 	"corianderhub.dev/corianderhub/internal/mesh"
 	"corianderhub.dev/corianderhub/platform"
@@ -294,47 +296,77 @@
 func (ct *control) changed(items []platform.Item) {
 	for _, it := range items {
 		ct.revision = max(ct.revision, it.Revision)
-		if it.Deleted {
-			ct.unregister(it.Key[len(platform.EndpointPrefix):])
-			continue
+		ep, ok := catalog.Endpoint{}, false
+		if !it.Deleted {
+			ep, ok = ct.decode(it)
 		}
-		if ep, ok := ct.decode(it); ok {
-			ct.register(ep)
+		if !ok {
+			// Deleted, or overwritten with what names no server.
+			ct.unregister(platform.EndpointID(it.Key))
+			continue
 		}
+		ct.register(ep)
 	}
 	ct.endpointsChanged()
 }
 
+// maxSetAside bounds the entries that are remembered as told of in the log.
+const maxSetAside = 1000
+
+// decode decodes an entry. One that names no server is logged once, until it
+// names one: its writer may repeat it with each heartbeat.
 func (ct *control) decode(it platform.Item) (catalog.Endpoint, bool) {
 	ep, err := platform.DecodeEndpoint(it)
-	if err != nil {
-		ct.da.Log.Warn("control: entry set aside.", "cause", err.Error())
+	if err == nil {
+		delete(ct.setAside, it.Key)
+		return ep, true
 	}
-	return ep, err == nil
+	setAsideCount.Inc()
+	if !ct.setAside[it.Key] && len(ct.setAside) < maxSetAside {
+		ct.setAside[it.Key] = true
+		ct.da.Log.Warn("control: entry set aside.", "key", it.Key, "revision", it.Revision, "cause", err.Error())
+	}
+	return catalog.Endpoint{}, false
 }
 
+var setAsideCount = metrics.NewCounter("corianderhub_entries_set_aside_total")
+
 func (ct *control) register(ep catalog.Endpoint) {
 	had, ok := ct.endpoints[ep.ID]
 	if ok && had.Revision > ep.Revision {
 		return
 	}
-	if !ok {
-		ct.da.Log.Info("control: endpoint live.", "endpoint", ep.ID, "service", ep.Service, "domain", ep.Domain, "revision", ep.Revision)
-	} else if ep.Leaving && !had.Leaving {
+	switch {
+	case !ok:
+		ct.da.Log.Info("control: endpoint live.", "endpoint", ep.ID, "service", ep.Service, "domain", ep.Domain,
+			"incarnation", ep.Incarnation, "revision", ep.Revision)
+	case had.Incarnation.Differs(ep.Incarnation):
+		ct.restarted(had, ep)
+	case ep.Leaving && !had.Leaving:
 		ct.da.Log.Info("control: endpoint leaves.", "endpoint", ep.ID, "service", ep.Service, "revision", ep.Revision)
 	}
 	delete(ct.missing, ep.ID)
 	ct.endpoints[ep.ID] = ep
 	if ep.Leaving {
-		ct.newGone = ct.gone.note(ep.ID, ct.da.Clock.Now()) || ct.newGone
+		ct.newGone = ct.gone.note(ep.Life(), ct.da.Clock.Now()) || ct.newGone
 	} else {
-		delete(ct.gone, ep.ID)
+		delete(ct.gone, ep.Life())
 	}
 	if ct.lease.core != nil {
 		ct.lease.core.Register(ep, ct.da.Clock.Now())
 	}
 }
 
+// restarted forgets the earlier life of a server that started again under its ID.
+// Its connections end with the old process, so idle ones to it are closed: what is
+// sent on them would be reset, and might have run.
+func (ct *control) restarted(had, ep catalog.Endpoint) {
+	ct.da.Log.Info("control: endpoint started again.", "endpoint", ep.ID, "service", ep.Service,
+		"incarnation", ep.Incarnation, "before", had.Incarnation, "revision", ep.Revision)
+	ct.newGone = ct.gone.note(had.Life(), ct.da.Clock.Now()) || ct.newGone
+	ct.da.pool.Drop(had.Address)
+}
+
 func (ct *control) unregister(id string) {
 	ep, ok := ct.endpoints[id]
 	if !ok {
@@ -343,7 +375,7 @@
 	ct.da.Log.Info("control: endpoint gone.", "endpoint", id, "service", ep.Service)
 	delete(ct.endpoints, id)
 	delete(ct.missing, id)
-	ct.newGone = ct.gone.note(id, ct.da.Clock.Now()) || ct.newGone
+	ct.newGone = ct.gone.note(ep.Life(), ct.da.Clock.Now()) || ct.newGone
 	if ct.lease.core != nil {
 		ct.lease.core.Unregister(id, ct.da.Clock.Now())
 	}
--- a/internal/entry/follow_test.go
+++ b/internal/entry/follow_test.go
@@ -131,3 +131,22 @@
 		t.Error("late still for what was asked after the delay")
 	}
 }
+
+// A server leaves and starts again under its ID within a second. Another daemon tells
+// late that the earlier life has left. The new life must stay in use: capacity would
+// else be missing for as long as that is told.
+func TestGoneIsOneLife(t *testing.T) {
+	ge := make(goneEndpoints)
+	ge.note(catalog.Life{ID: "i-1", Incarnation: 5}, time.Unix(1000, 0))
+	vi := &catalog.View{
+		Plain:  []catalog.PlainEndpoint{{ID: "i-1", Incarnation: 5}, {ID: "i-1", Incarnation: 6}, {ID: "i-2", Incarnation: 5}},
+		Groups: []catalog.Group{{Name: "old", Members: []catalog.Member{{ID: "i-1", Incarnation: 5}}}, {Name: "new", Members: []catalog.Member{{ID: "i-1", Incarnation: 6}}}},
+	}
+	left := ge.filter(vi)
+	if len(left.Plain) != 2 || left.Plain[0].Incarnation != 6 || left.Plain[1].ID != "i-2" {
+		t.Errorf("endpoints left: %v", left.Plain)
+	}
+	if len(left.Groups) != 1 || left.Groups[0].Name != "new" {
+		t.Errorf("groups left: %v", left.Groups)
+	}
+}
--- a/internal/http1/pool.go
+++ b/internal/http1/pool.go
@@ -112,6 +112,16 @@
 	po.idle[cn.addr] = append(po.idle[cn.addr], cn)
 }
 
+// Drop closes all idle connections to an address, whose process has ended.
+func (po *Pool) Drop(addr string) {
+	po.mu.Lock()
+	defer po.mu.Unlock()
+	for _, cn := range po.idle[addr] {
+		cn.nc.Close()
+	}
+	delete(po.idle, addr)
+}
+
 // Sweep closes idle connections that have reached their limit.
 func (po *Pool) Sweep() {
 	now := po.Clock.Now()
--- a/internal/mesh/beat.go
+++ b/internal/mesh/beat.go
@@ -22,7 +22,8 @@
 
 // Beat is what a daemon tells the others at short intervals. Numbers of fields
 // are never given again with another meaning: daemons of two versions run
-// together while they are replaced. 14 was the load in an earlier form.
+// together while they are replaced. 14 was the load in an earlier form, 20 the IDs
+// of endpoints that left.
 type Beat struct {
 	// IP identifies the daemon, Started the process on it.
 	IP         string `cbor:"1,keyasint"`
@@ -57,7 +58,7 @@
 	// Leaving daemons will not become steward any more.
 	Leaving bool `cbor:"18,keyasint,omitempty"`
 	// Gone are endpoints that the daemon has lately seen leave at the store.
-	Gone []string `cbor:"20,keyasint,omitempty"`
+	Gone []catalog.Life `cbor:"28,keyasint,omitempty"`
 	// Suspects are groups that stand still.
 	Suspects []Suspect `cbor:"15,keyasint,omitempty"`
 	// Follows is set while the daemon follows the store itself.
