Take loads as free at the first start only; tell serving groups by model

Cause: a steward took every start before the first request for the first one, also after all daemons had lost power: it then gave free loads out without the weight store's limit.

Change: the settings' word for the first start decides.

Test: TestLoadsAreFreeAtFirstStartOnly (fails if the settings are not asked).

--- a/internal/core/steward/view.go
+++ b/internal/core/steward/view.go
@@ -31,11 +31,13 @@
 // Stats counts groups and VMs by what they do, for metrics and logs.
 type Stats struct {
 	Serving, Forming, Broken, Spares, Down, Stranded int
+	// ByModel are the serving groups of each model.
+	ByModel map[string]int
 }
 
 // Stats returns the current counts.
 func (co *Core) Stats() Stats {
-	var st Stats
+	st := Stats{ByModel: make(map[string]int)}
 	for _, gr := range co.groups {
 		switch {
 		case gr.spare():
@@ -43,6 +45,7 @@
 			st.Broken++
 		case co.complete(gr) && co.vms[gr.members[0]].ep.Member.State == catalog.Open:
 			st.Serving++
+			st.ByModel[gr.model]++
 		default:
 			st.Forming++
 		}
--- a/internal/entry/act.go
+++ b/internal/entry/act.go
@@ -53,7 +53,7 @@
 		}
 		ct.recall(now)
 	}
-	sh.core.Initial = !ct.served && ct.da.front.Served() == 0
+	sh.core.Initial = ct.initial()
 	if !sh.core.Settled() && now.Sub(sh.begun) < settleLimit {
 		ct.execute(sh.core.AskOnly(now))
 		return
@@ -65,6 +65,13 @@
 	ct.publish()
 }
 
+// initial tells whether the system starts for the first time and no caller has sent
+// a request yet: loads are free then. After a loss of all daemons none has served
+// either, and the weight store's limit holds.
+func (ct *control) initial() bool {
+	return ct.da.Settings.Bootstrap && !ct.served && ct.da.front.Served() == 0
+}
+
 // recall tells a new steward of members that the last view named and the store
 // does not name in the same life, so that it does not wait for their entries.
 func (ct *control) recall(now time.Time) {
@@ -117,7 +124,7 @@
 	ct.hearView(vi)
 	ct.sendBeat(ex)
 	st := ct.da.stats.Load()
-	ct.da.Log.Info("steward: view published.", "term", sh.term, "view", sh.sequence, "serving", st.Serving, "forming", st.Forming,
+	ct.da.Log.Info("steward: view published.", "term", sh.term, "view", sh.sequence, "serving", st.Serving, "by-model", st.ByModel, "forming", st.Forming,
 		"broken", st.Broken, "spares", st.Spares, "stranded", st.Stranded, "down", st.Down)
 }
 
--- a/internal/entry/follow_test.go
+++ b/internal/entry/follow_test.go
@@ -9,6 +9,7 @@
 
 	"corianderhub.dev/corianderhub/internal/clock"
 	"corianderhub.dev/corianderhub/internal/core/catalog"
+	"corianderhub.dev/corianderhub/internal/front"
 	"corianderhub.dev/corianderhub/internal/mesh"
 	"corianderhub.dev/corianderhub/platform"
 )
@@ -150,3 +151,26 @@
 		t.Errorf("groups left: %v", left.Groups)
 	}
 }
+
+// All daemons lose power and start again. No caller has been served since, but the
+// weight store's limit holds: only at the very first start are loads free. A steward
+// that took each start for the first one would begin more loads than are allowed.
+func TestLoadsAreFreeAtFirstStartOnly(t *testing.T) {
+	tests := []struct {
+		name              string
+		bootstrap, served bool
+		want              bool
+	}{
+		{"first start", true, false, true},
+		{"first start, callers were served", true, true, false},
+		{"start after a loss of all", false, false, false},
+	}
+	for _, tc := range tests {
+		ct, _ := newLoneControl(800)
+		ct.da.front = &front.Server{}
+		ct.da.Settings.Bootstrap, ct.served = tc.bootstrap, tc.served
+		if got := ct.initial(); got != tc.want {
+			t.Errorf("%s: loads are free: %v, want %v", tc.name, got, tc.want)
+		}
+	}
+}
