Tell of endpoints that left before a deputy followed the store

Ruled out: a lost beat (configurations came the same way), the time for which a leave is told (3 s, it would have been told until 4.9 s).

Change: who reads all entries compares them with the steward's view, and tells of what is not there any more: at once, or after an outage if it does not come back.

Test: TestDeputyTellsWhatItNeverSaw (failed first).

--- a/internal/core/catalog/view.go
+++ b/internal/core/catalog/view.go
@@ -71,6 +71,19 @@
 	return vi.Revision >= than.Revision
 }
 
+// Lives returns the endpoints that requests are sent to by the view: those without
+// groups, and the groups' heads.
+func (vi *View) Lives() []Life {
+	var lives []Life
+	for i := range vi.Plain {
+		lives = append(lives, vi.Plain[i].Life())
+	}
+	for _, gr := range vi.Groups {
+		lives = append(lives, gr.Members[0].Life())
+	}
+	return lives
+}
+
 // Without returns the view without the endpoints for which gone is true and
 // without the groups whose heads they are.
 func (vi *View) Without(gone func(li Life) bool) *View {
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -36,8 +36,9 @@
 type follower struct {
 	ct     *control
 	prefix string
-	// snapshot gets all items, changed those that changed since.
-	snapshot func(items []platform.Item, revision int64)
+	// snapshot gets all items, and whether the store did not answer before; changed
+	// gets those that changed since.
+	snapshot func(items []platform.Item, revision int64, wasAway bool)
 	changed  func(items []platform.Item)
 	// after is the revision to go on from; 0 makes it read all. turn is the turn
 	// of following that it holds for.
@@ -57,7 +58,7 @@
 		}
 	}
 	fo := &follower{ct: ct, prefix: platform.ConfigPrefix, changed: take,
-		snapshot: func(items []platform.Item, _ int64) { take(items) }}
+		snapshot: func(items []platform.Item, _ int64, _ bool) { take(items) }}
 	fo.run(ctx)
 }
 
@@ -90,10 +91,11 @@
 		if err != nil {
 			return err
 		}
+		wasAway := fo.failing
 		fo.regained()
 		fo.after = rev
 		fo.ct.post(func() {
-			fo.snapshot(items, rev)
+			fo.snapshot(items, rev, wasAway)
 			fo.ct.confirmPart(fo.prefix)
 		})
 	}
@@ -267,7 +269,7 @@
 // snapshot takes in all endpoints that the store has registered. Those that
 // are not there any more are gone, unless the store was away: then they may be
 // back soon.
-func (ct *control) snapshot(items []platform.Item, revision int64) {
+func (ct *control) snapshot(items []platform.Item, revision int64, wasAway bool) {
 	now := ct.da.Clock.Now()
 	away := ct.age(now) > staleAfter
 	seen := make(map[string]bool, len(items))
@@ -288,11 +290,35 @@
 			ct.unregister(id)
 		}
 	}
+	ct.compareView(seen, revision, wasAway)
 	ct.revision = max(ct.revision, revision)
 	ct.haveAll = true
 	ct.endpointsChanged()
 }
 
+// compareView looks for endpoints that the steward's view names and that were gone
+// already when this daemon began to follow the store. It has never seen their
+// entries, so it can't see them go. Daemons that rely on it as a deputy go on by the
+// view of a steward that is cut off from the store, and sent requests to an endpoint
+// 3.2 s after its entry had been removed.
+func (ct *control) compareView(seen map[string]bool, revision int64, wasAway bool) {
+	if ct.told == nil || ct.told.Revision > revision {
+		// What a newer view names may have registered since.
+		return
+	}
+	now := ct.da.Clock.Now()
+	for _, li := range ct.told.Lives() {
+		if _, known := ct.endpoints[li.ID]; known || seen[li.ID] {
+			continue
+		}
+		if !wasAway {
+			ct.newGone = ct.gone.note(li, now) || ct.newGone
+		} else if _, ok := ct.missing[li.ID]; !ok {
+			ct.missing[li.ID] = now
+		}
+	}
+}
+
 func (ct *control) changed(items []platform.Item) {
 	for _, it := range items {
 		ct.revision = max(ct.revision, it.Revision)
@@ -386,7 +412,7 @@
 	before := len(ct.missing)
 	for id, since := range ct.missing {
 		if now.Sub(since) > returnGrace {
-			ct.unregister(id)
+			ct.giveUp(id, now)
 		}
 	}
 	if len(ct.missing) != before {
@@ -394,6 +420,21 @@
 	}
 }
 
+// giveUp takes an endpoint whose entry did not come back as gone. It may be known by
+// the steward's view alone.
+func (ct *control) giveUp(id string, now time.Time) {
+	delete(ct.missing, id)
+	if _, ok := ct.endpoints[id]; ok || ct.told == nil {
+		ct.unregister(id)
+		return
+	}
+	for _, li := range ct.told.Lives() {
+		if li.ID == id {
+			ct.newGone = ct.gone.note(li, now) || ct.newGone
+		}
+	}
+}
+
 // endpointsChanged brings the view up to the endpoints. The steward publishes
 // its own.
 func (ct *control) endpointsChanged() {
