Leave the store to the deputies also after a long quiet

Cause: when a steward is cut off from the store, three daemons of each data centre are to follow it in its place and the others to wait 0.7 s for their word.

Change: the wait counts from when the daemon itself last knew what the store says.

Test: TestDeputiesAfterLongQuiet (failed first).

--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -243,12 +243,15 @@
 	return before < deputies
 }
 
-// deputySilence is how long no deputy has told anything fresh, since the start
-// of this daemon at most.
+// deputySilence is how long no deputy has told anything fresh, since this daemon
+// started or itself last knew what the store says at most. While a steward tells that,
+// no deputy speaks: counted from the last word of one, the silence was always long
+// enough, and all daemons of a data centre followed the store at once when the
+// steward was cut off from it.
 func (ct *control) deputySilence(now time.Time) time.Duration {
 	ct.mu.Lock()
 	defer ct.mu.Unlock()
-	return min(now.Sub(ct.deputyAt), now.Sub(ct.begun))
+	return min(now.Sub(ct.deputyAt), now.Sub(ct.begun), now.Sub(ct.confirmed))
 }
 
 // hearDeputy takes in how fresh a daemon of the same data centre is that follows
--- a/internal/entry/follow_test.go
+++ b/internal/entry/follow_test.go
@@ -206,3 +206,25 @@
 		}
 	}
 }
+
+// The steward has told for a minute what the store says, so that no deputy had to.
+// Then it is cut off from the store. The other daemons of the data centre must leave
+// the store to the deputies all the same: each that follows it costs the platform a
+// call for each change.
+func TestDeputiesAfterLongQuiet(t *testing.T) {
+	ct, cl := newLoneControl(192)
+	cl.Advance(time.Minute)
+	ct.confirmed = cl.Now()
+	cl.Advance(staleAfter + time.Millisecond)
+	ct.hearAll(1, mesh.Beat{})
+	ct.stepFollowing(cl.Now())
+	if ct.follows() {
+		t.Error("follows the store before the deputies had time to")
+	}
+	cl.Advance(deputyPatience)
+	ct.hearAll(2, mesh.Beat{})
+	ct.stepFollowing(cl.Now())
+	if !ct.follows() {
+		t.Error("does not follow the store though the deputies are silent")
+	}
+}
