--- /dev/null
+++ b/internal/entry/gone_test.go
@@ -0,0 +1,60 @@
+package entry
+
+import (
+	"testing"
+	"time"
+
+	"corianderhub.dev/corianderhub/internal/core/catalog"
+	"corianderhub.dev/corianderhub/internal/core/dispatch"
+	"corianderhub.dev/corianderhub/platform"
+)
+
+// A server leaves and starts again under its ID within a second. Another daemon tells
+// late that the earlier life has left. The new life must stay in use: capacity would
+// else be missing for as long as that is told.
+func TestGoneIsOneLife(t *testing.T) {
+	ge := make(goneEndpoints)
+	ge.note(catalog.Life{ID: "i-1", Incarnation: 5}, time.Unix(1000, 0))
+	vi := &catalog.View{
+		Plain:  []catalog.PlainEndpoint{{ID: "i-1", Incarnation: 5}, {ID: "i-1", Incarnation: 6}, {ID: "i-2", Incarnation: 5}},
+		Groups: []catalog.Group{{Name: "old", Members: []catalog.Member{{ID: "i-1", Incarnation: 5}}}, {Name: "new", Members: []catalog.Member{{ID: "i-1", Incarnation: 6}}}},
+	}
+	left := ge.filter(vi)
+	if len(left.Plain) != 2 || left.Plain[0].Incarnation != 6 || left.Plain[1].ID != "i-2" {
+		t.Errorf("endpoints left: %v", left.Plain)
+	}
+	if len(left.Groups) != 1 || left.Groups[0].Name != "new" {
+		t.Errorf("groups left: %v", left.Groups)
+	}
+}
+
+// The steward is cut off from the store. An endpoint's entry is removed. A deputy
+// begins to follow the store only then, so that it never saw the entry, and tells the
+// others that it is fresh. They went on by the steward's view and sent requests to the
+// endpoint seconds after it had left. The deputy must tell them that it is gone: at
+// once if the store answered, and after an outage only if the entry does not come back.
+func TestDeputyTellsWhatItNeverSaw(t *testing.T) {
+	for _, wasAway := range []bool{false, true} {
+		ct, cl := newLoneControl(800)
+		ct.da.table, ct.da.plain = &dispatch.Table{}, &dispatch.Plain{}
+		ct.told = &catalog.View{Term: 7, Plain: []catalog.PlainEndpoint{{ID: "desk-1", Service: "desk"}, {ID: "desk-2", Service: "desk"}},
+			Groups: []catalog.Group{{Name: "group-1", Members: []catalog.Member{{ID: "engine-1"}, {ID: "engine-2"}}}}}
+		entry := `{"service":"desk","address":"127.0.0.1:9","zone":"dc-0","slots":1,"state":"ready","sequence":1}`
+		items := []platform.Item{{Key: platform.EndpointPrefix + "desk-2", Value: []byte(entry), Revision: 3}}
+		ct.snapshot(items, 3, wasAway)
+		if wasAway {
+			if told := ct.gone.lately(cl.Now()); len(told) > 0 {
+				t.Errorf("right after an outage, %v count as gone", told)
+			}
+			cl.Advance(returnGrace + time.Millisecond)
+			ct.stepMissing(cl.Now())
+		}
+		ct.told = &catalog.View{Term: 7, Revision: 9, Plain: []catalog.PlainEndpoint{{ID: "desk-3", Service: "desk"}}}
+		ct.snapshot(items, 4, false)
+		for id, want := range map[string]bool{"desk-3": false, "desk-1": true, "desk-2": false, "engine-1": true} {
+			if got := ct.gone.has(catalog.Life{ID: id}); got != want {
+				t.Errorf("store away before: %v; %s counts as gone: %v, want %v", wasAway, id, got, want)
+			}
+		}
+	}
+}
