Learn a start that is told late; take a missing entry for a leave only without an outage

An order's answer was passed over if the VM's start became known in between, and the VM would have waited for it for good; the entry of a VM known by an earlier view alone did not set its start. And a daemon that started right after an outage of the store would have told that all endpoints whose entries had lapsed are gone, which the others then leave out for 4 s: it waits now until they may be back.

Tests: TestStartIsLearntLate (failed first), TestDeputyTellsWhatItNeverSaw with the outages (two cases failed first).

--- a/internal/core/steward/facts.go
+++ b/internal/core/steward/facts.go
@@ -22,6 +22,9 @@
 		co.registerOther(vm, ep, now)
 		return
 	}
+	if vm.ep.Incarnation == 0 {
+		vm.ep.Incarnation = ep.Incarnation
+	}
 	co.hear(vm, ep, now)
 	vm.registered = true
 	vm.ep.Leaving = ep.Leaving
@@ -243,7 +246,7 @@
 // Done tells what came of a command.
 func (co *Core) Done(cd Command, out Outcome, now time.Time) {
 	vm, ok := co.vms[cd.ID]
-	if !ok || cd.Incarnation != vm.ep.Incarnation {
+	if !ok || cd.Incarnation.Differs(vm.ep.Incarnation) {
 		// What an earlier life did with the order says nothing of this one.
 		return
 	}
--- a/internal/core/steward/restart_test.go
+++ b/internal/core/steward/restart_test.go
@@ -108,6 +108,30 @@
 	}
 }
 
+// A member is known by an earlier steward's view, which did not tell its start. Its
+// entry tells it later, and another one after a restart. The restart must be seen, and
+// an order that is answered in between must not leave the VM waiting for its answer.
+func TestStartIsLearntLate(t *testing.T) {
+	wo := newWorld(t, 9, 1, 9)
+	wo.settle(5 * time.Second)
+	vm := wo.core.vms[wo.core.Groups()[0].Members[1].ID]
+	told := vm.ep
+	vm.ep.Incarnation = 0
+	cd := wo.core.command(vm, catalog.Stage{Model: "small"})
+	wo.core.Register(told, wo.now)
+	wo.core.Done(cd, Refused, wo.now)
+	if vm.busy {
+		t.Error("the VM waits for an answer that has come")
+	}
+	later := told
+	later.Incarnation++
+	later.Member = nil
+	wo.core.Register(later, wo.now)
+	if vm.ep.Member != nil || vm.known {
+		t.Error("the restart was not seen")
+	}
+}
+
 // A VM refuses an order that is older than the group it belongs to. Reports lag, so
 // the next one says what was known before. The order must not go out with each of
 // them: some hundred refused orders in a second were seen.
--- a/internal/entry/endpoints.go
+++ b/internal/entry/endpoints.go
@@ -40,6 +40,12 @@
 	ct.endpointsChanged()
 }
 
+// outageAge is the age of the store's last word from which entries may be missing
+// because the store was away. They lapse after three heartbeats, which is 3.6 s where
+// the deployments have them, and are back within 2 s. A daemon that has just started
+// does not know of an outage before.
+const outageAge = 2 * staleAfter
+
 // compareView looks for endpoints that the steward's view names and that were gone
 // already when this daemon began to follow the store. It has never seen their
 // entries, so it can't see them go. Daemons that rely on it as a deputy go on by the
@@ -51,11 +57,12 @@
 		return
 	}
 	now := ct.da.Clock.Now()
+	lapsed := wasAway || ct.age(now) > outageAge || now.Sub(ct.begun) < outageAge
 	for _, li := range ct.told.Lives() {
 		if _, known := ct.endpoints[li.ID]; known || seen[li.ID] {
 			continue
 		}
-		if !wasAway {
+		if !lapsed {
 			ct.newGone = ct.gone.note(li, now) || ct.newGone
 		} else if _, ok := ct.missing[li.ID]; !ok {
 			ct.missing[li.ID] = now
--- a/internal/entry/gone_test.go
+++ b/internal/entry/gone_test.go
@@ -34,17 +34,31 @@
 // endpoint seconds after it had left. The deputy must tell them that it is gone: at
 // once if the store answered, and after an outage only if the entry does not come back.
 func TestDeputyTellsWhatItNeverSaw(t *testing.T) {
-	for _, wasAway := range []bool{false, true} {
+	tests := []struct {
+		name string
+		// uptime is how long the daemon has run, age how old the store's last word is.
+		uptime, age time.Duration
+		wasAway     bool
+		atOnce      bool
+	}{
+		{"the store answered", time.Minute, staleAfter, false, true},
+		{"the store did not answer before", time.Minute, staleAfter, true, false},
+		{"nobody could read the store for long", time.Minute, 2 * outageAge, false, false},
+		{"the daemon has just started", time.Second, staleAfter, false, false},
+	}
+	for _, tc := range tests {
 		ct, cl := newLoneControl(800)
+		cl.Advance(tc.uptime)
+		ct.confirmed = cl.Now().Add(-tc.age)
 		ct.da.table, ct.da.plain = &dispatch.Table{}, &dispatch.Plain{}
 		ct.told = &catalog.View{Term: 7, Plain: []catalog.PlainEndpoint{{ID: "desk-1", Service: "desk"}, {ID: "desk-2", Service: "desk"}},
 			Groups: []catalog.Group{{Name: "group-1", Members: []catalog.Member{{ID: "engine-1"}, {ID: "engine-2"}}}}}
 		entry := `{"service":"desk","address":"127.0.0.1:9","zone":"dc-0","slots":1,"state":"ready","sequence":1}`
 		items := []platform.Item{{Key: platform.EndpointPrefix + "desk-2", Value: []byte(entry), Revision: 3}}
-		ct.snapshot(items, 3, wasAway)
-		if wasAway {
+		ct.snapshot(items, 3, tc.wasAway)
+		if !tc.atOnce {
 			if told := ct.gone.lately(cl.Now()); len(told) > 0 {
-				t.Errorf("right after an outage, %v count as gone", told)
+				t.Errorf("%s: %v count as gone at once", tc.name, told)
 			}
 			cl.Advance(returnGrace + time.Millisecond)
 			ct.stepMissing(cl.Now())
@@ -53,7 +67,7 @@
 		ct.snapshot(items, 4, false)
 		for id, want := range map[string]bool{"desk-3": false, "desk-1": true, "desk-2": false, "engine-1": true} {
 			if got := ct.gone.has(catalog.Life{ID: id}); got != want {
-				t.Errorf("store away before: %v; %s counts as gone: %v, want %v", wasAway, id, got, want)
+				t.Errorf("%s: %s counts as gone: %v, want %v", tc.name, id, got, want)
 			}
 		}
 	}
