--- a/internal/entry/act.go
+++ b/internal/entry/act.go
@@ -99,6 +99,7 @@
 			ct.da.table.Sound(ev.Group)
 			continue
 		}
+		metrics.GetOrCreateCounter(`corianderhub_steward_events_total{what="` + ev.What + `"}`).Inc()
 		ct.da.Log.Info("steward: "+ev.What+".", "term", ct.lease.term, "group", ev.Group, "model", ev.Model, "vm", ev.VM,
 			"reason", ev.Reason, "members", ev.Members)
 	}
