--- a/internal/core/steward/steward.go
+++ b/internal/core/steward/steward.go
@@ -289,16 +289,6 @@
 	return co.sorted
 }
 
-// Busy tells whether anything is on its way that short intervals matter for.
-func (co *Core) Busy() bool {
-	for _, vm := range co.vms {
-		if !vm.askAt.IsZero() || vm.busy {
-			return true
-		}
-	}
-	return false
-}
-
 // epoch returns the next epoch. It grows with terms, and within a term.
 func (co *Core) epoch() int64 {
 	co.made++
