Bound the questions of daemons without a steward; let promises outlast two lost beats

The log now names the daemons whose promise is missing. Endpoints that a daemon reads first are logged as one line.

--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -44,7 +44,10 @@
 	// setAside are the keys of entries that name no server and were logged.
 	setAside map[string]bool
 	revision int64
-	gone     goneEndpoints
+	// firstRead is set while all endpoints are taken in that are registered when this
+	// daemon first reads them.
+	firstRead bool
+	gone      goneEndpoints
 	// told is the newest view of a steward.
 	told *catalog.View
 	// confirmed is when the store last confirmed what is known; shared under mu.
@@ -88,6 +91,8 @@
 	promisedUntil time.Time
 	// storeAway is set while the store does not answer for the endpoints; shared.
 	storeAway atomic.Bool
+	// probing counts the groups whose members this daemon asks by itself.
+	probing int
 	// campaigning is set while this daemon looks at the lease.
 	campaigning bool
 
--- a/internal/entry/endpoints.go
+++ b/internal/entry/endpoints.go
@@ -17,12 +17,17 @@
 	now := ct.da.Clock.Now()
 	away := ct.age(now) > staleAfter
 	seen := make(map[string]bool, len(items))
+	ct.firstRead = len(ct.endpoints) == 0
 	for _, it := range items {
 		if ep, ok := ct.decode(it); ok {
 			seen[ep.ID] = true
 			ct.register(ep)
 		}
 	}
+	if ct.firstRead {
+		ct.da.Log.Info("control: endpoints read.", "count", len(seen), "revision", revision)
+		ct.firstRead = false
+	}
 	for id := range maps.Clone(ct.endpoints) {
 		switch {
 		case seen[id]:
@@ -114,6 +119,8 @@
 		return
 	}
 	switch {
+	case !ok && ct.firstRead:
+		// A line for each of 1,100 endpoints would delay a small machine that starts.
 	case !ok:
 		ct.da.Log.Info("control: endpoint live.", "endpoint", ep.ID, "service", ep.Service, "domain", ep.Domain,
 			"incarnation", ep.Incarnation, "revision", ep.Revision)
--- a/internal/entry/promise.go
+++ b/internal/entry/promise.go
@@ -15,20 +15,24 @@
 	// stewardSilence is how long a steward must be silent before another daemon looks
 	// at the lease where all daemons tell each other everything. manySilence is the
 	// same where they are many: a steward hears of 195 daemons 0.5 s late whether they
-	// have heard it, and with 0.5 s gave its lease up in an outage of the store.
+	// have heard it, with a beat lost 0.8 s, and gave its lease up in an outage of the
+	// store with less than that.
 	stewardSilence = 500 * time.Millisecond
-	manySilence    = 750 * time.Millisecond
+	manySilence    = time.Second
 	// promiseMargin is taken off the time that a promise holds.
 	promiseMargin = 100 * time.Millisecond
 	// maxPromise bounds a promise: daemons that are not among the first to look at the
-	// lease wait longer anyway, and the first may be gone with the steward.
-	maxPromise = 1200 * time.Millisecond
+	// lease wait longer anyway, and the first may be gone with the steward. The lease
+	// itself lasts nearly as long.
+	maxPromise = 2 * time.Second
 	// electorateSpan is how long a silent daemon's promise is still asked for.
 	electorateSpan = 8 * time.Second
 	// lapseGrace is how long a steward that does not hold the lease for certain does
 	// nothing before it gives up: a beat or two may be lost. With leaseMargin it ends
 	// before another daemon can hold the lease.
 	lapseGrace = 200 * time.Millisecond
+	// maxNamed bounds the daemons that a log line names.
+	maxNamed = 5
 )
 
 // promise is a daemon's word not to look at the lease until then, since boot.
@@ -94,21 +98,22 @@
 // certainly still this daemon's, or because every other daemon has promised not
 // to look at it yet.
 func (ct *control) holds() bool {
-	return clock.SinceBoot() < ct.lease.until || ct.allPromised()
+	return clock.SinceBoot() < ct.lease.until || len(ct.unpromised()) == 0
 }
 
-// allPromised tells whether the promises of all daemons hold still. Daemons
+// unpromised returns the daemons whose promises do not hold any more. Daemons
 // that were silent for longer than cuts usually last are taken as gone; one
 // that leaves will not become steward.
-func (ct *control) allPromised() bool {
+func (ct *control) unpromised() []string {
 	now := clock.SinceBoot()
+	var names []string
 	for _, pe := range ct.da.mesh.HeardWithin(electorateSpan) {
 		pr := ct.lease.promises[pe.IP]
 		if !pe.Leaving && (pr.started != pe.Started || now > pr.until-promiseMargin) {
-			return false
+			names = append(names, pe.Name)
 		}
 	}
-	return true
+	return names
 }
 
 // lapsed tells whether this daemon may not act as the steward now, and gives the lease
@@ -123,6 +128,8 @@
 		sh.unheldSince = now
 	}
 	if now.Sub(sh.unheldSince) > lapseGrace {
+		names := ct.unpromised()
+		ct.da.Log.Info("steward: lease not held.", "term", sh.term, "unpromised", len(names), "daemons", names[:min(len(names), maxNamed)])
 		ct.loseSteward("lease lapsed")
 	}
 	return true
--- a/internal/entry/stall.go
+++ b/internal/entry/stall.go
@@ -25,7 +25,8 @@
 	if len(stalled) == 0 {
 		return
 	}
-	ownProbe := ct.da.mesh.Direct() || ct.lease.core == nil && now.Sub(ct.heard) > stewardLate
+	direct := ct.da.mesh.Direct()
+	ownProbe := direct || ct.lease.core == nil && now.Sub(ct.heard) > manyStewardLate
 	var suspects []mesh.Suspect
 	for _, gr := range stalled {
 		ct.da.Log.Info("control: group stands still.", "group", gr.Name, "epoch", gr.Epoch)
@@ -33,8 +34,12 @@
 		if ct.lease.core != nil {
 			ct.lease.core.Suspect(gr.Name, gr.Epoch, true, now)
 		}
-		if ownProbe {
-			ct.da.once(&ct.wg, func(ctx context.Context) { ct.probe(ctx, gr) })
+		if ownProbe && (direct || ct.probing < maxProbes) {
+			ct.probing++
+			ct.da.once(&ct.wg, func(ctx context.Context) {
+				ct.probe(ctx, gr)
+				ct.post(func() { ct.probing-- })
+			})
 		}
 	}
 	ct.sendBeat(beatExtra{suspects: suspects, to: mesh.ToSteward})
@@ -59,9 +64,14 @@
 	}
 }
 
-// stewardLate is the silence of the steward from which a daemon does not rely
-// on it for an answer: some four beats.
-const stewardLate = 350 * time.Millisecond
+const (
+	// manyStewardLate is the silence of the steward from which a daemon of many does
+	// not rely on it for an answer: some four beats.
+	manyStewardLate = 800 * time.Millisecond
+	// maxProbes bounds the groups whose members a daemon of many asks at a time: in 8 s
+	// without a steward 195 daemons made 65,000 questions to groups of up to 32.
+	maxProbes = 2
+)
 
 // soundGroups are groups that the steward has found sound after they had been
 // suspected, until when the others are told.
