Leave the store to deputies that are heard again, and let these tell more often

Change: deputies tell the daemons of their data centre every 0.4 s, and everyone at once when they have reached the store; a daemon that is no deputy stops following when one is fresh.

Tests: TestFollowersStopForDeputies, TestDeputyTellsNearDaemonsOften.

--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -210,6 +210,7 @@
 		ct.shareBudgets()
 		ct.da.table.SetDelay(ct.da.mesh.LoadDelay())
 		ct.deputy.Store(ct.isDeputy(now))
+		ct.da.mesh.SetDeputy(ct.deputy.Load() && ct.follows())
 	}
 }
 
--- a/internal/entry/deputies.go
+++ b/internal/entry/deputies.go
@@ -58,6 +58,13 @@
 	return min(now.Sub(ct.deputyAt), now.Sub(ct.begun), now.Sub(ct.confirmed))
 }
 
+// deputyFresh is when the store last confirmed what a deputy of the data centre knows.
+func (ct *control) deputyFresh() time.Time {
+	ct.mu.Lock()
+	defer ct.mu.Unlock()
+	return ct.deputyAt
+}
+
 // hearDeputy takes in how fresh a daemon of the same data centre is that follows
 // the store. Its configuration must be in force here; what it saw leave came
 // with the same beat.
--- a/internal/entry/deputies_test.go
+++ b/internal/entry/deputies_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"corianderhub.dev/corianderhub/internal/core/dispatch"
 	"corianderhub.dev/corianderhub/internal/mesh"
 )
 
@@ -141,3 +142,23 @@
 		t.Errorf("the last waits %v", rankWait(400))
 	}
 }
+
+// A deputy's word was late once, and all other daemons of its data centre began to follow
+// the store. When it is heard again they leave the store to it: while a steward is cut off
+// from the store, each of them would else cost the platform a call for each change.
+func TestFollowersStopForDeputies(t *testing.T) {
+	ct, cl := newLoneControl(192)
+	ct.da.table, ct.da.plain = &dispatch.Table{}, &dispatch.Plain{}
+	cl.Advance(time.Minute)
+	ct.hearAll(1, mesh.Beat{})
+	ct.stepFollowing(cl.Now())
+	if !ct.follows() {
+		t.Fatal("does not follow the store although nobody was heard")
+	}
+	ct.confirmed = cl.Now()
+	ct.hearDeputy(mesh.Beat{IP: "10.0.0.2", DataCenter: "dc-0", Follows: true, Config: 5}, cl.Now())
+	ct.stepFollowing(cl.Now())
+	if ct.follows() {
+		t.Error("follows the store although a deputy does")
+	}
+}
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"corianderhub.dev/corianderhub/internal/mesh"
 	"corianderhub.dev/corianderhub/platform"
 )
 
@@ -161,7 +162,12 @@
 	if ct.lease.configAt.Before(at) {
 		at = ct.lease.configAt
 	}
+	wasStale := ct.age(now) > staleAfter
 	ct.confirm(at)
+	if wasStale && ct.age(now) < freshAfter && ct.lease.core == nil && ct.deputy.Load() && !ct.da.mesh.Direct() {
+		// The others begin to follow by themselves unless they hear of it in time.
+		ct.sendBeat(beatExtra{to: mesh.ToEveryone})
+	}
 }
 
 // retryPauses returns the bounds of the time between calls to a store that does not
@@ -200,6 +206,10 @@
 		want = true
 	case now.Sub(ct.heard) < freshAfter && ct.steward.Age < freshAfter:
 		want = false
+	case following && !ct.isDeputy(now) && now.Sub(ct.deputyFresh()) < freshAfter:
+		// A deputy was late once: each daemon that goes on following the store for it
+		// costs two calls a second and one for each change, in one outage 9,000.
+		want = false
 	}
 	if want == following {
 		return
--- a/internal/mesh/beat.go
+++ b/internal/mesh/beat.go
@@ -132,6 +132,8 @@
 
 	mu    sync.Mutex
 	peers map[string]*Peer
+	// deputy is set while the daemon follows the store for its data centre.
+	deputy bool
 	// steward is the steward's address, silent what it told in its last beat.
 	steward string
 	silent  map[string]bool
--- a/internal/mesh/pace.go
+++ b/internal/mesh/pace.go
@@ -80,11 +80,22 @@
 	}
 }
 
+// SetDeputy tells whether this daemon follows the store for its data centre. The others
+// there rely on its word of how fresh its knowledge is, so they are told often: with one
+// beat a second it was at times older than what they believe.
+func (me *Mesh) SetDeputy(on bool) {
+	me.mu.Lock()
+	defer me.mu.Unlock()
+	me.deputy = on
+}
+
 // pace holds the times between beats, as the number of daemons has it now.
 type pace struct {
-	direct                  bool
-	each, steward, load     time.Duration
-	near, far               time.Duration
+	direct              bool
+	each, steward, load time.Duration
+	// near and far are between daemons of which neither is the steward, nearOut is what
+	// this one sends.
+	near, nearOut, far      time.Duration
 	ownIP, stewardIP, ownDC string
 }
 
@@ -104,24 +115,32 @@
 	pa.steward = paced(stewardInterval, num, stewardPerSecond)
 	pa.load = paced(loadInterval, num, loadPerSecond)
 	pa.near = paced(nearInterval, near, nearPerSecond)
+	pa.nearOut = pa.near
+	if me.deputy {
+		pa.nearOut = nearInterval
+	}
 	pa.far = paced(farInterval, num, farPerSecond)
 	return pa
 }
 
 // toward is the time between beats to a daemon.
 func (pa *pace) toward(ip string, pe *Peer) time.Duration {
-	return pa.interval(ip, pe, pa.steward, pa.load)
+	between := pa.between(pe)
+	if pe.DataCenter == pa.ownDC {
+		between = pa.nearOut
+	}
+	return pa.interval(ip, pa.steward, pa.load, between)
 }
 
 // from is the time between beats of a daemon.
 func (pa *pace) from(ip string, pe *Peer) time.Duration {
-	return pa.interval(ip, pe, pa.load, pa.steward)
+	return pa.interval(ip, pa.load, pa.steward, pa.between(pe))
 }
 
 // interval is the time between beats of one direction between this daemon and
 // another one: asSteward where this daemon is the steward, withSteward where the
-// other one is.
-func (pa *pace) interval(ip string, pe *Peer, asSteward, withSteward time.Duration) time.Duration {
+// other one is, between where neither is.
+func (pa *pace) interval(ip string, asSteward, withSteward, between time.Duration) time.Duration {
 	switch {
 	case pa.direct:
 		return pa.each
@@ -130,7 +149,7 @@
 	case pa.stewardIP == ip:
 		return withSteward
 	}
-	return pa.between(pe)
+	return between
 }
 
 // between is the time between beats of two daemons of which neither is the
--- a/internal/mesh/pace_test.go
+++ b/internal/mesh/pace_test.go
@@ -219,3 +219,23 @@
 		cr.AnyDue()
 	}
 }
+
+// A daemon follows the store for the others of its data centre, which go by what it tells
+// of that. With 39 of them the beats among them are a second apart; this one's must be
+// closer, or the others begin to follow the store too.
+func TestDeputyTellsNearDaemonsOften(t *testing.T) {
+	const others, span = 160, 4 * time.Second
+	for _, deputy := range []bool{false, true} {
+		cr := newCrowd(others)
+		cr.SetDeputy(deputy)
+		least := others
+		for re, num := range cr.count(others, span) {
+			if near := re.to.Addr().String() == otherIP(0); near {
+				least = min(least, num)
+			}
+		}
+		if often := least >= int(span/nearInterval)-1; often != deputy {
+			t.Errorf("deputy %v: %d beats to a daemon nearby in %v", deputy, least, span)
+		}
+	}
+}
