--- a/internal/entry/promise.go
+++ b/internal/entry/promise.go
@@ -102,14 +102,23 @@
 }
 
 // unpromised returns the daemons whose promises do not hold any more. Daemons
-// that were silent for longer than cuts usually last are taken as gone; one
+// that were silent for longer than cuts usually last are taken as gone, and so are those
+// whose name a later process has at another address: the machine was replaced. One
 // that leaves will not become steward.
 func (ct *control) unpromised() []string {
 	now := clock.SinceBoot()
+	heard := ct.da.mesh.HeardWithin(electorateSpan)
+	started := make(map[string]int64, len(heard))
+	for _, pe := range heard {
+		started[pe.Name] = max(started[pe.Name], pe.Started)
+	}
 	var names []string
-	for _, pe := range ct.da.mesh.HeardWithin(electorateSpan) {
+	for _, pe := range heard {
 		pr := ct.lease.promises[pe.IP]
-		if !pe.Leaving && (pr.started != pe.Started || now > pr.until-promiseMargin) {
+		if pe.Leaving || pe.Started < started[pe.Name] {
+			continue
+		}
+		if pr.started != pe.Started || now > pr.until-promiseMargin {
 			names = append(names, pe.Name)
 		}
 	}
--- a/internal/entry/promise_test.go
+++ b/internal/entry/promise_test.go
@@ -83,3 +83,21 @@
 		t.Errorf("the view is %+v", vi)
 	}
 }
+
+// A machine is replaced by one of the same name at another address. The steward must not
+// wait for a promise of the process that is gone: it would give its lease up in the next
+// outage of the store.
+func TestReplacedDaemonOwesNoPromise(t *testing.T) {
+	ct, _ := newLoneControl(800)
+	ct.lease = stewardship{core: steward.New(7, ct.begun), term: 7, promises: make(map[string]promise)}
+	ct.da.mesh.Accept(mesh.Beat{IP: "10.0.0.1", Name: "entry-1", Started: 1, Number: 1})
+	if ct.holds() {
+		t.Fatal("holds without the promise of a daemon that was heard just now")
+	}
+	next := mesh.Beat{IP: "10.0.0.2", Name: "entry-1", Started: 2, Number: 1, Uptime: time.Millisecond}
+	ct.da.mesh.Accept(next)
+	ct.lease.promised(next)
+	if !ct.holds() {
+		t.Error("waits for the promise of a process that was replaced")
+	}
+}
