--- a/internal/core/steward/answers.go
+++ b/internal/core/steward/answers.go
@@ -71,13 +71,8 @@
 // Failed tells that an endpoint did not answer a question in time that was put at
 // that time. The answer may come still.
 func (co *Core) Failed(id, reason string, asked, now time.Time) {
-	vm, ok := co.vms[id]
-	if !ok {
-		return
-	}
-	vm.asking = false
-	if asked.Before(vm.heard) {
-		// It has answered a later question meanwhile.
+	vm := co.unanswered(id, asked)
+	if vm == nil {
 		return
 	}
 	if vm.failures == 0 {
@@ -104,6 +99,20 @@
 	vm.askAt = now.Add(min(askDownMost, askDownInterval<<min(vm.failures-maxFailures, maxDoublings)))
 }
 
+// unanswered returns the VM that left a question unanswered which was put at that time,
+// or nil if that says nothing: the VM is not known, or has answered a later question.
+func (co *Core) unanswered(id string, asked time.Time) *vm {
+	vm := co.vms[id]
+	if vm == nil {
+		return nil
+	}
+	vm.asking = false
+	if asked.Before(vm.heard) {
+		return nil
+	}
+	return vm
+}
+
 // maxDoublings keeps the time between questions from overflowing.
 const maxDoublings = 4
 
@@ -133,12 +142,8 @@
 // stood still: the answer may have been there. A slow machine that counted such
 // questions took up to 50 sound VMs as down at once, and broke their groups up.
 func (co *Core) Inconclusive(id string, asked, now time.Time) {
-	vm, ok := co.vms[id]
-	if !ok {
-		return
-	}
-	vm.asking = false
-	if asked.Before(vm.heard) {
+	vm := co.unanswered(id, asked)
+	if vm == nil {
 		return
 	}
 	vm.unproven++
