--- a/internal/core/steward/hold_test.go
+++ b/internal/core/steward/hold_test.go
@@ -142,6 +142,7 @@
 	}
 	for _, tc := range faults {
 		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
 			for seed := range uint64(6) {
 				// Where models weigh more or less, domains are split otherwise.
 				models := [][]catalog.Model{worldModels, samePaceModels}[seed/3]
--- a/internal/core/steward/loss_test.go
+++ b/internal/core/steward/loss_test.go
@@ -76,6 +76,7 @@
 func TestNoGroupIsGivenUpWithoutLoss(t *testing.T) {
 	for seed := range uint64(6) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
 			wo := newWorldOf(t, seed, 3, 73, wideModels)
 			wo.settle(4 * time.Second)
 			before := wo.core.Groups()
