Know a request again by its content in the logs, and tell which endpoints ended under requests

An on-call engineer could not tell whether the ends of servers followed one request: each attempt has an identifier of its own, and a broken answer did not say whether its server had ended. No decision changes.

--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -103,11 +103,12 @@
 	wg      sync.WaitGroup
 	// wrongAt is when an endpoint last was not the one expected.
 	wrongAt time.Time
+	ends    endChecks
 }
 
 func newControl(da *Daemon) *control {
 	return &control{da: da, events: make(chan func(), queueSize), endpoints: make(map[string]catalog.Endpoint),
-		wake: time.NewTimer(tick), missing: make(map[string]time.Time), setAside: make(map[string]bool), gone: make(goneEndpoints), sound: make(soundGroups), fetching: make(map[string]bool)}
+		wake: time.NewTimer(tick), missing: make(map[string]time.Time), setAside: make(map[string]bool), gone: make(goneEndpoints), ends: make(endChecks), sound: make(soundGroups), fetching: make(map[string]bool)}
 }
 
 // post hands an event to the control loop.
@@ -207,6 +208,7 @@
 	if now.After(ct.sweepDue) {
 		ct.sweepDue = now.Add(poolSweep)
 		ct.da.pool.Sweep()
+		ct.ends.sweep(now)
 		ct.shareBudgets()
 		ct.da.table.SetDelay(ct.da.mesh.LoadDelay())
 		ct.deputy.Store(ct.isDeputy(now))
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -145,7 +145,8 @@
 	da.peers = mesh.NewClient(set.InnerPorts[1])
 	da.front = &front.Server{Clock: da.Clock, Log: da.Log, Table: da.table, Plain: da.plain, Pool: da.pool,
 		Config: da.currentConfig, Stale: func() bool { return da.control.tooOld() },
-		OnWrong: func() { da.control.wrongEndpoint() },
+		OnWrong:     func() { da.control.wrongEndpoint() },
+		OnBrokenOff: func(bo front.BrokenOff) { da.control.post(func() { da.control.brokenOff(bo) }) },
 		Budget: &dispatch.Budget{Ratio: set.Bounds.RetryRatio, Window: set.Bounds.RetryWindow,
 			Slack: set.Bounds.RetrySlack * budgetShare / minBudgetDaemons}}
 	da.control = newControl(da)
--- a/internal/front/plain.go
+++ b/internal/front/plain.go
@@ -134,6 +134,7 @@
 		return
 	}
 	ca.sv.Plain.Failed(ep, ca.sv.Clock.Now())
+	ca.brokenOff(ep.ID, ep.Address, err)
 	ca.log.Info("front: attempt failed.", "endpoint", ep.ID, "cause", err.Error())
 }
 
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -16,6 +16,7 @@
 	"corianderhub.dev/corianderhub/internal/clock"
 	"corianderhub.dev/corianderhub/internal/core/catalog"
 	"corianderhub.dev/corianderhub/internal/core/dispatch"
+	"corianderhub.dev/corianderhub/internal/core/quarantine"
 	"corianderhub.dev/corianderhub/internal/http1"
 	"corianderhub.dev/corianderhub/platform"
 )
@@ -40,6 +41,8 @@
 	Budget *dispatch.Budget
 	// OnWrong is called when an endpoint says that it is not the one expected.
 	OnWrong func()
+	// OnBrokenOff is called when an endpoint closes the connection while it has a request.
+	OnBrokenOff func(BrokenOff)
 
 	stopping atomic.Bool
 	daemons  atomic.Int64
@@ -69,6 +72,8 @@
 	route   *catalog.Route
 	service string
 	body    []byte
+	// content tells the request apart from others, and not from its other attempts.
+	content quarantine.Fingerprint
 	// arrived is when the request was read; deadline is when the caller must
 	// have an answer.
 	arrived, deadline time.Time
@@ -195,6 +200,7 @@
 		return &refusal{status: http.StatusBadRequest, reason: "body-not-read", cause: err}
 	}
 	ca.body = body
+	ca.knowContent()
 	return nil
 }
 
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -287,6 +287,7 @@
 		st.state = verdict.MayHaveRun
 	}
 	st.cause = err
+	st.brokenOff(gr.Head().ID, gr.Head().Address, err)
 	st.log.Info("front: attempt failed.", "group", gr.Name, "events", st.passed, "cause", err.Error())
 }
 
