Quarantine a request under which three servers have ended

Callers were refused for seconds while one request took down group after group: its caller sent it again under a new identifier, at any daemon, and each server that began to run it ended. Daemons kept what they learnt of a request with the attempt, so that nobody knew it again. Now they know it by its content, tell each other under which requests servers ended, and send a request on to none after three. The store keeps that, so that it outlasts all daemons. A whole answer takes back earlier ends, and an endpoint that only broke off an answer does not count.

--- a/internal/core/quarantine/fingerprint.go
+++ b/internal/core/quarantine/fingerprint.go
@@ -6,6 +6,7 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
+	"errors"
 )
 
 // Fingerprint tells requests apart by their content: attempts of the same request have
@@ -35,3 +36,21 @@
 	copy(fp[:], sum.Sum(nil))
 	return fp
 }
+
+// MarshalText implements encoding.TextMarshaler.
+func (fp Fingerprint) MarshalText() ([]byte, error) { return []byte(fp.String()), nil }
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (fp *Fingerprint) UnmarshalText(text []byte) error {
+	raw, err := hex.DecodeString(string(text))
+	if err != nil {
+		return err
+	}
+	if len(raw) != len(fp) {
+		return errLength
+	}
+	copy(fp[:], raw)
+	return nil
+}
+
+var errLength = errors.New("quarantine: a fingerprint has 32 hexadecimal digits")
--- a/internal/entry/beats.go
+++ b/internal/entry/beats.go
@@ -33,6 +33,7 @@
 	be.Leaving = ct.da.stopping.Load()
 	be.Uptime = now.Sub(ct.begun)
 	ct.promise(&be)
+	ct.tellQuarantine(&be, now)
 	ct.lease.sent(ct.number)
 	work := mesh.Work{Own: ct.da.table.Own(now)}
 	if ct.lease.settled() {
@@ -69,6 +70,7 @@
 	}
 	ct.hearConfig(be)
 	ct.hearDeputy(be, now)
+	ct.hearQuarantine(be, now)
 	if ct.told == nil && be.Follows && be.Taking && !ct.follows() {
 		// No steward yet, as after a loss of all daemons: the groups that serve
 		// can be used by what a daemon that reads the store made of the entries.
@@ -79,6 +81,7 @@
 	}
 	if be.Term > ct.steward.Term {
 		ct.da.Log.Info("control: steward heard.", "steward", be.Name, "term", be.Term)
+		ct.retell(now)
 	}
 	ct.steward, ct.heard = be, now
 	ct.da.mesh.SetSteward(be.IP)
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -104,6 +104,8 @@
 	// wrongAt is when an endpoint last was not the one expected.
 	wrongAt time.Time
 	ends    endChecks
+	// quarantine is what is done about requests that end endpoints.
+	quarantine quarantineControl
 }
 
 func newControl(da *Daemon) *control {
@@ -193,6 +195,7 @@
 	ct.stepMissing(now)
 	ct.stepSteward(now)
 	ct.stepStalls(now)
+	ct.stepQuarantine(now)
 	if ct.newGone && ct.lease.core == nil && !ct.da.mesh.Direct() {
 		// The others would hear of it only with the next beats, seconds later.
 		ct.sendBeat(beatExtra{to: mesh.ToEveryone})
@@ -209,6 +212,7 @@
 		ct.sweepDue = now.Add(poolSweep)
 		ct.da.pool.Sweep()
 		ct.ends.sweep(now)
+		ct.da.quarantine.Sweep(now)
 		ct.shareBudgets()
 		ct.da.table.SetDelay(ct.da.mesh.LoadDelay())
 		ct.deputy.Store(ct.isDeputy(now))
--- a/internal/entry/control_test.go
+++ b/internal/entry/control_test.go
@@ -9,6 +9,7 @@
 
 	"corianderhub.dev/corianderhub/internal/clock"
 	"corianderhub.dev/corianderhub/internal/core/catalog"
+	"corianderhub.dev/corianderhub/internal/core/quarantine"
 	"corianderhub.dev/corianderhub/internal/front"
 	"corianderhub.dev/corianderhub/internal/mesh"
 	"corianderhub.dev/corianderhub/platform"
@@ -20,8 +21,9 @@
 	cl := clock.NewManual(time.Unix(1000, 0))
 	log := slog.New(slog.DiscardHandler)
 	da := &Daemon{Clock: cl, Log: log, work: context.Background(),
-		Settings: platform.Settings{IP: "10.0.0.200", DataCenter: "dc-0", CPUShare: float64(power) / 1000},
-		mesh:     &mesh.Mesh{Clock: cl, Log: log, IP: "10.0.0.200", DataCenter: "dc-0"}}
+		Settings:   platform.Settings{IP: "10.0.0.200", DataCenter: "dc-0", CPUShare: float64(power) / 1000},
+		quarantine: &quarantine.Ledger{},
+		mesh:       &mesh.Mesh{Clock: cl, Log: log, IP: "10.0.0.200", DataCenter: "dc-0"}}
 	da.config.Store(&configuration{Config: &catalog.Config{Revision: 5}})
 	ct := newControl(da)
 	da.control = ct
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -20,6 +20,7 @@
 	"corianderhub.dev/corianderhub/internal/clock"
 	"corianderhub.dev/corianderhub/internal/core/catalog"
 	"corianderhub.dev/corianderhub/internal/core/dispatch"
+	"corianderhub.dev/corianderhub/internal/core/quarantine"
 	"corianderhub.dev/corianderhub/internal/core/steward"
 	"corianderhub.dev/corianderhub/internal/front"
 	"corianderhub.dev/corianderhub/internal/http1"
@@ -76,6 +77,8 @@
 	front   *front.Server
 	table   *dispatch.Table
 	plain   *dispatch.Plain
+	// quarantine knows the requests that end endpoints.
+	quarantine *quarantine.Ledger
 	// config and view are what traffic goes by.
 	config atomic.Pointer[configuration]
 	view   atomic.Pointer[catalog.View]
@@ -136,6 +139,7 @@
 	da.pool = &http1.Pool{Clock: da.Clock, DialTimeout: dialTimeout}
 	da.table = &dispatch.Table{DataCenter: set.DataCenter}
 	da.plain = &dispatch.Plain{DataCenter: set.DataCenter}
+	da.quarantine = &quarantine.Ledger{}
 	conn, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.ParseIP(set.IP), Port: set.InnerPorts[0]})
 	if err != nil {
 		return eris.Wrap(err, "listen for daemons")
@@ -146,7 +150,9 @@
 	da.front = &front.Server{Clock: da.Clock, Log: da.Log, Table: da.table, Plain: da.plain, Pool: da.pool,
 		Config: da.currentConfig, Stale: func() bool { return da.control.tooOld() },
 		OnWrong:     func() { da.control.wrongEndpoint() },
-		OnBrokenOff: func(bo front.BrokenOff) { da.control.post(func() { da.control.brokenOff(bo) }) },
+		Quarantine:  da.quarantine,
+		OnBrokenOff: func(bo front.BrokenOff) <-chan struct{} { return da.control.lookAfter(bo) },
+		OnAnswered:  func(fp quarantine.Fingerprint) { da.control.post(func() { da.control.answered(fp) }) },
 		Budget: &dispatch.Budget{Ratio: set.Bounds.RetryRatio, Window: set.Bounds.RetryWindow,
 			Slack: set.Bounds.RetrySlack * budgetShare / minBudgetDaemons}}
 	da.control = newControl(da)
@@ -268,6 +274,7 @@
 
 func (da *Daemon) peerCalls() http.Handler {
 	sv := &mesh.Server{View: da.view.Load, Daemons: da.mesh.Known,
+		Quarantine: func() []quarantine.Entry { return da.quarantine.Entries(da.Clock.Now()) },
 		Config: func() ([]byte, int64) {
 			if co := da.config.Load(); co != nil {
 				return co.raw, co.Revision
--- a/internal/entry/ended.go
+++ b/internal/entry/ended.go
@@ -7,8 +7,6 @@
 	"syscall"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
-
 	"corianderhub.dev/corianderhub/internal/core/quarantine"
 	"corianderhub.dev/corianderhub/internal/front"
 )
@@ -30,53 +28,80 @@
 type endCheck struct {
 	begun    time.Time
 	requests []quarantine.Fingerprint
-	// done is set once it is known whether it has ended.
+	// waiting are closed once it is known whether it has ended; done is set from then on.
+	waiting     []chan struct{}
 	done, ended bool
 }
 
-// brokenOff looks whether the endpoint that closed the connection has ended. Endpoints
-// also break off answers, lose them, or close connections beyond a limit, and go on; of
-// that their requests are no cause.
-func (ct *control) brokenOff(bo front.BrokenOff) {
+// lookAfter looks whether the endpoint that closed the connection has ended. What it
+// returns is closed once that is known.
+func (ct *control) lookAfter(bo front.BrokenOff) <-chan struct{} {
+	known := make(chan struct{})
+	ct.post(func() { ct.brokenOff(bo, known) })
+	return known
+}
+
+// brokenOff takes in that an endpoint closed the connection while it had a request, and looks
+// whether it has ended. Endpoints also break off answers, lose them, or close connections
+// beyond a limit, and go on; of that their requests are no cause.
+func (ct *control) brokenOff(bo front.BrokenOff, known chan struct{}) {
 	now := ct.da.Clock.Now()
-	if ec := ct.ends[bo.Endpoint]; ec != nil && now.Sub(ec.begun) < sameEnd {
-		ec.requests = append(ec.requests, bo.Request)
+	ec := ct.ends[bo.Endpoint]
+	switch {
+	case ec == nil, ec.done && now.Sub(ec.begun) >= sameEnd:
+		ec = &endCheck{begun: now}
+		ct.ends[bo.Endpoint] = ec
+		ct.da.once(&ct.wg, func(ctx context.Context) { ct.look(ctx, bo, ec) })
+	case ec.done:
+		close(known)
+		if ec.ended {
+			ct.endedUnder(bo.Endpoint, []quarantine.Fingerprint{bo.Request})
+		}
 		return
 	}
-	ec := &endCheck{begun: now, requests: []quarantine.Fingerprint{bo.Request}}
-	ct.ends[bo.Endpoint] = ec
-	ct.da.once(&ct.wg, func(ctx context.Context) {
-		if ct.da.Clock.Sleep(ctx, endPause) != nil {
-			return
-		}
-		ended := refusesConnections(ctx, bo.Address)
-		ct.post(func() { ct.endChecked(bo.Endpoint, ec, ended) })
-	})
+	ec.requests = append(ec.requests, bo.Request)
+	ec.waiting = append(ec.waiting, known)
+}
+
+// look finds out whether an endpoint has ended.
+func (ct *control) look(ctx context.Context, bo front.BrokenOff, ec *endCheck) {
+	if ct.da.Clock.Sleep(ctx, endPause) != nil {
+		return
+	}
+	ended := refusesConnections(ctx, bo.Address)
+	ct.post(func() { ct.looked(bo.Endpoint, ec, ended) })
 }
 
+// lookTries is how often a connection is tried; the packet that opens it may be lost.
+const lookTries = 2
+
 // refusesConnections tells whether nothing listens at an address of a machine that is
 // there: the process that did has ended.
 func refusesConnections(ctx context.Context, addr string) bool {
 	di := net.Dialer{Timeout: dialTimeout}
-	nc, err := di.DialContext(ctx, "tcp", addr)
-	if err == nil {
-		nc.Close()
+	for range lookTries {
+		nc, err := di.DialContext(ctx, "tcp", addr)
+		if err == nil {
+			nc.Close()
+			return false
+		}
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			return true
+		}
 	}
-	return errors.Is(err, syscall.ECONNREFUSED)
+	return false
 }
 
-// maxLogged bounds the requests that one line names.
-const maxLogged = 40
-
-// endChecked takes in whether an endpoint has ended.
-func (ct *control) endChecked(endpoint string, ec *endCheck, ended bool) {
+// looked takes in whether an endpoint has ended.
+func (ct *control) looked(endpoint string, ec *endCheck, ended bool) {
 	ec.done, ec.ended = true, ended
-	if !ended {
-		return
+	if ended {
+		ct.endedUnder(endpoint, ec.requests)
 	}
-	endedCount.Inc()
-	ct.da.Log.Info("control: endpoint ended under requests.", "endpoint", endpoint, "requests", len(ec.requests),
-		"contents", ec.requests[:min(maxLogged, len(ec.requests))])
+	for _, known := range ec.waiting {
+		close(known)
+	}
+	ec.waiting = nil
 }
 
 // sweep forgets the looks that nothing can be added to any more.
@@ -87,5 +112,3 @@
 		}
 	}
 }
-
-var endedCount = metrics.NewCounter("corianderhub_endpoints_ended_total")
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -126,7 +126,14 @@
 	dead, kill := context.WithCancel(sk.ctx)
 	ru := &running{ip: ip, gate: gate, kill: kill, stop: stop, dead: dead, done: make(chan error, 1),
 		da: &Daemon{base: dead, Settings: set, Clock: clock.System{}, Log: slog.New(slog.NewTextHandler(testWriter{sk.t, sk.log}, nil))}}
-	go func() { ru.done <- ru.da.Run(ctx) }()
+	go func() {
+		err := ru.da.Run(ctx)
+		if err != nil && sk.ctx.Err() == nil {
+			// Its addresses are in use, say, by another run of these tests.
+			sk.t.Errorf("daemon %d ended: %v", num, err)
+		}
+		ru.done <- err
+	}()
 	if num < len(sk.daemons) {
 		sk.daemons[num] = ru
 	} else {
--- a/internal/entry/join.go
+++ b/internal/entry/join.go
@@ -41,15 +41,17 @@
 	}
 }
 
-// joinStore reads who is known at the store, and makes this daemon known unless it
+// joinStore reads who is known at the store and which requests are quarantined, and makes this daemon known unless it
 // is: one that starts again at its address costs no write.
 func (ct *control) joinStore(ctx context.Context) (known bool, err error) {
-	items, _, err := ct.da.store.Range(ctx, daemonPrefix)
+	items, _, err := ct.da.store.Range(ctx, keyPrefix)
 	if err != nil {
 		return false, err
 	}
+	daemons, quarantined := splitKeys(items)
+	ct.post(func() { ct.readQuarantine(quarantined) })
 	var ips []string
-	for _, it := range items {
+	for _, it := range daemons {
 		ip := strings.TrimPrefix(it.Key, daemonPrefix)
 		known = known || ip == ct.da.Settings.IP
 		ips = append(ips, ip)
--- a/internal/entry/lease.go
+++ b/internal/entry/lease.go
@@ -18,8 +18,9 @@
 
 // Keys of the project in the store.
 const (
-	stewardKey   = "corianderhub/steward"
-	daemonPrefix = "corianderhub/daemons/"
+	keyPrefix    = "corianderhub/"
+	stewardKey   = keyPrefix + "steward"
+	daemonPrefix = keyPrefix + "daemons/"
 )
 
 const (
--- a/internal/entry/quarantine_test.go
+++ b/internal/entry/quarantine_test.go
@@ -2,11 +2,18 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
 	"time"
 
+	"corianderhub.dev/corianderhub/internal/clock"
+	"corianderhub.dev/corianderhub/internal/core/dispatch"
+	"corianderhub.dev/corianderhub/internal/core/quarantine"
+	"corianderhub.dev/corianderhub/internal/front"
+	"corianderhub.dev/corianderhub/internal/mesh"
+	"corianderhub.dev/corianderhub/platform"
 	"corianderhub.dev/corianderhub/platform/emulator"
 )
 
@@ -55,3 +62,112 @@
 	}
 	sk.checkPromises()
 }
+
+// Servers have ended under a request, and then all daemons lose power. Those that start know
+// nothing of it but what the store says, and must send it to no server more.
+func TestQuarantineOutlastsDaemons(t *testing.T) {
+	sk := newStack(t, 2)
+	sk.crashes()
+	sk.sendCrashing(4)
+	sk.until("the request is quarantined at the store", func() bool { return len(sk.quarantinedAtStore()) == 1 })
+	for _, ru := range sk.daemons {
+		sk.kill(ru)
+	}
+	for num := range sk.daemons {
+		sk.start(num)
+	}
+	before := sk.de.Ended()
+	sk.sendCrashing(4)
+	if num := sk.de.Ended() - before; num > 0 {
+		t.Errorf("%d servers ended more", num)
+	}
+}
+
+// quarantinedAtStore returns the keys of the requests that the store names.
+func (sk *stack) quarantinedAtStore() []string {
+	st := platform.NewStore(sk.daemons[0].da.Settings.Store.Address, storeTimeout)
+	items, _, err := st.Range(sk.ctx, quarantinePrefix)
+	if err != nil {
+		return nil
+	}
+	var keys []string
+	for _, it := range items {
+		keys = append(keys, it.Key)
+	}
+	return keys
+}
+
+// The store is away while servers end under a request. All daemons must refuse it all the
+// same, and the store must name it once it is back.
+func TestQuarantineWhileStoreAway(t *testing.T) {
+	sk := newStack(t, 3)
+	sk.crashes()
+	sk.setStore(emulator.Silent)
+	sk.until("quarantined by the daemon that is asked", func() bool {
+		sk.ask(sk.daemons[0], crashing, fmt.Sprint("crash-", time.Now().UnixNano()))
+		return sk.daemons[0].da.quarantine.Digest(time.Now()) != 0
+	})
+	for _, ru := range sk.daemons[1:] {
+		sk.until("quarantined by the others", func() bool { return ru.da.quarantine.Digest(time.Now()) != 0 })
+	}
+	sk.setStore(emulator.Sound)
+	sk.until("the store names it", func() bool { return len(sk.quarantinedAtStore()) == 1 })
+}
+
+// An endpoint breaks its answers off and goes on. That is no end, and the requests must be
+// served by it still: they would be refused for a day.
+func TestBrokenAnswerIsNoEnd(t *testing.T) {
+	ct, _ := newLoneControl(800)
+	ct.da.front, ct.da.table, ct.da.plain = &front.Server{}, &dispatch.Table{}, &dispatch.Plain{}
+	ct.da.Clock = clock.System{}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	open, closed := ln.Addr().String(), ""
+	if other, err := net.Listen("tcp", "127.0.0.1:0"); err == nil {
+		closed = other.Addr().String()
+		other.Close()
+	}
+	defer ln.Close()
+	for i := range endsUntilKnown {
+		for _, at := range []struct{ addr, content string }{{open, "sound"}, {closed, "crash"}} {
+			known := make(chan struct{})
+			fp := quarantine.Fingerprint([]byte((at.content + strings.Repeat(" ", 16))[:16]))
+			ct.brokenOff(front.BrokenOff{Request: fp, Endpoint: fmt.Sprint(at.content, i), Address: at.addr}, known)
+			(<-ct.events)()
+			<-known
+			_, held := ct.da.quarantine.Held(fp, time.Now())
+			if want := at.content == "crash" && i == endsUntilKnown-1; held != want {
+				t.Errorf("%s, time %d: held %v, want %v", at.content, i+1, held, want)
+			}
+		}
+	}
+}
+
+// Many daemons: each sees one end of a server under the request, and tells the steward alone.
+// The steward dies, and the next one has heard of none. It must be told of them again.
+func TestNewStewardIsToldOfEnds(t *testing.T) {
+	ct, cl := newLoneControl(192)
+	for i := range 39 {
+		ct.da.mesh.Know([]string{fmt.Sprint("10.0.1.", i)})
+	}
+	fp := quarantine.Fingerprint{1}
+	ct.tell(telling{ended: &quarantine.End{Endpoint: "s1", Requests: []quarantine.Fingerprint{fp}}, at: cl.Now()})
+	told := func() int {
+		var be mesh.Beat
+		ct.tellQuarantine(&be, cl.Now())
+		return len(be.Ended)
+	}
+	if told() != 1 {
+		t.Fatal("an end is not told of")
+	}
+	cl.Advance(time.Minute)
+	if told() != 0 {
+		t.Fatal("an end is told of for ever")
+	}
+	ct.retell(cl.Now())
+	if told() != 1 {
+		t.Error("a new steward is not told of an end")
+	}
+}
--- a/internal/front/content.go
+++ b/internal/front/content.go
@@ -1,13 +1,18 @@
 package front
 
 import (
+	"context"
 	"errors"
+	"time"
 
 	"corianderhub.dev/corianderhub/internal/core/quarantine"
 	"corianderhub.dev/corianderhub/internal/http1"
 	"corianderhub.dev/corianderhub/platform"
 )
 
+// reasonQuarantined is that of a refusal because servers end under the request.
+const reasonQuarantined = "quarantined"
+
 // BrokenOff is a request whose endpoint closed the connection before the answer's end.
 type BrokenOff struct {
 	Request quarantine.Fingerprint
@@ -31,9 +36,33 @@
 	return ca.req.Header.Get(platform.HeaderAuthorization)
 }
 
-// brokenOff tells of an attempt that failed because its endpoint closed the connection.
-func (ca *call) brokenOff(endpoint, addr string, err error) {
-	if ca.sv.OnBrokenOff != nil && (http1.PeerClosed(err) || errors.Is(err, errCutOff)) {
-		ca.sv.OnBrokenOff(BrokenOff{ca.content, endpoint, addr})
+// quarantined tells whether the request is to be sent to no server, and for how long still.
+// Servers end under it: each attempt would cost one more, with all that it serves.
+func (ca *call) quarantined() (time.Duration, bool) {
+	return ca.sv.Quarantine.Held(ca.content, ca.sv.Clock.Now())
+}
+
+// brokenOff tells of an attempt that failed because its endpoint closed the connection. If
+// endpoints have ended under the request before, it waits until it is known whether this
+// one has, so that the request is not sent on to the next one meanwhile.
+func (ca *call) brokenOff(ctx context.Context, endpoint, addr string, err error) {
+	if !http1.PeerClosed(err) && !errors.Is(err, errCutOff) {
+		return
+	}
+	known := ca.sv.OnBrokenOff(BrokenOff{ca.content, endpoint, addr})
+	if !ca.sv.Quarantine.Suspected(ca.content) {
+		return
+	}
+	select {
+	case <-known:
+	case <-ctx.Done():
+	}
+}
+
+// outlived tells that an endpoint has answered the request whole and goes on: what ended
+// under it before ended for another reason.
+func (ca *call) outlived() {
+	if ca.sv.Quarantine.Suspected(ca.content) {
+		ca.sv.OnAnswered(ca.content)
 	}
 }
--- a/internal/front/harness_test.go
+++ b/internal/front/harness_test.go
@@ -9,12 +9,14 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"corianderhub.dev/corianderhub/internal/clock"
 	"corianderhub.dev/corianderhub/internal/core/catalog"
 	"corianderhub.dev/corianderhub/internal/core/dispatch"
+	"corianderhub.dev/corianderhub/internal/core/quarantine"
 	"corianderhub.dev/corianderhub/internal/http1"
 	"corianderhub.dev/corianderhub/platform"
 	"corianderhub.dev/corianderhub/platform/emulator"
@@ -32,6 +34,26 @@
 	plain *dispatch.Plain
 	desks []*emulator.Server
 	heads []*emulator.Server
+	// broken and answered are what the server told of.
+	mu       sync.Mutex
+	broken   []BrokenOff
+	answered []quarantine.Fingerprint
+}
+
+func (ri *rig) answeredWhole(fp quarantine.Fingerprint) {
+	ri.mu.Lock()
+	defer ri.mu.Unlock()
+	ri.answered = append(ri.answered, fp)
+}
+
+// brokenOff takes every endpoint that closes a connection as one that goes on.
+func (ri *rig) brokenOff(bo BrokenOff) <-chan struct{} {
+	ri.mu.Lock()
+	defer ri.mu.Unlock()
+	ri.broken = append(ri.broken, bo)
+	known := make(chan struct{})
+	close(known)
+	return known
 }
 
 // longTimeout outlasts everything that a test does, so that none depends on
@@ -59,6 +81,7 @@
 	ri.cfg.Prepare()
 	ri.front = &Server{Clock: clock.System{}, Log: slog.New(slog.NewTextHandler(&ri.log, nil)), Table: ri.table, Plain: ri.plain,
 		Config: func() *catalog.Config { return ri.cfg }, Stale: func() bool { return false }, OnWrong: func() {},
+		Quarantine: &quarantine.Ledger{}, OnBrokenOff: ri.brokenOff, OnAnswered: ri.answeredWhole,
 		Pool:   &http1.Pool{Clock: clock.System{}, DialTimeout: longTimeout},
 		Budget: &dispatch.Budget{Ratio: 0.2, Slack: 100, Window: 10 * time.Second}}
 	ri.hs = httptest.NewServer(ri.front)
--- a/internal/front/plain.go
+++ b/internal/front/plain.go
@@ -41,6 +41,8 @@
 	err  error
 	// state is what is known of the request over all attempts.
 	state verdict.Verdict
+	// heldFor is for how long the request is quarantined; 0 when it is not.
+	heldFor time.Duration
 }
 
 // plain handles a request on a route that is not streaming.
@@ -49,6 +51,10 @@
 	defer cancel()
 	pc := &plainCall{call: ca, state: verdict.NotRun}
 	for ca.sends < ca.route.MaxAttempts && ctx.Err() == nil {
+		if left, held := ca.quarantined(); held {
+			pc.heldFor = left
+			break
+		}
 		ep := pc.next()
 		if ep == nil || pc.take(ca.try(ctx, ep)) {
 			break
@@ -89,6 +95,9 @@
 		return false
 	}
 	pc.state = verdict.Ran
+	if an.status < http.StatusMultipleChoices {
+		pc.outlived()
+	}
 	return an.status < http.StatusInternalServerError || !pc.route.Idempotent()
 }
 
@@ -134,7 +143,7 @@
 		return
 	}
 	ca.sv.Plain.Failed(ep, ca.sv.Clock.Now())
-	ca.brokenOff(ep.ID, ep.Address, err)
+	ca.brokenOff(ca.req.Context(), ep.ID, ep.Address, err)
 	ca.log.Info("front: attempt failed.", "endpoint", ep.ID, "cause", err.Error())
 }
 
@@ -143,6 +152,8 @@
 	switch {
 	case pc.last != nil && !pc.last.notRun && (pc.err == nil || pc.route.Idempotent()):
 		pc.pass(pc.last)
+	case pc.state == verdict.NotRun && pc.heldFor > 0:
+		pc.refuse(refusal{status: http.StatusServiceUnavailable, reason: reasonQuarantined, again: pc.heldFor})
 	case pc.state == verdict.NotRun && len(pc.tried) == 0:
 		pc.refuse(refusal{status: http.StatusServiceUnavailable, reason: "no-endpoint", again: againNoEndpoint})
 	case pc.state == verdict.NotRun:
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -41,8 +41,14 @@
 	Budget *dispatch.Budget
 	// OnWrong is called when an endpoint says that it is not the one expected.
 	OnWrong func()
+	// Quarantine knows which requests end the servers that run them.
+	Quarantine *quarantine.Ledger
 	// OnBrokenOff is called when an endpoint closes the connection while it has a request.
-	OnBrokenOff func(BrokenOff)
+	// What it returns is closed once it is known whether the endpoint has ended.
+	OnBrokenOff func(BrokenOff) <-chan struct{}
+	// OnAnswered is called when a request was answered whole under which endpoints have
+	// ended.
+	OnAnswered func(quarantine.Fingerprint)
 
 	stopping atomic.Bool
 	daemons  atomic.Int64
@@ -103,6 +109,10 @@
 		return
 	}
 	sv.Budget.Earn(ca.service, ca.arrived)
+	if left, held := ca.quarantined(); held {
+		ca.refuse(refusal{status: http.StatusServiceUnavailable, reason: reasonQuarantined, again: left})
+		return
+	}
 	if ca.route.Kind == catalog.Streaming {
 		ca.stream()
 		return
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -95,6 +95,10 @@
 		return ch, true
 	}
 	defer ti.End()
+	if left, held := st.quarantined(); held {
+		st.end(reasonQuarantined, left)
+		return ch, true
+	}
 	if st.sends > 0 && !st.sv.Budget.Spend(st.service, st.sv.Clock.Now()) {
 		st.log.Info("front: not sent again.", "reason", "retry-budget")
 		st.giveUp(ctx, ch)
@@ -243,6 +247,7 @@
 }
 
 func (st *stream) finish() {
+	st.outlived()
 	st.log.Info("front: answered.", "outcome", "whole", "status", http.StatusOK, "sends", st.sends, "events", st.passed,
 		"group", st.choice.Group.Name, "first-ms", st.first.Milliseconds(), "predicted-ms", st.choice.First.Milliseconds(),
 		"fits", st.choice.Fits, "running", int(st.choice.Running), "waited-ms", st.waited.Milliseconds(), "pause-ms", st.pause.Milliseconds(), "ms", st.sv.Clock.Now().Sub(st.arrived).Milliseconds())
@@ -287,7 +292,7 @@
 		st.state = verdict.MayHaveRun
 	}
 	st.cause = err
-	st.brokenOff(gr.Head().ID, gr.Head().Address, err)
+	st.brokenOff(ctx, gr.Head().ID, gr.Head().Address, err)
 	st.log.Info("front: attempt failed.", "group", gr.Name, "events", st.passed, "cause", err.Error())
 }
 
--- a/internal/mesh/beat.go
+++ b/internal/mesh/beat.go
@@ -18,6 +18,7 @@
 	"corianderhub.dev/corianderhub/internal/clock"
 	"corianderhub.dev/corianderhub/internal/core/catalog"
 	"corianderhub.dev/corianderhub/internal/core/dispatch"
+	"corianderhub.dev/corianderhub/internal/core/quarantine"
 )
 
 // Beat is what a daemon tells the others at short intervals. Numbers of fields
@@ -65,6 +66,12 @@
 	Suspects []Suspect `cbor:"15,keyasint,omitempty"`
 	// Advancing are groups that the daemon suspected and whose streams go on.
 	Advancing []Suspect `cbor:"29,keyasint,omitempty"`
+	// Ended and Answered are what the daemon has seen of requests under which endpoints
+	// end. As with work, all are told where daemons are few, and the steward else.
+	Ended    []quarantine.End      `cbor:"31,keyasint,omitempty"`
+	Answered []quarantine.Answered `cbor:"32,keyasint,omitempty"`
+	// Quarantine is the digest of the requests that it has quarantined.
+	Quarantine uint64 `cbor:"33,keyasint,omitempty"`
 	// Follows is set while the daemon follows the store itself.
 	Follows bool `cbor:"26,keyasint,omitempty"`
 	// Sound are groups that were suspected and whose members have all answered.
--- a/internal/mesh/call.go
+++ b/internal/mesh/call.go
@@ -15,6 +15,7 @@
 	"github.com/rotisserie/eris"
 
 	"corianderhub.dev/corianderhub/internal/core/catalog"
+	"corianderhub.dev/corianderhub/internal/core/quarantine"
 )
 
 // Paths of the calls between daemons.
@@ -22,6 +23,8 @@
 	PathView    = "/peer/view"
 	PathConfig  = "/peer/config"
 	PathDaemons = "/peer/daemons"
+	// PathQuarantine is that of the requests that are quarantined.
+	PathQuarantine = "/peer/quarantine"
 	// headerRevision carries the store's revision of a configuration.
 	headerRevision = "Revision"
 )
@@ -99,11 +102,22 @@
 	return ips, eris.Wrap(json.Unmarshal(raw, &ips), "daemons")
 }
 
+// Quarantine fetches the requests that another daemon has quarantined.
+func (cl *Client) Quarantine(ctx context.Context, ip string) ([]quarantine.Entry, error) {
+	raw, _, err := cl.get(ctx, ip, PathQuarantine)
+	if err != nil {
+		return nil, err
+	}
+	var entries []quarantine.Entry
+	return entries, eris.Wrap(json.Unmarshal(raw, &entries), "quarantine")
+}
+
 // Server answers other daemons' calls.
 type Server struct {
-	View    func() *catalog.View
-	Config  func() (raw []byte, revision int64)
-	Daemons func() []string
+	View       func() *catalog.View
+	Config     func() (raw []byte, revision int64)
+	Daemons    func() []string
+	Quarantine func() []quarantine.Entry
 
 	view, config packed
 }
@@ -113,17 +127,21 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+PathView, se.sendView)
 	mux.HandleFunc("GET "+PathConfig, se.sendConfig)
-	mux.HandleFunc("GET "+PathDaemons, func(w http.ResponseWriter, _ *http.Request) {
-		raw, err := json.Marshal(se.Daemons())
-		if err != nil {
-			http.Error(w, err.Error(), http.StatusInternalServerError)
-			return
-		}
-		_, _ = w.Write(raw) // The other side sees that the answer is short.
-	})
+	mux.HandleFunc("GET "+PathDaemons, func(w http.ResponseWriter, _ *http.Request) { sendJSON(w, se.Daemons()) })
+	mux.HandleFunc("GET "+PathQuarantine, func(w http.ResponseWriter, _ *http.Request) { sendJSON(w, se.Quarantine()) })
 	return mux
 }
 
+// sendJSON answers with a small value.
+func sendJSON(w http.ResponseWriter, value any) {
+	raw, err := json.Marshal(value)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	_, _ = w.Write(raw) // The other side sees that the answer is short.
+}
+
 func (se *Server) sendView(w http.ResponseWriter, _ *http.Request) {
 	vi := se.View()
 	se.view.send(w, vi, func() ([]byte, error) { return json.Marshal(vi) })
--- a/internal/mesh/pace.go
+++ b/internal/mesh/pace.go
@@ -67,6 +67,15 @@
 	return (pa.load+pa.steward)/2 + 2*wayDelay
 }
 
+// ToldWithin is the time between beats that tell a daemon's own work, to all daemons or to
+// the steward.
+func (me *Mesh) ToldWithin() time.Duration {
+	me.mu.Lock()
+	defer me.mu.Unlock()
+	pa := me.pace()
+	return max(pa.each, pa.load)
+}
+
 // wayDelay is the time that a beat takes: until the next look whether one is
 // due, and the way.
 const wayDelay = 15 * time.Millisecond
--- a/internal/mesh/pace_test.go
+++ b/internal/mesh/pace_test.go
@@ -8,8 +8,11 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"corianderhub.dev/corianderhub/internal/clock"
 	"corianderhub.dev/corianderhub/internal/core/dispatch"
+	"corianderhub.dev/corianderhub/internal/core/quarantine"
 )
 
 // crowd is a mesh of one daemon that knows many others, spread over four data
@@ -239,3 +242,31 @@
 		}
 	}
 }
+
+// Each server that ends makes news of all requests that it had. Where daemons are many, it
+// goes to the steward alone: sent to all of them it would be most of what they tell.
+func TestEndsAreToldToTheSteward(t *testing.T) {
+	be := Beat{Ended: []quarantine.End{{Endpoint: "s1", AtMillis: 5, Requests: []quarantine.Fingerprint{{1, 2}, {3}}}},
+		Answered: []quarantine.Answered{{Request: quarantine.Fingerprint{4}, AtMillis: 6}}, Quarantine: 7}
+	for _, tell := range []WorkOf{WorkOwn, WorkNone, WorkRelayed} {
+		en := beatEncoder{be: be, wo: Work{But: func(string) dispatch.Work { return dispatch.Work{} }}}
+		raw, err := en.datagram(to(0, tell))
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, err := decode(raw)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if tell == WorkOwn {
+			if diff := cmp.Diff(be.Ended, got.Ended) + cmp.Diff(be.Answered, got.Answered); diff != "" {
+				t.Errorf("told otherwise: %s", diff)
+			}
+		} else if len(got.Ended)+len(got.Answered) != 0 {
+			t.Errorf("told with %v", tell)
+		}
+		if got.Quarantine != be.Quarantine {
+			t.Errorf("digest %d with %v", got.Quarantine, tell)
+		}
+	}
+}
--- a/internal/mesh/send.go
+++ b/internal/mesh/send.go
@@ -96,6 +96,9 @@
 func (en *beatEncoder) datagram(re recipient) ([]byte, error) {
 	be := en.be
 	be.WorkOf = re.tell
+	if re.tell != WorkOwn {
+		be.Ended, be.Answered = nil, nil
+	}
 	switch {
 	case re.tell == WorkRelayed && en.wo.But != nil:
 		be.Work = en.wo.But(re.to.Addr().String())
