--- a/internal/core/quarantine/ledger.go
+++ b/internal/core/quarantine/ledger.go
@@ -58,6 +58,8 @@
 type Ledger struct {
 	mu       sync.Mutex
 	requests map[Fingerprint]*record
+	// quarantined are those of the requests that were, also if they were answered since.
+	quarantined map[Fingerprint]*record
 	// num is the number of requests, so that nothing is locked while there are none.
 	num atomic.Int64
 }
@@ -116,15 +118,25 @@
 		if re.counts() < Limit {
 			continue
 		}
-		was := re.held(now)
-		re.heldSince = later(re.heldSince, at)
-		if !was && re.held(now) {
+		if le.hold(fp, re, at, now) {
 			quarantined = append(quarantined, fp)
 		}
 	}
 	return quarantined
 }
 
+// hold quarantines a request from a time on, and tells whether it was not quarantined yet
+// and is now.
+func (le *Ledger) hold(fp Fingerprint, re *record, since, now time.Time) bool {
+	was := re.held(now)
+	re.heldSince = later(re.heldSince, since)
+	if le.quarantined == nil {
+		le.quarantined = make(map[Fingerprint]*record)
+	}
+	le.quarantined[fp] = re
+	return !was && re.held(now)
+}
+
 // Answered takes in that a request was answered whole.
 func (le *Ledger) Answered(an Answered, now time.Time) {
 	le.mu.Lock()
@@ -164,8 +176,8 @@
 	le.mu.Lock()
 	defer le.mu.Unlock()
 	var entries []Entry
-	for fp, re := range le.requests {
-		if !re.heldSince.IsZero() && now.Sub(re.heldSince) < HoldFor {
+	for fp, re := range le.quarantined {
+		if now.Sub(re.heldSince) < HoldFor {
 			entries = append(entries, Entry{fp, re.heldSince, re.answered})
 		}
 	}
@@ -184,10 +196,8 @@
 			continue
 		}
 		re := le.record(en.Request, now)
-		was := re.held(now)
-		re.heldSince = later(re.heldSince, en.Since)
 		re.answered = later(re.answered, en.Answered)
-		if !was && re.held(now) {
+		if le.hold(en.Request, re, en.Since, now) {
 			quarantined = append(quarantined, en.Request)
 		}
 	}
@@ -203,8 +213,8 @@
 	le.mu.Lock()
 	defer le.mu.Unlock()
 	var digest uint64
-	for fp, re := range le.requests {
-		if re.heldSince.IsZero() || now.Sub(re.heldSince) >= HoldFor {
+	for fp, re := range le.quarantined {
+		if now.Sub(re.heldSince) >= HoldFor {
 			continue
 		}
 		text := fp.String()
@@ -223,12 +233,24 @@
 	}
 	le.mu.Lock()
 	defer le.mu.Unlock()
-	maps.DeleteFunc(le.requests, func(_ Fingerprint, re *record) bool {
-		if re.heldSince.IsZero() {
-			return now.Sub(re.seen) >= suspectFor
+	for fp, re := range le.requests {
+		if re.over(now) {
+			le.forget(fp)
 		}
-		return now.Sub(re.heldSince) >= HoldFor
-	})
+	}
+}
+
+// over tells whether a request counts no more.
+func (re *record) over(now time.Time) bool {
+	if re.heldSince.IsZero() {
+		return now.Sub(re.seen) >= suspectFor
+	}
+	return now.Sub(re.heldSince) >= HoldFor
+}
+
+func (le *Ledger) forget(fp Fingerprint) {
+	delete(le.requests, fp)
+	delete(le.quarantined, fp)
 	le.num.Store(int64(len(le.requests)))
 }
 
@@ -259,7 +281,7 @@
 		}
 		return first.seen.Compare(second.seen)
 	}
-	delete(le.requests, slices.MinFunc(slices.Collect(maps.Keys(le.requests)), order))
+	le.forget(slices.MinFunc(slices.Collect(maps.Keys(le.requests)), order))
 }
 
 // rank is 1 for a request that was quarantined and 0 for one that is suspected.
--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -272,7 +272,10 @@
 	for _, it := range items {
 		var en quarantine.Entry
 		if err := json.Unmarshal(it.Value, &en); err != nil || quarantinePrefix+en.Request.String() != it.Key {
-			ct.da.Log.Warn("control: quarantine entry set aside.", "key", it.Key, "revision", it.Revision)
+			if !ct.setAside[it.Key] && len(ct.setAside) < maxSetAside {
+				ct.setAside[it.Key] = true
+				ct.da.Log.Warn("control: quarantine entry set aside.", "key", it.Key, "revision", it.Revision)
+			}
 			continue
 		}
 		ct.quarantine.stored[en.Request] = true
--- a/internal/front/plain.go
+++ b/internal/front/plain.go
@@ -118,14 +118,14 @@
 		sendCount.Inc()
 	}
 	if err != nil {
-		ca.tryFailed(ep, err)
+		ca.tryFailed(ctx, ep, err)
 		return nil, err
 	}
 	defer ex.Close()
 	body, err := ex.ReadAll(maxAnswer)
 	if err != nil {
 		err = &http1.Error{Verdict: verdict.MayHaveRun, Err: err}
-		ca.tryFailed(ep, err)
+		ca.tryFailed(ctx, ep, err)
 		return nil, err
 	}
 	an := &answer{ex.Response.StatusCode, ex.Response.Header, body, notRun(ex.Response)}
@@ -137,13 +137,13 @@
 	return an, nil
 }
 
-func (ca *call) tryFailed(ep *dispatch.PlainEndpoint, err error) {
+func (ca *call) tryFailed(ctx context.Context, ep *dispatch.PlainEndpoint, err error) {
 	if ca.req.Context().Err() != nil {
 		ca.sv.Plain.Dropped(ep)
 		return
 	}
 	ca.sv.Plain.Failed(ep, ca.sv.Clock.Now())
-	ca.brokenOff(ca.req.Context(), ep.ID, ep.Address, err)
+	ca.brokenOff(ctx, ep.ID, ep.Address, err)
 	ca.log.Info("front: attempt failed.", "endpoint", ep.ID, "cause", err.Error())
 }
 
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -83,6 +83,9 @@
 // attempt sends the request to one group and passes its events on. It tells
 // whether the caller has a final answer.
 func (st *stream) attempt(ctx context.Context) (dispatch.Choice, bool) {
+	if st.endQuarantined() {
+		return dispatch.Choice{}, true
+	}
 	part, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	leave := cancel
@@ -95,8 +98,7 @@
 		return ch, true
 	}
 	defer ti.End()
-	if left, held := st.quarantined(); held {
-		st.end(reasonQuarantined, left)
+	if st.endQuarantined() {
 		return ch, true
 	}
 	if st.sends > 0 && !st.sv.Budget.Spend(st.service, st.sv.Clock.Now()) {
@@ -134,6 +136,16 @@
 	return ch, false
 }
 
+// endQuarantined ends the request if it is to be sent to no server, and tells whether it did.
+// That may be learnt while it waits for a group to go on at.
+func (st *stream) endQuarantined() bool {
+	left, held := st.quarantined()
+	if held {
+		st.end(reasonQuarantined, left)
+	}
+	return held
+}
+
 // maySendAfter tells whether the request may be sent to another group after the
 // next one.
 func (st *stream) maySendAfter() bool {
--- a/internal/story/story.go
+++ b/internal/story/story.go
@@ -22,10 +22,12 @@
 func OfRequest(lines []Line, id string) []Line {
 	var first, last time.Time
 	touched, sources := make(map[string]bool), make(map[string]bool)
+	content := ""
 	for _, li := range lines {
 		if li.Get("request") != id {
 			continue
 		}
+		content = li.Get("content")
 		if first.IsZero() {
 			first = li.At
 		}
@@ -44,13 +46,29 @@
 	var story []Line
 	for i, li := range lines {
 		meanwhile := !li.At.Before(first.Add(-before)) && !li.At.After(last.Add(after))
-		if li.Get("request") == id || i == counted || meanwhile && concerns(&li, touched, sources) {
+		earlier := !li.At.After(last) && endsServers(&li, content)
+		if li.Get("request") == id || i == counted || earlier || meanwhile && concerns(&li, touched, sources) {
 			story = append(story, li)
 		}
 	}
 	return story
 }
 
+// endsServers tells whether a line says that servers ended under a request of that content,
+// or that it is quarantined for it. That may be hours before its last attempt.
+func endsServers(li *Line, content string) bool {
+	if content == "" {
+		return false
+	}
+	switch li.Message {
+	case "control: request quarantined.":
+		return li.Get("content") == content
+	case "control: endpoint ended under requests.":
+		return strings.Contains(li.Get("contents"), content)
+	}
+	return false
+}
+
 // lastView finds the last count of groups before a moment, however long before
 // it stands: it holds until the next one.
 func lastView(lines []Line, at time.Time) int {
@@ -174,6 +192,7 @@
 func causes(lines []Line, id string) []string {
 	var texts []string
 	counted := !needsRoom(lines)
+	quarantined := lines[len(lines)-1].Get("reason") == "quarantined"
 	for _, li := range slices.Backward(lines) {
 		text := ""
 		switch {
@@ -181,9 +200,11 @@
 			text = "an attempt failed: " + li.Get("cause")
 		case li.Get("request") == id && li.Message == "front: not sent again.":
 			text = "not sent again: " + li.Get("reason")
+		case li.Message == "control: endpoint ended under requests.":
+			text = li.Get("endpoint") + " had ended under it"
 		case li.Message == "control: group lost a member.":
 			text = li.Get("group") + " had lost its member " + li.Get("member")
-		case li.Message == "steward: group-broken.":
+		case li.Message == "steward: group-broken." && !quarantined:
 			text = li.Get("group") + " was broken: " + li.Get("reason")
 		case li.Message == "store: lost.":
 			text = "the store was lost: " + li.Get("cause")
