--- a/internal/entry/join.go
+++ b/internal/entry/join.go
@@ -41,8 +41,8 @@
 	}
 }
 
-// joinStore reads who is known at the store and which requests are quarantined, and makes this daemon known unless it
-// is: one that starts again at its address costs no write.
+// joinStore reads who is known at the store and which requests are quarantined, and makes
+// this daemon known unless it is: one that starts again at its address costs no write.
 func (ct *control) joinStore(ctx context.Context) (known bool, err error) {
 	items, _, err := ct.da.store.Range(ctx, keyPrefix)
 	if err != nil {
