--- a/internal/entry/quarantine_test.go
+++ b/internal/entry/quarantine_test.go
@@ -52,7 +52,9 @@
 
 // Callers of all kinds are refused for seconds, since the fleet is short of groups. A caller
 // has sent one request again and again, under a new identifier each time and to all daemons,
-// and each server that began to run it has ended: three or more with each attempt.
+// and each server that began to run it has ended: up to three with each attempt. Daemons kept
+// what they learnt of a request with the attempt, so that nobody knew it again. What proved
+// it: servers end here under this request only, and no more do once its content is remembered.
 func TestRequestThatEndsServers(t *testing.T) {
 	sk := newStack(t, 3)
 	sk.crashes()
