Tell first attempts from later ones where callers' deadlines differ

The daemons keep slots for first attempts, and told them from others by a deadline that at least five of the last 64 callers had told exactly. Callers' deadlines differ by up to 15 in 100 on the shifted deployment, as on seven others: no two were equal, so every request counted as a first attempt and nothing was ever kept free. A daemon that had just started knew nothing at all.

The longest deadline is now that with a tenth of the last callers within 16 in 100 below it; whoever is clearly below it has waited. Until 16 deadlines are known, the route's timeout stands in. Exact times go first, as before.

TestWaitsOfUnequalCallers fails on the code before: 123 of 368 callers taken for the other kind; at most four now. TestWaitsBeforeAnythingIsLearnt fails there too.

--- a/internal/core/dispatch/waits_test.go
+++ b/internal/core/dispatch/waits_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 )
@@ -23,28 +24,72 @@
 		{"a first attempt of a less patient kind of caller", short, 0},
 		{"one of them that comes back", short - time.Second, time.Second},
 	}
-	if got := wa.Before("route", first-time.Second); got != 0 {
+	if got := wa.Before("route", first-time.Second, 0); got != 0 {
 		t.Errorf("the first request of all: waited %v", got)
 	}
 	for range usualCount {
-		wa.Before("route", first)
-		wa.Before("route", short)
+		wa.Before("route", first, first)
+		wa.Before("route", short, first)
 	}
 	for _, tc := range tests {
-		if got := wa.Before("route", tc.patience); got != tc.want {
+		if got := wa.Before("route", tc.patience, first); got != tc.want {
 			t.Errorf("%s: waited %v, want %v", tc.name, got, tc.want)
 		}
 	}
-	if got := wa.Before("other", first-time.Second); got != 0 {
+	if got := wa.Before("other", first-time.Second, 0); got != 0 {
 		t.Errorf("a route of which nothing is known: waited %v", got)
 	}
 }
 
+// Guards against a daemon that has just started taking all that callers send again for
+// first attempts: after a loss of all daemons that is what comes first.
+func TestWaitsBeforeAnythingIsLearnt(t *testing.T) {
+	const timeout = 6 * time.Second
+	tests := []struct {
+		name     string
+		patience time.Duration
+		want     time.Duration
+	}{
+		{"a caller that comes back", timeout - 1700*time.Millisecond, 1700 * time.Millisecond},
+		{"a first attempt", timeout, 0},
+		{"a first attempt of a caller a little less patient", timeout - 200*time.Millisecond, 0},
+		{"a caller more patient than the route", 2 * timeout, 0},
+	}
+	for _, tc := range tests {
+		if got := new(Waits).Before("route", tc.patience, timeout); got != tc.want {
+			t.Errorf("%s: waited %v, want %v", tc.name, got, tc.want)
+		}
+	}
+}
+
+// Guards against callers that come back counting as first ones where no two callers are
+// equally patient.
+func TestWaitsOfUnequalCallers(t *testing.T) {
+	rnd := rand.New(rand.NewPCG(1, 1))
+	for _, most := range []time.Duration{6 * time.Second, 3 * time.Second} {
+		wa, wrong := &Waits{}, 0
+		for i := range 400 {
+			patience := scale(most, 1-0.15*rnd.Float64())
+			again := i%3 == 2
+			if again {
+				patience -= time.Second + time.Duration(rnd.Int64N(int64(500*time.Millisecond)))
+			}
+			late := wa.Before("route", patience, 8*time.Second) > 0
+			if i >= 2*enoughSeen && late != again {
+				wrong++
+			}
+		}
+		if wrong > 4 {
+			t.Errorf("callers of up to %v: %d of 368 taken for the other kind", most, wrong)
+		}
+	}
+}
+
 // Callers name routes only through the configuration, but that changes all day.
 func TestWaitsAreBounded(t *testing.T) {
 	wa := &Waits{}
 	for i := range 3 * maxRoutes {
-		wa.Before(time.Duration(i).String(), time.Second)
+		wa.Before(time.Duration(i).String(), time.Second, time.Second)
 	}
 	if len(wa.routes) > maxRoutes {
 		t.Errorf("%d routes are kept", len(wa.routes))
@@ -54,6 +99,6 @@
 func BenchmarkWaits(b *testing.B) {
 	wa := &Waits{}
 	for i := 0; b.Loop(); i++ {
-		wa.Before("route", 5*time.Second-time.Duration(i%3)*time.Millisecond)
+		wa.Before("route", 5*time.Second-time.Duration(i%3)*time.Millisecond, 5*time.Second)
 	}
 }
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -140,7 +140,7 @@
 	ca.maxIdle = maxIdle(cfg.Services[ca.service].MaxConns, int(ca.sv.daemons.Load()))
 	ca.deadline = ca.arrived.Add(ca.allowed())
 	if patience, ok := ca.patience(); ok {
-		ca.waited = ca.sv.waits.Before(ca.route.Host+ca.route.Prefix, patience)
+		ca.waited = ca.sv.waits.Before(ca.route.Host+ca.route.Prefix, patience, ca.route.Timeout)
 	}
 	return ca.readBody(cfg)
 }
