Hold requests back while a daemon that has just started reads its configuration

Requests wait for up to 0.7 s from the first one that comes; after that they are refused at once, as before.

TestRequestsWaitForConfiguration fails on the code before (503).

--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -55,6 +55,8 @@
 	working  atomic.Int64
 	served   atomic.Int64
 	waits    dispatch.Waits
+	// firstAt is when the first request came without a configuration, in Unix nanoseconds.
+	firstAt atomic.Int64
 }
 
 // Stop makes the server tell callers to close their connections.
@@ -104,7 +106,7 @@
 	}
 	ca := &call{sv: sv, w: w, req: req, id: req.Header.Get(platform.HeaderRequestID), arrived: sv.Clock.Now()}
 	ca.log = sv.Log.With("request", ca.id)
-	if re := ca.admit(sv.Config()); re != nil {
+	if re := ca.admit(sv.awaitConfig(req.Context())); re != nil {
 		ca.refuse(*re)
 		return
 	}
