Bound the rate of late requests after a daemon's start

For five seconds after its start a daemon sends late requests at 0.6 of the groups' capacity divided by the number of daemons. They are held back no longer than leaves twice the time of a usual answer, and go without regard to the slots kept for first attempts at the end of that.

--- a/internal/core/dispatch/table.go
+++ b/internal/core/dispatch/table.go
@@ -32,6 +32,12 @@
 	// reckoned is until when the requests that the others send to a model's groups
 	// were reckoned with.
 	reckoned map[string]time.Time
+	// numDaemons is how many daemons there are, lateNext when this one may send the next
+	// late request of a model.
+	numDaemons int
+	lateNext   map[string]time.Time
+	// began is when the first request came.
+	began time.Time
 	// moves are the requests of groups that broke just now.
 	moves moves
 	// expired is when old loads of other daemons were last looked for.
@@ -49,6 +55,8 @@
 	Pause time.Duration
 	// Wait is the longest useful wait for the first event.
 	Wait time.Duration
+	// Last is set for a late request that was held back for as long as it may be.
+	Last bool
 	// Begun is set for a request whose caller has a part of the answer.
 	Begun bool
 	// Except are groups that the request was sent to before.
@@ -191,7 +199,7 @@
 			continue
 		}
 		le, distance := ta.level(gr), ta.distance(gr)
-		if ne.late() {
+		if ne.late() && !ne.Last {
 			le.room -= lateReserve * float64(gr.engine.Slots)
 		}
 		cands = append(cands, candidate{gr: gr, running: le.load})
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -226,6 +226,7 @@
 	num := max(minBudgetDaemons, len(ct.da.mesh.Known()))
 	ct.da.front.Budget.SetSlack(ct.da.Settings.Bounds.RetrySlack * budgetShare / float64(num))
 	ct.da.front.SetDaemons(num)
+	ct.da.table.SetDaemons(num)
 }
 
 // age is how long ago the store last confirmed what the daemon knows.
--- a/internal/entry/join.go
+++ b/internal/entry/join.go
@@ -69,7 +69,10 @@
 // knowDaemons takes in who is there.
 func (ct *control) knowDaemons(ips []string) {
 	ct.da.mesh.Know(ips)
-	ct.post(func() { ct.joined = true })
+	ct.post(func() {
+		ct.joined = true
+		ct.shareBudgets()
+	})
 }
 
 // joinSeeds learns of the other daemons from those named in the settings, for the
--- a/internal/front/metrics.go
+++ b/internal/front/metrics.go
@@ -18,5 +18,6 @@
 	predictErrors = metrics.NewHistogram("corianderhub_first_event_error_seconds")
 	pauses        = metrics.NewHistogram("corianderhub_event_pause_seconds")
 	resumed       = metrics.NewCounter("corianderhub_stream_resumes_total")
+	lateHolds     = metrics.NewHistogram("corianderhub_late_hold_seconds")
 	sendCount     = metrics.NewCounter("corianderhub_sends_total")
 )
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -25,6 +25,8 @@
 	goOnWait  = 1500 * time.Millisecond
 	// lateWait is the longest predicted wait for a first event that is late.
 	lateWait = 1500 * time.Millisecond
+	// lateAgain is the time between looks for a group for a late request that was held back.
+	lateAgain = 100 * time.Millisecond
 	// writePatience bounds the wait for a caller that doesn't read.
 	writePatience = 5 * time.Second
 )
@@ -165,27 +167,51 @@
 	return rq
 }
 
-// pick chooses a group. A stream that has begun waits a little for one.
+// pick chooses a group. A stream that has begun waits a little for one, and so does a late
+// request that had to be held back.
 func (st *stream) pick(ctx context.Context, cancel context.CancelCauseFunc) (dispatch.Choice, *dispatch.Ticket) {
-	var ch dispatch.Choice
-	for waited := time.Duration(0); ; waited += goOnPause {
+	pause, until := goOnPause, st.sv.Clock.Now().Add(goOnWait)
+	if !st.started {
+		pause, until = lateAgain, st.holdLate(ctx)
+	}
+	for {
 		now := st.sv.Clock.Now()
-		need := dispatch.Need{Service: st.service, Model: st.model, Prompt: st.prompt, Pause: st.route.PauseObjective,
-			Objective: st.route.Objective - st.waited - now.Sub(st.arrived) - callerDelay, Wait: min(lateWait, st.left()), Begun: st.started, Except: st.tried}
-		if st.started {
-			// The caller has the first event: what counts now is a short gap.
-			need.Objective = st.route.PauseObjective
-		}
-		var ti *dispatch.Ticket
-		if ch, ti = st.sv.Table.Pick(need, cancel, now); ti != nil {
+		ne := st.need(now)
+		ne.Last = !st.started && !until.IsZero() && now.Add(pause).After(until)
+		ch, ti := st.sv.Table.Pick(ne, cancel, now)
+		if ti != nil || now.Add(pause).After(until) || st.sv.Clock.Sleep(ctx, pause) != nil {
 			return ch, ti
 		}
-		if !st.started || waited >= goOnWait || st.sv.Clock.Sleep(ctx, goOnPause) != nil {
-			return ch, nil
-		}
 	}
 }
 
+// need is what the request asks of a group now.
+func (st *stream) need(now time.Time) dispatch.Need {
+	ne := dispatch.Need{Service: st.service, Model: st.model, Prompt: st.prompt, Pause: st.route.PauseObjective,
+		Objective: st.route.Objective - st.waited - now.Sub(st.arrived) - callerDelay, Wait: min(lateWait, st.left()), Begun: st.started, Except: st.tried}
+	if st.started {
+		// The caller has the first event: what counts now is a short gap.
+		ne.Objective = st.route.PauseObjective
+	}
+	return ne
+}
+
+// holdLate holds a request back that is late in any case, while too many such come. It
+// returns until when the request may wait for a group, or zero if it was not held back.
+func (st *stream) holdLate(ctx context.Context) time.Time {
+	now := st.sv.Clock.Now()
+	if st.sends > 0 {
+		return time.Time{}
+	}
+	ho := st.sv.Table.HoldLate(st.need(now), st.left(), now)
+	if ho.For <= 0 {
+		return time.Time{}
+	}
+	lateHolds.Update(ho.For.Seconds())
+	_ = st.sv.Clock.Sleep(ctx, ho.For) // The next look at ctx ends the request.
+	return now.Add(ho.Most)
+}
+
 // relay passes events on as they come. It returns nil at the end of a whole
 // stream.
 func (st *stream) relay(ex *http1.Exchange, ti *dispatch.Ticket, sent time.Time, predicted time.Duration) error {
