Follow the measured work where the stated shares are wrong by far

The split follows the stated share and nothing measures what callers ask for.

Daemons measure requests, prompt and answer tokens for each model and report them with their load. The engine's cost model makes groups of them (catalog.Demand), which the steward logs and exposes. Where a model's measured part differs from the stated one by 1.8 times or more, weights are the measured ones for a minute: new VMs, spares and idle ones load accordingly, and groups are exchanged if that pays within 30 s and the weight store has room. A model without any group is helped as before.

--- a/internal/core/dispatch/late.go
+++ b/internal/core/dispatch/late.go
@@ -79,6 +79,10 @@
 // workOf is the time that a request with such a prompt takes of a group whose slots are all
 // taken.
 func (ta *Table) workOf(gr *Group, prompt int64) time.Duration {
-	one := catalog.Demand{Requests: 1, Prompt: float32(prompt), Answer: float32(gr.engine.MeanAnswer)}
+	answer := gr.engine.MeanAnswer
+	if de := ta.demands[gr.Model]; de != nil && de.answers > 0 {
+		answer = de.answer
+	}
+	one := catalog.Demand{Requests: 1, Prompt: float32(prompt), Answer: float32(answer)}
 	return time.Duration(one.Groups(gr.engine, gr.model) * float64(time.Second))
 }
--- a/internal/core/dispatch/passes_test.go
+++ b/internal/core/dispatch/passes_test.go
@@ -218,6 +218,7 @@
 		return false
 	}
 	rq.ticket.End()
+	rq.ta.Answered(rq.ticket.Group, rq.events, pw.now)
 	if pw.now.Sub(rq.arrived)+rq.waited <= passTimeout {
 		pw.count(rq).whole++
 	}
--- a/internal/core/dispatch/peers.go
+++ b/internal/core/dispatch/peers.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "time"
+import (
+	"time"
+
+	"corianderhub.dev/corianderhub/internal/core/catalog"
+)
 
 // peerLoadAge is how long what another daemon told of its load counts.
 const peerLoadAge = 2 * time.Second
@@ -15,6 +19,9 @@
 	Loads map[string]Load `cbor:"1,keyasint,omitempty"`
 	// Rates are the requests that they get for each model, in a second.
 	Rates map[string]float32 `cbor:"2,keyasint,omitempty"`
+	// Demand is what callers ask of each model. It is not relayed: only the steward
+	// needs it, and each daemon tells it its own.
+	Demand map[string]catalog.Demand `cbor:"3,keyasint,omitempty"`
 }
 
 // peerWork is another daemon's work, told at that time.
@@ -99,7 +106,7 @@
 func (ta *Table) Own(now time.Time) Work {
 	ta.mu.Lock()
 	defer ta.mu.Unlock()
-	wo := Work{Loads: make(map[string]Load, len(ta.groups)), Rates: ta.rates.all(now)}
+	wo := Work{Loads: make(map[string]Load, len(ta.groups)), Rates: ta.rates.all(now), Demand: ta.ownDemand(now)}
 	for name, gr := range ta.groups {
 		if gr.own.Requests > 0 {
 			wo.Loads[name] = gr.own
--- a/internal/core/dispatch/spread.go
+++ b/internal/core/dispatch/spread.go
@@ -160,7 +160,7 @@
 // arrivals measures the rate of requests for each model.
 type arrivals map[string]*rate
 
-// rate is a smoothed number of requests a second.
+// rate is a smoothed number of requests or tokens a second.
 type rate struct {
 	at        time.Time
 	perSecond float64
@@ -182,7 +182,12 @@
 		ra = &rate{at: now}
 		ar[model] = ra
 	}
-	ra.perSecond = ra.decayed(now) + 1/rateSpan.Seconds()
+	ra.add(1, now)
+}
+
+// add counts what came just now.
+func (ra *rate) add(num float64, now time.Time) {
+	ra.perSecond = ra.decayed(now) + num/rateSpan.Seconds()
 	ra.at = now
 }
 
--- a/internal/core/dispatch/table.go
+++ b/internal/core/dispatch/table.go
@@ -29,6 +29,8 @@
 	// those that the others get, a second.
 	rates     arrivals
 	peerRates map[string]float32
+	// demands is what this daemon's callers ask of each model.
+	demands demands
 	// reckoned is until when the requests that the others send to a model's groups
 	// were reckoned with.
 	reckoned map[string]time.Time
@@ -151,11 +153,14 @@
 	ta.mu.Lock()
 	defer ta.mu.Unlock()
 	if ta.rates == nil {
-		ta.rates, ta.reckoned = make(arrivals), make(map[string]time.Time)
+		ta.rates, ta.reckoned, ta.demands = make(arrivals), make(map[string]time.Time), make(demands)
 	}
 	if !ne.Begun {
 		ta.rates.add(ne.Model, now)
 	}
+	if !ne.Begun && !ne.late() && len(ne.Except) == 0 {
+		ta.demands.asked(ne.Model, ne.Prompt, now)
+	}
 	ta.reckon(ne.Model, now)
 	cands, left := ta.candidates(ne, now)
 	ch := Choice{Groups: len(cands)}
--- a/internal/core/steward/compose.go
+++ b/internal/core/steward/compose.go
@@ -19,9 +19,7 @@
 type split []int
 
 // lossLevels are the numbers of a domain's VMs that may be lost before others
-// have loaded in their place, with the weight that each has in the choice. On
-// days of many losses a domain loses a VM each 8 s, and a load takes 16 s; on
-// quiet days what counts is that all serve.
+// have loaded in their place, with the weight that each has in the choice.
 var lossLevels = []struct {
 	lost   int
 	weight float64
--- a/internal/core/steward/form.go
+++ b/internal/core/steward/form.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"fmt"
 	"maps"
-	"math"
 	"slices"
 	"time"
 
@@ -39,9 +38,7 @@
 		co.dropVainPlans(service, en)
 		calls = append(calls, co.formWarm(service, en, doms, now)...)
 		calls = append(calls, co.startLoads(service, en, doms, now)...)
-		if len(calls) == 0 {
-			co.rebalance(service, en, doms, now)
-		}
+		co.rebalance(service, en, doms, now)
 	}
 	return calls
 }
@@ -228,24 +225,20 @@
 func warm(vms []*vm, model string) int {
 	num := 0
 	for _, vm := range vms {
-		if vm.has(model) && vm.wanted == "" {
+		if vm.wanted == "" && vm.holding(model) || vm.wanted == model && vm.has(model) {
 			num++
 		}
 	}
 	return num
 }
 
-// byWanted puts VMs that are meant for the model first, and those that are
-// meant for another one last.
+// byWanted puts VMs last that are meant for another model.
 func byWanted(one, other *vm, model string) int {
 	rank := func(vm *vm) int {
-		switch vm.wanted {
-		case model:
+		if vm.wanted == "" || vm.wanted == model {
 			return 0
-		case "":
-			return 1
 		}
-		return 2
+		return 1
 	}
 	return cmp.Compare(rank(one), rank(other))
 }
@@ -254,7 +247,7 @@
 func (co *Core) counts(service string, en *catalog.Engine) []int {
 	counts := make([]int, len(en.Models))
 	for _, gr := range co.groups {
-		if gr.service != service || gr.spare() || gr.doomed {
+		if gr.service != service || gr.spare() || gr.doomed || gr.unwanted {
 			continue
 		}
 		for mi, mo := range en.Models {
@@ -266,30 +259,6 @@
 	return counts
 }
 
-// weights returns each model's part of the work: its share, a little less for a
-// model whose groups are fast.
-func (co *Core) weights(en *catalog.Engine) []float64 {
-	weights := make([]float64, len(en.Models))
-	for mi, mo := range en.Models {
-		weights[mi] = max(mo.Share, minShare) * math.Pow(max(mo.Pace, minPace), paceExponent)
-	}
-	return weights
-}
-
-// minShare keeps a model that nobody asks for right now from vanishing, and minPace
-// a model without a stated pace from weighing nothing.
-//
-// paceExponent says how much a model's pace counts. Its share is stated of the VMs'
-// time, so the pace is in it already; a group that is fast still bears more load
-// within the same objective. Days with trouble of 296 VMs were worth 0.57 in the mean
-// with 0.67 and 0.64 with this split, days of 222 VMs 0.61 and 0.60; 54 VMs are split
-// alike.
-const (
-	minShare     = 0.02
-	minPace      = 0.05
-	paceExponent = 0.33
-)
-
 // replaceable tells whether a free VM of the domain could take a member's
 // place without a load.
 func (co *Core) replaceable(member *vm, model string) bool {
@@ -297,7 +266,7 @@
 	for _, id := range co.ids() {
 		vm := co.vms[id]
 		if vm.ep.Service == member.ep.Service && vm.ep.Domain == member.ep.Domain && !promised[id] && co.free(vm) &&
-			vm.has(model) {
+			vm.holding(model) {
 			return true
 		}
 	}
--- a/internal/core/steward/loads.go
+++ b/internal/core/steward/loads.go
@@ -165,7 +165,7 @@
 	empty, idle := 0, 0
 	for _, vm := range do.free {
 		switch {
-		case vm.wanted != "" && vm.wanted != mo.Name || vm.has(mo.Name) && vm.wanted == "":
+		case vm.wanted != "" && vm.wanted != mo.Name || vm.holding(mo.Name) && vm.wanted == "":
 		case vm.last == "" || vm.wanted == mo.Name:
 			empty++
 			pick = vm
--- a/internal/core/steward/steward.go
+++ b/internal/core/steward/steward.go
@@ -131,6 +131,8 @@
 	// wanted is the model that the VM is to load next; empty when it may be used
 	// as it is.
 	wanted string
+	// staged is set once the VM was ordered to put a second model on its host.
+	staged bool
 	// loading is set while the VM's last order to join makes it fetch weights.
 	loading bool
 	// ordered is when the last order was answered.
@@ -148,6 +150,12 @@
 // has tells whether the VM needs no load for the model.
 func (vm *vm) has(model string) bool { return vm.last == model || vm.ep.HasStaged(model) }
 
+// holding tells whether the VM is kept for the model: it is the last one in its memory,
+// or on its host if there is none.
+func (vm *vm) holding(model string) bool {
+	return vm.last == model || vm.last == "" && vm.ep.HasStaged(model)
+}
+
 // ready tells whether the VM may be sent an order.
 func (vm *vm) ready() bool { return vm.known && !vm.busy && !vm.unsure && !vm.down }
 
@@ -201,6 +209,8 @@
 	resort bool
 	made   int64
 	loads  loadLimit
+	// work is what callers ask of the models.
+	work work
 	// orders wait to be sent; answers tells how long answers take.
 	orders  orderQueue
 	answers rtt.Estimator
@@ -210,9 +220,9 @@
 	begun time.Time
 	// lost are the keys of groups that a recalled member is missing from.
 	lost map[groupKey]bool
-	// rebalanced is when groups were last given up for another model.
-	rebalanced time.Time
-	events     []Event
+	// rebalanceAt is when to look next whether to give groups up for another model.
+	rebalanceAt time.Time
+	events      []Event
 }
 
 // Event is a change that operators want to read about.
--- a/internal/core/steward/view.go
+++ b/internal/core/steward/view.go
@@ -1,6 +1,8 @@
 package steward
 
 import (
+	"maps"
+
 	"corianderhub.dev/corianderhub/internal/core/catalog"
 )
 
@@ -31,10 +33,9 @@
 	return cg
 }
 
-// toldSlowness is the slowness from which it is told. Members say that they are as fast
-// as usual once they have reported, and a view for each of them went out when a steward
-// began: 21 in a second to 195 daemons, 1.2 MB/s. Below it a prediction is off by less than
-// the error that it has anyway.
+// toldSlowness is the slowness from which it is told. Below it a prediction is off by less
+// than the error that it has anyway, and a view for each member that reports is not worth
+// its bytes.
 const toldSlowness = 1.1
 
 // Stats counts groups and VMs by what they do, for metrics and logs.
@@ -42,11 +43,13 @@
 	Serving, Forming, Broken, Spares, Down, Stranded int
 	// ByModel are the serving groups of each model.
 	ByModel map[string]int
+	// Busy is the measured work of each model, in groups; nil while none is measured.
+	Busy map[string]float64
 }
 
 // Stats returns the current counts.
 func (co *Core) Stats() Stats {
-	st := Stats{ByModel: make(map[string]int)}
+	st := Stats{ByModel: make(map[string]int), Busy: maps.Clone(co.work.busy)}
 	for _, gr := range co.groups {
 		switch {
 		case gr.spare():
--- a/internal/entry/act.go
+++ b/internal/entry/act.go
@@ -35,6 +35,9 @@
 	// take. A step for 1,100 VMs takes a millisecond or two, and events come in
 	// thousands a second when a steward begins.
 	stepShare = 0.25
+	// demandInterval is the time between looks at what callers ask for. Daemons tell of it
+	// some ten times a second.
+	demandInterval = 100 * time.Millisecond
 )
 
 // stepSteward does the steward's work, while the lease is certainly held.
@@ -61,6 +64,10 @@
 		ct.wake.Reset(wait)
 		return
 	}
+	if now.Sub(sh.demandAt) >= demandInterval {
+		sh.demandAt = now
+		sh.core.SetDemand(ct.da.table.Demand(now), now)
+	}
 	ct.execute(sh.core.Step(now))
 	st := sh.core.Stats()
 	ct.da.stats.Store(&st)
@@ -130,7 +137,7 @@
 	ct.hearView(vi)
 	ct.sendBeat(ex)
 	st := ct.da.stats.Load()
-	ct.da.Log.Info("steward: view published.", "term", sh.term, "view", sh.sequence, "serving", st.Serving, "by-model", st.ByModel, "forming", st.Forming,
+	ct.da.Log.Info("steward: view published.", "term", sh.term, "view", sh.sequence, "serving", st.Serving, "by-model", st.ByModel, "busy", st.Busy, "forming", st.Forming,
 		"broken", st.Broken, "spares", st.Spares, "stranded", st.Stranded, "down", st.Down)
 }
 
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -21,8 +21,7 @@
 	retryPause    = 250 * time.Millisecond
 	maxRetryPause = time.Second
 	// retryPauseOthers and maxRetryPauseOthers are the same for daemons that are no
-	// deputies: they hear of the store's return from those. With 0.25 and 4 s, 195
-	// daemons made some 3,000 calls in an outage of 7 s.
+	// deputies: they hear of the store's return from those.
 	retryPauseOthers    = time.Second
 	maxRetryPauseOthers = 8 * time.Second
 	// idlePause is the time between looks whether to follow the store again.
@@ -208,7 +207,7 @@
 		want = false
 	case following && !ct.isDeputy(now) && now.Sub(ct.deputyFresh()) < freshAfter:
 		// A deputy was late once: each daemon that goes on following the store for it
-		// costs two calls a second and one for each change, in one outage 9,000.
+		// costs two calls a second and one for each change.
 		want = false
 	}
 	if want == following {
--- a/internal/entry/lease.go
+++ b/internal/entry/lease.go
@@ -71,7 +71,9 @@
 	unheldSince time.Time
 	// stepAfter is when the next step may be made.
 	stepAfter time.Time
-	asked     bool
+	// demandAt is when the core was last told what callers ask for.
+	demandAt time.Time
+	asked    bool
 	// sentAt is when beats of the term were sent, since boot, by their number;
 	// promises is the newest of them that each daemon has heard.
 	sentAt   map[uint64]time.Duration
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -1,7 +1,11 @@
 package entry
 
 import (
+	"io"
+	"maps"
 	"net/http"
+	"slices"
+	"strconv"
 
 	"github.com/VictoriaMetrics/metrics"
 
@@ -58,6 +62,17 @@
 	return set
 }
 
+// writeWork writes the measured work of each model, which the steward knows.
+func (da *Daemon) writeWork(w io.Writer) {
+	st := da.stats.Load()
+	if st == nil {
+		return
+	}
+	for _, model := range slices.Sorted(maps.Keys(st.Busy)) {
+		metrics.WriteGaugeFloat64(w, `corianderhub_model_work_groups{model=`+strconv.Quote(model)+`}`, st.Busy[model])
+	}
+}
+
 func truth(is bool) float64 {
 	if is {
 		return 1
@@ -84,4 +99,5 @@
 func (da *Daemon) sendMetrics(w http.ResponseWriter, _ *http.Request) {
 	metrics.WritePrometheus(w, true)
 	da.gauges.WritePrometheus(w)
+	da.writeWork(w)
 }
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -286,6 +286,7 @@
 
 func (st *stream) finish() {
 	st.outlived()
+	st.sv.Table.Answered(st.choice.Group, st.passed, st.sv.Clock.Now())
 	st.log.Info("front: answered.", "outcome", "whole", "status", http.StatusOK, "sends", st.sends, "events", st.passed,
 		"group", st.choice.Group.Name, "first-ms", st.first.Milliseconds(), "predicted-ms", st.choice.First.Milliseconds(),
 		"fits", st.choice.Fits, "running", int(st.choice.Running), "waited-ms", st.waited.Milliseconds(), "pause-ms", st.pause.Milliseconds(), "ms", st.sv.Clock.Now().Sub(st.arrived).Milliseconds())
