Learn by how much first events come later than predicted; shorten comments

Each daemon learns the difference for each model, in bounded steps, from requests at groups that are neither slow nor full. Until a model's own is known, that of the engine's other models stands in.

TestPredictionLearnsResidual: error in the middle of a model of passes within 4 ms with 0, 15 and 90 ms that nobody states, at 0.3 and 0.7 of the capacity.

--- a/internal/core/dispatch/group.go
+++ b/internal/core/dispatch/group.go
@@ -48,6 +48,10 @@
 	Group *Group
 	ta    *Table
 	load  Load
+	// sent is when the request was sent, stated after what time the engine's description
+	// lets its first event come; zero where that says nothing.
+	sent   time.Time
+	stated time.Duration
 	// first is set once the request has emitted an event.
 	first  bool
 	last   time.Time
@@ -65,6 +69,9 @@
 	gr.stalled, gr.unreachable = false, false
 	if !ti.first {
 		ti.first = true
+		if ti.stated > 0 {
+			ti.ta.residuals.learn(gr.Model, now.Sub(ti.sent)-ti.stated)
+		}
 		gr.own.Reading -= ti.load.Reading
 		gr.own.Context += ti.load.Reading
 		ti.load.Context = ti.load.Reading
--- a/internal/core/dispatch/moves.go
+++ b/internal/core/dispatch/moves.go
@@ -5,13 +5,10 @@
 	"time"
 )
 
-// moves are groups that broke lately. All daemons move the streams that they have
-// there at the same moment, before any of them has told of it, and would all choose
-// the group that looks emptiest. With what the others move reckoned with, each
-// chooses among all groups: of the 13 to 18 streams of one group, up to 18 came to the
-// emptiest of eight others without this, up to 8 with it
-// (TestStreamsOfBrokenGroupAreSpread). Besides room, a group needs time to read the prompts that come with them: on
-// a measured day eleven at once made its streams pause for 0.4 s.
+// moves are groups that broke lately. All daemons move the streams that they have there at
+// the same moment, before any of them has reported it, and would all choose the group that
+// looks emptiest. Its other streams would pause while it reads the prompts that come with
+// them.
 type moves []move
 
 type move struct {
@@ -20,9 +17,8 @@
 	requests     int
 }
 
-// moveSpan is how long moved requests are reckoned with: until they are told of,
-// which takes 130 ms among many daemons, and for as long as daemons hear of the
-// loss one after the other.
+// moveSpan is how long moved requests count: until daemons report them, and for as long as
+// daemons hear of the loss one after the other.
 const moveSpan = 250 * time.Millisecond
 
 // add notes that a group broke whose requests go elsewhere now.
--- a/internal/core/dispatch/passes_test.go
+++ b/internal/core/dispatch/passes_test.go
@@ -206,7 +206,11 @@
 
 // emit lets a request emit an event, and tells whether it is done.
 func (pw *passWorld) emit(rq *passRequest) bool {
-	rq.ticket.Event(pw.now)
+	if rq.events == 0 {
+		rq.ticket.Event(pw.now.Add(pw.overhead))
+	} else {
+		rq.ticket.Event(pw.now)
+	}
 	if rq.events++; rq.events == 1 {
 		first := pw.now.Add(pw.overhead)
 		pw.errors = append(pw.errors, first.Sub(rq.sent)-rq.predicted)
--- a/internal/core/dispatch/spread.go
+++ b/internal/core/dispatch/spread.go
@@ -7,41 +7,32 @@
 	"time"
 )
 
-// What other daemons tell of their load is old by the time it counts: by 40 ms
-// among few daemons, by 130 ms among many. Meanwhile all of them send to the
-// groups that looked best, which then get several times what they have room
-// for, while the rest run empty: on a measured day with 68 daemons, groups with
-// 23 slots were sent up to 69 requests, and the first event took 600 ms where
-// 61 ms were predicted.
+// The load that other daemons report is stale by the time it counts. Meanwhile all of
+// them send to the groups that looked best, which then get several times what they have
+// room for, while the rest run empty.
 //
-// So each daemon reckons with the requests that the others are expected to have
-// sent since they told, as in M. Dahlin, "Interpreting Stale Load Information"
-// (1999). A daemon knows the rate at which requests come to all of them, and that
-// the others choose as it does itself: at each moment, what comes raises the
-// lowest loads to a common level. What was reckoned fades as the others tell of
-// it. To reckon all of it with the loads known now instead, as if the others had
-// not sent anything yet, makes up to 31 requests of 26 slots at a group that has
-// just been formed, where 20 would be even and this gives 22
-// (TestNewGroupIsNotFlooded).
+// So each daemon estimates the requests that the others have sent since their last report,
+// as in M. Dahlin, "Interpreting Stale Load Information" (1999). A daemon knows the rate at
+// which requests come to all of them, and that the others choose as it does itself: at each
+// moment, what comes raises the lowest loads to a common level. The estimate fades as the
+// others report.
 //
 // A request goes to a group with the probability that the level gives it, and is
 // refused with the probability that the level lies above the slots.
 
 const (
-	// reckonStep is the step in which requests that the others send are reckoned,
-	// and reckonDelays how many times the delay back that is done.
-	reckonStep   = 10 * time.Millisecond
-	reckonDelays = 4
+	// estimateStep is the step in which requests that the others send are estimated,
+	// and estimateDelays how many times the delay back that is done.
+	estimateStep   = 10 * time.Millisecond
+	estimateDelays = 4
 	// besideSpan is the time within which daemons choose without knowing of each
-	// other's choice. With nothing reckoned for it, all choose the same group:
-	// 0.58 of the capacity in time at 3 times the load, with 10 ms 0.89; with 40 ms
-	// more than needed are refused, 0.82 (TestOverloadThroughManyDaemons).
+	// other's choice. Were it left out, all would choose the same group.
 	besideSpan = 10 * time.Millisecond
 )
 
-// reckon brings the requests up to now that the others are expected to have sent
-// to a model's groups since they told.
-func (ta *Table) reckon(model string, now time.Time) {
+// estimatePeers brings the requests up to now that the others are expected to have sent
+// to a model's groups since their last reports.
+func (ta *Table) estimatePeers(model string, now time.Time) {
 	var groups []*Group
 	for _, gr := range ta.byName {
 		if gr.Model == model && gr.listed {
@@ -53,11 +44,11 @@
 		return
 	}
 	perSecond := max(0, float64(ta.peerRates[model]))
-	from := ta.reckoned[model]
-	ta.reckoned[model] = now
-	since := min(now.Sub(from), reckonDelays*ta.delay)
-	for ; since > 0; since -= reckonStep {
-		step := min(since, reckonStep)
+	from := ta.estimated[model]
+	ta.estimated[model] = now
+	since := min(now.Sub(from), estimateDelays*ta.delay)
+	for ; since > 0; since -= estimateStep {
+		step := min(since, estimateStep)
 		levels := make([]level, len(groups))
 		for i, gr := range groups {
 			levels[i] = ta.level(gr)
@@ -94,9 +85,7 @@
 }
 
 // untoldMargin is how many standard deviations of what is not known of a group's
-// load are left free. Of the capacity were in time 0.86, 0.87, 0.90 and 0.85 at 1,
-// 1.4, 2 and 3 times the load with nothing left free, and 0.94, 0.88, 0.91 and 0.89
-// with this (TestOverloadThroughManyDaemons).
+// load are left free.
 const untoldMargin = 0.6
 
 // untoldSpread is the standard deviation of how far a full group's load has moved
@@ -166,8 +155,8 @@
 	perSecond float64
 }
 
-// rateSpan is the time over which rates are smoothed. A daemon of many gets
-// some ten requests a second, and bursts last seconds.
+// rateSpan is the time over which rates are smoothed: long enough for a daemon that gets
+// few requests, and shorter than a burst.
 const rateSpan = 2 * time.Second
 
 // maxRates bounds the models whose rates are kept, since callers name them.
--- a/internal/core/dispatch/stall.go
+++ b/internal/core/dispatch/stall.go
@@ -104,7 +104,7 @@
 // Unreachable tells that no connection to a group's head could be opened. The
 // group is not used until its members have answered, and they are asked at once. A
 // daemon that has no stream at the group would else send it one request after the
-// other: on a measured day 328 waited for a time-out within two seconds.
+// other, each of which waits for the timeout.
 func (ta *Table) Unreachable(gr *Group) {
 	ta.mu.Lock()
 	defer ta.mu.Unlock()
--- a/internal/core/dispatch/table.go
+++ b/internal/core/dispatch/table.go
@@ -31,9 +31,11 @@
 	peerRates map[string]float32
 	// demands is what this daemon's callers ask of each model.
 	demands demands
-	// reckoned is until when the requests that the others send to a model's groups
-	// were reckoned with.
-	reckoned map[string]time.Time
+	// estimated is until when the requests that the others send to a model's groups were
+	// estimated.
+	estimated map[string]time.Time
+	// residuals are by how much first events come later than engines' descriptions say.
+	residuals residuals
 	// numDaemons is how many daemons there are, lateNext when this one may send the next
 	// late request of a model.
 	numDaemons int
@@ -69,12 +71,9 @@
 // sent to: its caller was refused before and has come back.
 func (ne *Need) late() bool { return ne.Objective <= 0 && !ne.Begun }
 
-// lateReserve is the part of a group's slots that is kept for requests that can
-// be in time still (trunk reservation). An answer in time is worth four times a
-// late one to callers. Without it, callers that come back take the slots from those
-// that come for the first time, who then come back in turn: of the capacity were in
-// time 0.60, 0.52 and 0.51 at 1.2, 1.5 and 2 times the load, with it 0.89, 0.88 and
-// 0.89 (TestFirstAttemptsGoFirst). As many are refused twice as without it.
+// lateReserve is the part of a group's slots that is kept for requests that can be in time
+// still (trunk reservation). Without it, callers that come back take the slots from
+// those that come for the first time, who then come back in turn.
 const lateReserve = 0.15
 
 // SetDelay tells how old what other daemons tell of their work is when it
@@ -93,6 +92,7 @@
 		ta.groups = make(map[string]*Group)
 		ta.peers = make(map[string]peerWork)
 		ta.peerRates = make(map[string]float32)
+		ta.residuals = make(residuals)
 	}
 	for _, gr := range ta.groups {
 		gr.listed = false
@@ -126,7 +126,9 @@
 type candidate struct {
 	gr *Group
 	Prediction
-	fits bool
+	// stated is after what time the first event comes by the engine's description.
+	stated time.Duration
+	fits   bool
 	// running is how many requests the group is expected to run.
 	running float64
 	// weight is the number of requests that the group is to get of those that
@@ -153,7 +155,7 @@
 	ta.mu.Lock()
 	defer ta.mu.Unlock()
 	if ta.rates == nil {
-		ta.rates, ta.reckoned, ta.demands = make(arrivals), make(map[string]time.Time), make(demands)
+		ta.rates, ta.estimated, ta.demands = make(arrivals), make(map[string]time.Time), make(demands)
 	}
 	if !ne.Begun {
 		ta.rates.add(ne.Model, now)
@@ -161,7 +163,7 @@
 	if !ne.Begun && !ne.late() && len(ne.Except) == 0 {
 		ta.demands.asked(ne.Model, ne.Prompt, now)
 	}
-	ta.reckon(ne.Model, now)
+	ta.estimatePeers(ne.Model, now)
 	cands, left := ta.candidates(ne, now)
 	ch := Choice{Groups: len(cands)}
 	if len(cands) == 0 {
@@ -175,7 +177,7 @@
 		return ch, nil
 	}
 	ch.Group = best.gr
-	return ch, ta.begin(best.gr, ne, cancel, now)
+	return ch, ta.begin(best, ne, cancel, now)
 }
 
 const (
@@ -227,6 +229,8 @@
 		lo.Requests = int(ca.running + shares[i]*beside/(beside+1))
 		lo.Reading += int64(shares[i] * moving / (beside + 1) * float64(ne.Prompt))
 		ca.Prediction = predict(ca.gr.engine, ca.gr.model, ca.gr.slowness(), lo, ne.Prompt)
+		ca.stated = ca.First
+		ca.First += ta.residuals.of(ne.Model)
 		ca.fits = !ca.Full && ca.First <= limit && ca.Pass <= scale(ne.Pause, pauseMargin)
 	}
 	return cands, left / (beside + 1)
@@ -291,8 +295,12 @@
 	return best
 }
 
-func (ta *Table) begin(gr *Group, ne Need, cancel context.CancelCauseFunc, now time.Time) *Ticket {
-	ti := &Ticket{Group: gr, ta: ta, load: Load{Requests: 1, Reading: ne.Prompt}, cancel: cancel}
+func (ta *Table) begin(ca candidate, ne Need, cancel context.CancelCauseFunc, now time.Time) *Ticket {
+	gr := ca.gr
+	ti := &Ticket{Group: gr, ta: ta, load: Load{Requests: 1, Reading: ne.Prompt}, cancel: cancel, sent: now}
+	if gr.slowness() <= 1 && !ca.Full {
+		ti.stated = ca.stated
+	}
 	if gr.own.Requests == 0 {
 		gr.activity = now
 	}
--- a/internal/mesh/pace.go
+++ b/internal/mesh/pace.go
@@ -7,15 +7,12 @@
 // everyone the sum; beats between all others only say who is alive, to the own
 // data centre more often than to others. What a daemon sends and hears then
 // grows with the daemons of its data centre instead of with all of them times
-// the groups. Of 68 daemons, 0.39 GB went between data centres on a day of a
-// minute with beats to everybody, 0.11 to 0.14 GB on such days with this.
+// the groups.
 const directMost = 16
 
 const (
 	// directInterval is the time between beats where all tell all. What the
-	// others sent since their last beat is missing from predictions: at 50 ms the
-	// first event came within 116 ms of the prediction nine times in ten, at
-	// 120 ms within 161 ms.
+	// others sent since their last beat is missing from predictions.
 	directInterval = 50 * time.Millisecond
 	// directPerSecond and the other rates are the beats a second, to all daemons
 	// together, beyond which the interval grows.
