--- a/internal/core/steward/steward.go
+++ b/internal/core/steward/steward.go
@@ -131,8 +131,6 @@
 	// wanted is the model that the VM is to load next; empty when it may be used
 	// as it is.
 	wanted string
-	// staged is set once the VM was ordered to put a second model on its host.
-	staged bool
 	// loading is set while the VM's last order to join makes it fetch weights.
 	loading bool
 	// ordered is when the last order was answered.
