--- a/internal/front/start_test.go
+++ b/internal/front/start_test.go
@@ -15,6 +15,7 @@
 func TestRequestsWaitForConfiguration(t *testing.T) {
 	ri := newRig(t)
 	ri.desk(nil)
+	ri.front.Clock = clock.NewManual(time.Now())
 	var looks atomic.Int64
 	ri.front.Config = func() *catalog.Config {
 		if looks.Add(1) < 4 {
