--- a/internal/core/steward/flight.go
+++ b/internal/core/steward/flight.go
@@ -108,13 +108,14 @@
 }
 
 // stillDue tells whether an order is to be sent to the life it was decided for. A VM
-// that has fallen silent meanwhile would hold up those that wait behind it.
+// that has fallen silent meanwhile would hold up those that wait behind it. A load that was
+// free when it was decided on and is not any more is decided on anew.
 func (co *Core) stillDue(cd Command) bool {
 	vm := co.vms[cd.ID]
 	if vm == nil || cd.Incarnation.Differs(vm.ep.Incarnation) {
 		return false
 	}
-	if vm.down {
+	if jo, ok := cd.Order.(catalog.Join); vm.down || ok && cd.free && !co.Initial && !vm.has(jo.Model) {
 		vm.busy = false
 		return false
 	}
--- a/internal/core/steward/form.go
+++ b/internal/core/steward/form.go
@@ -180,7 +180,7 @@
 func (co *Core) plan(prefix, service, model string, members []string, now time.Time) *group {
 	epoch := co.epoch()
 	gr := &group{name: fmt.Sprintf("%s%d-%d", prefix, co.Term, co.made), epoch: epoch, service: service,
-		model: model, members: members, planned: now}
+		model: model, members: members, planned: now, free: co.Initial}
 	co.groups[groupKey{gr.name, epoch}] = gr
 	return gr
 }
--- a/internal/core/steward/lifecycle.go
+++ b/internal/core/steward/lifecycle.go
@@ -95,16 +95,25 @@
 			co.doom(gr, "member "+id+" belongs to "+mb.Group)
 			return nil
 		}
+		if !co.mayLoad(vm, gr) {
+			continue
+		}
 		calls = append(calls, co.command(vm, catalog.Join{Group: gr.name, Epoch: gr.epoch, Model: gr.model, Members: gr.members}))
 	}
 	return calls
 }
 
+// mayLoad tells whether the VM may be told to join the group now. Loads that were decided on
+// while they were free are rationed like others once they are not.
+func (co *Core) mayLoad(vm *vm, gr *group) bool {
+	return co.Initial || !gr.free || vm.has(gr.model) || co.loads.take(1)
+}
+
 func isSpare(name string) bool { return (&group{name: name}).spare() }
 
 func (co *Core) command(vm *vm, order catalog.Order) Command {
 	vm.busy = true
-	return Command{ID: vm.ep.ID, Address: vm.ep.Address, Incarnation: vm.ep.Incarnation, Order: order, IfOrders: vm.ep.Orders}
+	return Command{ID: vm.ep.ID, Address: vm.ep.Address, Incarnation: vm.ep.Incarnation, Order: order, IfOrders: vm.ep.Orders, free: co.Initial}
 }
 
 // stepWhole opens a group whose members are all ready, and retires one that
@@ -192,7 +201,7 @@
 		gr.doomed = true
 		return nil
 	}
-	if co.belongs(vm, gr) || !vm.ready() || vm.ep.Member != nil && !isSpare(vm.ep.Member.Group) {
+	if co.belongs(vm, gr) || !vm.ready() || vm.ep.Member != nil && !isSpare(vm.ep.Member.Group) || !co.mayLoad(vm, gr) {
 		return nil
 	}
 	return []Call{co.command(vm, catalog.Join{Group: gr.name, Epoch: gr.epoch, Model: gr.model, Members: gr.members})}
--- a/internal/core/steward/steward.go
+++ b/internal/core/steward/steward.go
@@ -83,6 +83,8 @@
 	Incarnation catalog.Incarnation
 	Order       catalog.Order
 	IfOrders    int64
+	// free is set if it was decided on while loads were free.
+	free bool
 }
 
 func (Ask) isCall()     {}
@@ -173,6 +175,8 @@
 	// planned is when this steward decided on the group; zero for groups that
 	// were found.
 	planned time.Time
+	// free is set if it was decided on while loads were free.
+	free bool
 	// found is when a member first told of a group that this steward did not plan.
 	found time.Time
 	// suspect is set when a daemon told that the group stands still; suspected
