--- a/internal/core/steward/flight.go
+++ b/internal/core/steward/flight.go
@@ -8,12 +8,10 @@
 	"corianderhub.dev/corianderhub/internal/core/catalog"
 )
 
-// Calls share the processor of the steward's machine, where each takes some 0.25 ms.
-// With all of 1,095 questions under way at once answers wait 270 ms for it, longer than
-// a question waits for its answer: sound VMs were taken as down, up to 685 at a time, and
-// the orders that followed kept the queue long. So calls are bounded to what makes the last
-// one wait some 25 ms, and those that decide about groups that serve go first. A day with
-// losses of that fleet was worth 0.596 instead of 0.197, one run each.
+// Calls share the processor of the steward's machine. With all questions of a large fleet
+// under way at once, answers wait for it longer than a question waits for its answer: sound
+// VMs would be taken as down. So calls are bounded, and those that decide about groups that
+// serve go first.
 const (
 	// maxAsks bounds the questions under way, maxOrders the orders. Questions that
 	// decide about no group that serves are put only while fewer than maxRoutineAsks are
