--- a/internal/core/catalog/config.go
+++ b/internal/core/catalog/config.go
@@ -138,6 +138,13 @@
 	Load, Warm time.Duration
 }
 
+// leastPace stands in for a pace that is not stated.
+const leastPace = 0.05
+
+// TimeFactor is what the engine's times are multiplied by for a group of the model; it is
+// never zero.
+func (mo Model) TimeFactor() float64 { return max(mo.Pace, leastPace) }
+
 // Model returns the model of that name.
 func (en *Engine) Model(name string) (Model, bool) {
 	for _, mo := range en.Models {
--- a/internal/core/catalog/demand.go
+++ b/internal/core/catalog/demand.go
@@ -31,12 +31,9 @@
 	reading += pairs / 1e6 * en.PairsPerM.Seconds()
 	perToken := en.StepPerRequest.Seconds() + context/1000*en.StepPerKContext.Seconds()
 	perToken += en.Step.Seconds() / max(1, en.roomFor(context))
-	return max(mo.Pace, minPace) * (reading + answer*perToken)
+	return mo.TimeFactor() * (reading + answer*perToken)
 }
 
-// minPace stands in for a model whose pace is not stated.
-const minPace = 0.05
-
 // roomFor is how many requests of that many tokens a group runs at once.
 func (en *Engine) roomFor(context float64) float64 {
 	slots := float64(en.Slots)
--- a/internal/core/dispatch/late.go
+++ b/internal/core/dispatch/late.go
@@ -57,7 +57,7 @@
 	if groups == 0 {
 		return Hold{}
 	}
-	most := left - lateAnswers*answerTime(sample.engine, Load{Requests: sample.engine.Slots}, max(sample.model.Pace, minPace))
+	most := left - lateAnswers*answerTime(sample.engine, Load{Requests: sample.engine.Slots}, sample.model.TimeFactor())
 	if most <= 0 {
 		return Hold{}
 	}
--- a/internal/core/dispatch/predict.go
+++ b/internal/core/dispatch/predict.go
@@ -45,7 +45,7 @@
 // request waits for the end of the current pass, half of it on average, and
 // for the whole next one.
 func predict(en *catalog.Engine, mo catalog.Model, slowness float64, lo Load, prompt int64) Prediction {
-	pace := max(mo.Pace, minPace) * max(slowness, 1)
+	pace := mo.TimeFactor() * max(slowness, 1)
 	steps := passTime(en, lo.Requests+1, lo.Context+prompt)
 	read := readTime(en, lo.Reading+prompt)
 	current := passTime(en, lo.Requests, lo.Context)
@@ -62,9 +62,6 @@
 	return pr
 }
 
-// minPace stands in for a model whose pace is not stated.
-const minPace = 0.05
-
 func scale(dur time.Duration, by float64) time.Duration { return time.Duration(float64(dur) * by) }
 
 // passTime is the time of a stride of steps for that many writers.
--- a/internal/core/dispatch/spread.go
+++ b/internal/core/dispatch/spread.go
@@ -75,7 +75,7 @@
 // level estimates a group's load: what this daemon sent, what the others told less
 // what has ended since, and what they are expected to have sent since.
 func (ta *Table) level(gr *Group) level {
-	life := max(minLife, answerTime(gr.engine, gr.own.plus(gr.peers), max(gr.model.Pace, minPace)*gr.slowness()))
+	life := max(minLife, answerTime(gr.engine, gr.own.plus(gr.peers), gr.model.TimeFactor()*gr.slowness()))
 	still := max(0, 1-ta.delay.Seconds()/life.Seconds())
 	slots := float64(gr.engine.Slots)
 	return level{
--- a/internal/core/steward/work.go
+++ b/internal/core/steward/work.go
@@ -116,7 +116,7 @@
 func statedWeights(en *catalog.Engine) []float64 {
 	weights := make([]float64, len(en.Models))
 	for mi, mo := range en.Models {
-		weights[mi] = max(mo.Share, minShare) * math.Pow(max(mo.Pace, minPace), paceExponent)
+		weights[mi] = max(mo.Share, minShare) * math.Pow(mo.TimeFactor(), paceExponent)
 	}
 	return weights
 }
@@ -124,8 +124,6 @@
 const (
 	// minShare keeps a model that nobody asks for right now from vanishing.
 	minShare = 0.02
-	// minPace stands in for a model whose pace is not stated.
-	minPace = 0.05
 	// paceExponent says how much a model's pace counts beside its share. The share is
 	// stated of the VMs' time, so that the pace is in it already.
 	paceExponent = 0.33
