Log and count the limits that endpoints name in their answers

Neither logs nor metrics told whether a daemon had been told of an endpoint's limit, and when. The header is read now, kept by endpoint and incarnation, and logged when it changes. It decides nothing yet.

--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -18,6 +18,7 @@
 	"github.com/rotisserie/eris"
 
 	"corianderhub.dev/corianderhub/internal/clock"
+	"corianderhub.dev/corianderhub/internal/core/backpressure"
 	"corianderhub.dev/corianderhub/internal/core/catalog"
 	"corianderhub.dev/corianderhub/internal/core/dispatch"
 	"corianderhub.dev/corianderhub/internal/core/quarantine"
@@ -79,6 +80,8 @@
 	plain   *dispatch.Plain
 	// quarantine knows the requests that end endpoints.
 	quarantine *quarantine.Ledger
+	// backpressure is what endpoints say of how much they take.
+	backpressure *backpressure.Register
 	// config and view are what traffic goes by.
 	config atomic.Pointer[configuration]
 	view   atomic.Pointer[catalog.View]
@@ -140,6 +143,7 @@
 	da.table = &dispatch.Table{DataCenter: set.DataCenter}
 	da.plain = &dispatch.Plain{DataCenter: set.DataCenter}
 	da.quarantine = &quarantine.Ledger{}
+	da.backpressure = &backpressure.Register{}
 	conn, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.ParseIP(set.IP), Port: set.InnerPorts[0]})
 	if err != nil {
 		return eris.Wrap(err, "listen for daemons")
@@ -149,8 +153,8 @@
 	da.peers = mesh.NewClient(set.InnerPorts[1])
 	da.front = &front.Server{Clock: da.Clock, Log: da.Log, Table: da.table, Plain: da.plain, Pool: da.pool,
 		Config: da.currentConfig, Stale: func() bool { return da.control.tooOld() },
-		OnWrong:     func() { da.control.wrongEndpoint() },
-		Quarantine:  da.quarantine,
+		OnWrong:    func() { da.control.wrongEndpoint() },
+		Quarantine: da.quarantine, Backpressure: da.backpressure,
 		OnBrokenOff: func(bo front.BrokenOff) <-chan struct{} { return da.control.lookAfter(bo) },
 		OnAnswered:  func(fp quarantine.Fingerprint) { da.control.post(func() { da.control.answered(fp) }) },
 		Budget: &dispatch.Budget{Ratio: set.Bounds.RetryRatio, Window: set.Bounds.RetryWindow,
--- a/internal/front/harness_test.go
+++ b/internal/front/harness_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"corianderhub.dev/corianderhub/internal/clock"
+	"corianderhub.dev/corianderhub/internal/core/backpressure"
 	"corianderhub.dev/corianderhub/internal/core/catalog"
 	"corianderhub.dev/corianderhub/internal/core/dispatch"
 	"corianderhub.dev/corianderhub/internal/core/quarantine"
@@ -82,8 +83,9 @@
 	ri.front = &Server{Clock: clock.System{}, Log: slog.New(slog.NewTextHandler(&ri.log, nil)), Table: ri.table, Plain: ri.plain,
 		Config: func() *catalog.Config { return ri.cfg }, Stale: func() bool { return false }, OnWrong: func() {},
 		Quarantine: &quarantine.Ledger{}, OnBrokenOff: ri.brokenOff, OnAnswered: ri.answeredWhole,
-		Pool:   &http1.Pool{Clock: clock.System{}, DialTimeout: longTimeout},
-		Budget: &dispatch.Budget{Ratio: 0.2, Slack: 100, Window: 10 * time.Second}}
+		Backpressure: &backpressure.Register{},
+		Pool:         &http1.Pool{Clock: clock.System{}, DialTimeout: longTimeout},
+		Budget:       &dispatch.Budget{Ratio: 0.2, Slack: 100, Window: 10 * time.Second}}
 	ri.hs = httptest.NewServer(ri.front)
 	t.Cleanup(ri.hs.Close)
 	return ri
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"corianderhub.dev/corianderhub/internal/clock"
+	"corianderhub.dev/corianderhub/internal/core/backpressure"
 	"corianderhub.dev/corianderhub/internal/core/catalog"
 	"corianderhub.dev/corianderhub/internal/core/dispatch"
 	"corianderhub.dev/corianderhub/internal/core/quarantine"
@@ -39,6 +40,8 @@
 	Plain  *dispatch.Plain
 	Pool   *http1.Pool
 	Budget *dispatch.Budget
+	// Backpressure holds what endpoints say of how much they take.
+	Backpressure *backpressure.Register
 	// OnWrong is called when an endpoint says that it is not the one expected.
 	OnWrong func()
 	// Quarantine knows which requests end the servers that run them.
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -112,7 +112,8 @@
 	st.choice = ch
 	st.log.Debug("front: sent.", "group", ch.Group.Name, "predicted-ms", ch.First.Milliseconds(), "fits", ch.Fits)
 	sent := st.sv.Clock.Now()
-	ex, err := st.sv.Pool.Send(part, ch.Group.Head().Address, st.request(ch.Group.Head().ID))
+	head := ch.Group.Head()
+	ex, err := st.sv.Pool.Send(part, head.Address, st.request(head.ID))
 	if err == nil || http1.VerdictOf(err) != verdict.NotRun {
 		st.sends++
 		sendCount.Inc()
@@ -125,6 +126,7 @@
 		return ch, false
 	}
 	defer ex.Close()
+	st.sv.Heard(head.Life(), ex.Response, sent)
 	if ex.Response.StatusCode != http.StatusOK {
 		return ch, st.other(part, ch.Group, ex)
 	}
