--- a/internal/front/heard.go
+++ b/internal/front/heard.go
@@ -20,6 +20,22 @@
 	if limit, ok := sv.limitOf(li, rsp); ok {
 		sv.setLimit(li, limit, sent)
 	}
+	sv.hearRest(li, rsp)
+}
+
+// restCount counts the answers of endpoints that ask for rest.
+var restCount = metrics.NewCounter("corianderhub_endpoint_rests_total")
+
+// hearRest takes in that the endpoint turned a request away, and for how long it wants none.
+func (sv *Server) hearRest(li catalog.Life, rsp *http.Response) {
+	rest, err := platform.RestOf(rsp, sv.Clock.Now())
+	if err != nil {
+		sv.Log.Info("front: answer's head not understood.", "endpoint", li.ID, "cause", err.Error())
+	}
+	if rest > 0 {
+		restCount.Inc()
+		sv.Log.Info("front: endpoint asks for rest.", "endpoint", li.ID, "status", rsp.StatusCode, "rest-ms", rest.Milliseconds())
+	}
 }
 
 // HeardInCall takes in the same of an answer to a call that is no request. Servers need not say
