--- /dev/null
+++ b/internal/front/rest_test.go
@@ -0,0 +1,96 @@
+package front
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	"corianderhub.dev/corianderhub/platform"
+	"corianderhub.dev/corianderhub/platform/emulator"
+)
+
+const (
+	// restLearnt is how long after a refusal requests may still arrive that were on their way.
+	restLearnt = 500 * time.Millisecond
+	// restSlack is how many may reach the endpoint after that until the rest is over.
+	restSlack = 2
+)
+
+// duringRest counts the requests that reached a server within its first rest, but for those on
+// their way when it began.
+func duringRest(sv *emulator.Server, rest time.Duration) int {
+	num := 0
+	arrivals := sv.Arrivals()
+	for _, ar := range arrivals {
+		if since := ar.At.Sub(arrivals[0].At); since > restLearnt && since < rest {
+			num++
+		}
+	}
+	return num
+}
+
+// Guards against an endpoint that is sent request after request although it has asked this
+// daemon for rest: each is refused, and the retry budget runs out.
+func TestRestIsKept(t *testing.T) {
+	const requests, rest = 40, 30 * time.Second
+	for _, path := range []string{"/draft/x", "/confirm/x", "/slot/x"} {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			ri := newRig(t)
+			for range 2 {
+				ri.desk(nil)
+				ri.head(nil)
+			}
+			shedding := []*emulator.Server{ri.desks[0], ri.heads[0]}
+			for _, sv := range shedding {
+				sv.SetNeed(emulator.Need{Sheds: true, Rest: strconv.Itoa(int(rest.Seconds()))})
+			}
+			for num := range requests {
+				if re := ri.ask(path, fmt.Sprint("id-", num), streaming); re.status != http.StatusOK {
+					t.Errorf("request %d: status %d, though another endpoint takes it", num, re.status)
+				}
+				time.Sleep(restLearnt * 3 / requests)
+			}
+			for _, sv := range shedding {
+				if num := duringRest(sv, rest); num > restSlack {
+					t.Errorf("%s got %d requests in its rest", sv.ID, num)
+				}
+			}
+		})
+	}
+}
+
+// Guards against callers who wait, or come again in vain, while all endpoints rest: they are
+// refused at once and told when the first rest ends, and are served then.
+func TestAllEndpointsRest(t *testing.T) {
+	for _, path := range []string{"/draft/x", "/confirm/x", "/slot/x"} {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			ri := newRig(t)
+			for num := range 2 {
+				rest := strconv.Itoa(2 + 30*num)
+				ri.desk(nil).SetNeed(emulator.Need{Sheds: true, Rest: rest})
+				ri.head(nil).SetNeed(emulator.Need{Sheds: true, Rest: rest})
+			}
+			ri.ask(path, "first", streaming)
+			num := len(ri.desks[0].Arrivals()) + len(ri.heads[0].Arrivals())
+			re := ri.ask(path, "next", streaming)
+			if got := len(ri.desks[0].Arrivals()) + len(ri.heads[0].Arrivals()); got != num {
+				t.Errorf("%d requests reached an endpoint that rests", got-num)
+			}
+			again, err := strconv.ParseFloat(re.header.Get(platform.HeaderRetryAfter), 64)
+			if re.status != http.StatusServiceUnavailable || err != nil || again < 1 || again > 2*(1+againSpread) {
+				t.Fatalf("status %d, to come again %q", re.status, re.header.Get(platform.HeaderRetryAfter))
+			}
+			for _, sv := range append(ri.desks, ri.heads...) {
+				sv.SetNeed(emulator.Need{})
+			}
+			time.Sleep(time.Duration(again * float64(time.Second)))
+			if re := ri.ask(path, "returned", streaming); re.status != http.StatusOK {
+				t.Errorf("status %d when it was told to come again", re.status)
+			}
+		})
+	}
+}
