Keep the rest that an endpoint asks for

Callers were refused, two in five for seconds: three heads turned away all that reached them and asked for 3 s of rest, daemons went on sending, and the retry budget ran out.

Cause: Retry-After in the answers of endpoints was read by nobody. A head that turns all away looks empty, so that it got up to nine times the requests it had before.

The end of a rest is kept by endpoint and incarnation now, and each choice leaves the endpoint out until then. If all rest, callers are refused at once and told when the first rest ends.

--- a/internal/core/backpressure/limit.go
+++ b/internal/core/backpressure/limit.go
@@ -76,11 +76,6 @@
 	return li.rank < li.limit.holders(daemons)+quiet
 }
 
-func (li *limited) takes(now time.Time, daemons int) bool {
-	wait, known := li.opens(now, daemons)
-	return known && wait <= 0
-}
-
 // opens returns after what time the daemon may send; false if another daemon may, not it.
 func (li *limited) opens(now time.Time, daemons int) (time.Duration, bool) {
 	if !li.limit.Named {
--- a/internal/core/backpressure/register.go
+++ b/internal/core/backpressure/register.go
@@ -27,9 +27,40 @@
 type endpoint struct {
 	incarnation catalog.Incarnation
 	limited
+	// restUntil is until when it wants no request of this daemon.
+	restUntil time.Time
 	tellings
 }
 
+// opens returns after what time the endpoint takes a request of this daemon; false if that
+// isn't known.
+func (ep *endpoint) opens(now time.Time, daemons int) (time.Duration, bool) {
+	wait, known := ep.limited.opens(now, daemons)
+	return max(wait, ep.restUntil.Sub(now)), known
+}
+
+// takes tells whether the endpoint takes a request of this daemon now.
+func (ep *endpoint) takes(now time.Time, daemons int) bool {
+	wait, known := ep.opens(now, daemons)
+	return known && wait <= 0
+}
+
+// idle tells whether nothing is known of the endpoint that holds still.
+func (ep *endpoint) idle(now time.Time) bool {
+	return now.Sub(ep.limitAt) > forgetAfter && now.After(ep.restUntil)
+}
+
+// SetRest takes in that the endpoint turned a request away and wants none of this daemon for
+// that long. Its word is to this daemon alone.
+func (re *Register) SetRest(li catalog.Life, rest time.Duration, now time.Time) {
+	re.mu.Lock()
+	defer re.mu.Unlock()
+	ep := re.life(li)
+	if until := now.Add(rest); ep != nil && until.After(ep.restUntil) {
+		ep.restUntil = until
+	}
+}
+
 // SetLimit takes in the limit of an answer to a request that was sent then, and tells whether
 // it differs from what was known.
 func (re *Register) SetLimit(li catalog.Life, limit Limit, sent, now time.Time) bool {
@@ -57,6 +88,9 @@
 // setLimit replaces an endpoint's limit, and tells whether it has changed.
 func (re *Register) setLimit(id string, ep *endpoint, limit Limit, at, now time.Time) bool {
 	before := ep.limit
+	if !limit.Named && !before.Named {
+		return false
+	}
 	ep.limit, ep.limitAt = limit, at
 	if limit == before {
 		return false
@@ -139,6 +173,19 @@
 	return ep.opens(now, re.daemons.num())
 }
 
+// Resting returns the number of endpoints that want no request of this daemon.
+func (re *Register) Resting(now time.Time) int {
+	re.mu.Lock()
+	defer re.mu.Unlock()
+	num := 0
+	for _, ep := range re.endpoints {
+		if now.Before(ep.restUntil) {
+			num++
+		}
+	}
+	return num
+}
+
 // Limited tells whether the endpoint names a limit.
 func (re *Register) Limited(li catalog.Life) bool {
 	if re == nil || re.num.Load() == 0 {
@@ -184,7 +231,7 @@
 	re.mu.Lock()
 	defer re.mu.Unlock()
 	for id, ep := range re.endpoints {
-		if now.Sub(ep.limitAt) > forgetAfter {
+		if ep.idle(now) {
 			delete(re.endpoints, id)
 		}
 	}
--- a/internal/core/dispatch/plain.go
+++ b/internal/core/dispatch/plain.go
@@ -93,21 +93,18 @@
 	return best
 }
 
-// Closed returns how many endpoints of a service take nothing because of what they say, and
-// after what time the first of them should take a request; 0 if that isn't known.
-func (pl *Plain) Closed(service string, now time.Time) (num int, again time.Duration) {
+// Opens returns after what time the first endpoint of a service should take a request, if all
+// of them take none now because of what they say, and 0 otherwise.
+func (pl *Plain) Opens(service string, now time.Time) time.Duration {
 	pl.mu.Lock()
 	defer pl.mu.Unlock()
+	var lives []catalog.Life
 	for _, ep := range pl.services[service] {
-		if ep.leaving || pl.Backpressure.Takes(ep.Life(), now) {
-			continue
-		}
-		num++
-		if wait, known := pl.Backpressure.Opens(ep.Life(), now); known && (again == 0 || wait < again) {
-			again = wait
+		if !ep.leaving {
+			lives = append(lives, ep.Life())
 		}
 	}
-	return num, again
+	return opens(pl.Backpressure, lives, now)
 }
 
 // cost counts in waiting requests. The random part spreads the requests of
--- a/internal/core/dispatch/table.go
+++ b/internal/core/dispatch/table.go
@@ -148,9 +148,10 @@
 	Running float64
 	// Fits tells whether the objective is expected to be met.
 	Fits bool
-	// Groups is how many groups of the model serve, Closed how many of them take nothing now
-	// because of what their heads say.
-	Groups, Closed int
+	// Groups is how many groups of the model the request could be sent to. Closed is set if
+	// there are some and all of them take none now because of what their heads say.
+	Groups int
+	Closed bool
 	// Again is when there should be room, if Group is nil.
 	Again time.Duration
 }
@@ -172,8 +173,11 @@
 	cands, left := ta.candidates(ne, now)
 	ch := Choice{Groups: len(cands)}
 	if len(cands) == 0 {
-		ch.Closed, ch.Again = ta.closed(ne, now)
-		ch.Groups = ch.Closed
+		ch.Again = ta.opens(ne, now)
+		ch.Closed = ch.Again > 0
+		if !ch.Closed {
+			ch.Again = againNoGroup
+		}
 		return ch, nil
 	}
 	best := choose(cands, ta.random())
@@ -190,6 +194,8 @@
 	// againNoGroup is when a group may serve again: the time to notice a loss
 	// and to put a spare in its place.
 	againNoGroup = 900 * time.Millisecond
+	// againElsewhere is when another daemon may take the request that this one may not send.
+	againElsewhere = 900 * time.Millisecond
 	// againFirst is the least time after which to come again to a group that opens soon.
 	againFirst = 50 * time.Millisecond
 	// againFull is when a place in a full group may be free: an answer takes some
@@ -252,20 +258,42 @@
 	return gr.Service == ne.Service && gr.Model == ne.Model && !slices.Contains(ne.Except, gr)
 }
 
-// closed returns how many groups take nothing because of what their heads say, and when the
-// first of them should take the request.
-func (ta *Table) closed(ne Need, now time.Time) (int, time.Duration) {
-	num, again := 0, againNoGroup
+// Opens returns after what time the first group should take the request, if all of them take
+// none now because of what their heads say, and 0 otherwise.
+func (ta *Table) Opens(ne Need, now time.Time) time.Duration {
+	ta.mu.Lock()
+	defer ta.mu.Unlock()
+	ne.Except = nil
+	return ta.opens(ne, now)
+}
+
+func (ta *Table) opens(ne Need, now time.Time) time.Duration {
+	var heads []catalog.Life
 	for _, gr := range ta.byName {
-		if !gr.takes(ne) {
-			continue
+		if gr.takes(ne) {
+			heads = append(heads, gr.head())
+		}
+	}
+	return opens(ta.Backpressure, heads, now)
+}
+
+// opens returns after what time the first of some endpoints should take a request: 0 if one
+// does now, or if there is none.
+func opens(reg *backpressure.Register, lives []catalog.Life, now time.Time) time.Duration {
+	first := time.Duration(0)
+	for i, li := range lives {
+		wait, known := reg.Opens(li, now)
+		switch {
+		case !known:
+			wait = againElsewhere
+		case wait <= 0:
+			return 0
 		}
-		num++
-		if wait, known := ta.Backpressure.Opens(gr.head(), now); known {
-			again = min(again, max(wait, againFirst))
+		if wait = max(wait, againFirst); i == 0 || wait < first {
+			first = wait
 		}
 	}
-	return num, again
+	return first
 }
 
 // distance is how many requests more the group should look to run than it does.
--- a/internal/front/heard.go
+++ b/internal/front/heard.go
@@ -34,6 +34,7 @@
 	}
 	if rest > 0 {
 		restCount.Inc()
+		sv.Backpressure.SetRest(li, rest, sv.Clock.Now())
 		sv.Log.Info("front: endpoint asks for rest.", "endpoint", li.ID, "status", rsp.StatusCode, "rest-ms", rest.Milliseconds())
 	}
 }
--- a/internal/front/plain.go
+++ b/internal/front/plain.go
@@ -158,7 +158,8 @@
 	case pc.state == verdict.NotRun && len(pc.tried) == 0:
 		pc.refuse(pc.noEndpoint())
 	case pc.state == verdict.NotRun:
-		pc.refuse(refusal{status: http.StatusServiceUnavailable, reason: "endpoints-refused", again: againBusy, cause: pc.err})
+		again := max(againBusy, pc.sv.Plain.Opens(pc.service, pc.sv.Clock.Now()))
+		pc.refuse(refusal{status: http.StatusServiceUnavailable, reason: "endpoints-refused", again: again, cause: pc.err})
 	case pc.left() <= 0:
 		pc.refuse(refusal{status: http.StatusGatewayTimeout, reason: "timeout", cause: pc.err})
 	default:
@@ -169,11 +170,8 @@
 // noEndpoint is the refusal of a request that no endpoint takes.
 func (pc *plainCall) noEndpoint() refusal {
 	re := refusal{status: http.StatusServiceUnavailable, reason: "no-endpoint", again: againNoEndpoint}
-	if num, again := pc.sv.Plain.Closed(pc.service, pc.sv.Clock.Now()); num > 0 {
-		re.reason = reasonClosed
-		if again > 0 {
-			re.again = min(re.again, max(again, againBusy))
-		}
+	if again := pc.sv.Plain.Opens(pc.service, pc.sv.Clock.Now()); again > 0 {
+		re.reason, re.again = reasonClosed, again
 	}
 	return re
 }
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -359,7 +359,7 @@
 func (st *stream) noGroup(ch dispatch.Choice) {
 	reason := "full"
 	switch {
-	case ch.Closed > 0:
+	case ch.Closed:
 		reason = reasonClosed
 	case ch.Groups == 0:
 		reason = "no-group"
@@ -378,7 +378,8 @@
 	if ctx.Err() != nil {
 		reason = "timeout"
 	}
-	st.end(reason, max(againBusy, ch.Again))
+	now := st.sv.Clock.Now()
+	st.end(reason, max(againBusy, ch.Again, st.sv.Table.Opens(st.need(now), now)))
 }
 
 // end gives the final answer. A stream that has begun ends by closing the
