Take an endpoint's word in its answers that it leaves

Servers that leave say so in all their answers, and the store may say it later or not at all. Daemons dropped it and sent new requests until the view changed.

It is kept by incarnation, told with the beats and taken like the store's word.

--- a/internal/core/backpressure/limit_test.go
+++ b/internal/core/backpressure/limit_test.go
@@ -313,15 +313,15 @@
 			re.SetLimit(limitedLife, none, after(-time.Second), after(2*time.Second))
 		}, true},
 		{"another daemon's newer word", func(re *Register) {
-			re.Hear([]Word{{limitedLife, none, time.Second}}, after(2*time.Second))
+			re.Hear([]Word{{Life: limitedLife, Limit: none, LimitAge: time.Second}}, after(2*time.Second))
 		}, false},
 		{"another daemon's older word", func(re *Register) {
-			re.Hear([]Word{{limitedLife, none, 3 * time.Second}}, after(2*time.Second))
+			re.Hear([]Word{{Life: limitedLife, Limit: none, LimitAge: 3 * time.Second}}, after(2*time.Second))
 		}, true},
 		{"the process starts anew", func(re *Register) { re.SetLimit(next, none, after(time.Second), after(2*time.Second)) }, false},
 		{"a word of its earlier life", func(re *Register) {
 			re.SetLimit(next, limit, after(time.Second), after(2*time.Second))
-			re.Hear([]Word{{limitedLife, none, 0}}, after(3*time.Second))
+			re.Hear([]Word{{Life: limitedLife, Limit: none, LimitAge: 0}}, after(3*time.Second))
 		}, true},
 		{"not repeated for long", func(re *Register) { re.Sweep(after(forgetAfter + time.Second)) }, false},
 	}
@@ -364,7 +364,7 @@
 		t.Errorf("%d words for a daemon that has started", num)
 	}
 	other := &Register{}
-	other.Hear([]Word{{limitedLife, Limit{2, true}, 0}}, now)
+	other.Hear([]Word{{Life: limitedLife, Limit: Limit{2, true}, LimitAge: 0}}, now)
 	if num := len(other.Tell(now, span, false)); num != 0 {
 		t.Errorf("%d words of others passed on", num)
 	}
@@ -372,3 +372,45 @@
 		t.Errorf("the steward passes on %d words", num)
 	}
 }
+
+// Guards against a word of leaving that outlasts the process that said it, and against one that
+// a daemon forgets while the process still stops.
+func TestLeavingIsOneLife(t *testing.T) {
+	now := time.Unix(100, 0)
+	unknown := catalog.Life{ID: limitedLife.ID}
+	next := catalog.Life{ID: limitedLife.ID, Incarnation: limitedLife.Incarnation + 1}
+	tests := []struct {
+		name string
+		play func(re *Register)
+		want map[catalog.Life]bool
+	}{
+		{"said in an answer", func(re *Register) { re.SetLeaving(limitedLife, now) }, map[catalog.Life]bool{limitedLife: true, next: false}},
+		{"said by a life whose start is learnt later", func(re *Register) {
+			re.SetLeaving(unknown, now)
+			re.Takes(limitedLife, now)
+		}, map[catalog.Life]bool{limitedLife: true, next: false}},
+		{"told by another daemon", func(re *Register) {
+			if num := len(re.Hear([]Word{{Life: limitedLife, Leaving: true, LeavingAge: time.Second}}, now)); num != 1 {
+				t.Errorf("%d endpoints new", num)
+			}
+		}, map[catalog.Life]bool{limitedLife: true, next: false}},
+		{"answers that don't repeat it", func(re *Register) {
+			re.SetLeaving(limitedLife, now)
+			re.SetLimit(limitedLife, Limit{}, now.Add(time.Second), now.Add(time.Second))
+			re.Sweep(now.Add(time.Minute))
+		}, map[catalog.Life]bool{limitedLife: true}},
+		{"long ago", func(re *Register) {
+			re.SetLeaving(limitedLife, now)
+			re.Sweep(now.Add(forgetAfter + time.Second))
+		}, map[catalog.Life]bool{limitedLife: false}},
+	}
+	for _, tc := range tests {
+		re := &Register{}
+		tc.play(re)
+		for li, want := range tc.want {
+			if got := re.Leaving(li); got != want || re.Takes(li, now) == want {
+				t.Errorf("%s: %v leaves: %v, want %v", tc.name, li, got, want)
+			}
+		}
+	}
+}
--- a/internal/core/backpressure/register.go
+++ b/internal/core/backpressure/register.go
@@ -29,12 +29,18 @@
 	limited
 	// restUntil is until when it wants no request of this daemon.
 	restUntil time.Time
+	// leaving is set once it has said that it stops soon, leftAt is when it last did.
+	leaving bool
+	leftAt  time.Time
 	tellings
 }
 
 // opens returns after what time the endpoint takes a request of this daemon; false if that
 // isn't known.
 func (ep *endpoint) opens(now time.Time, daemons int) (time.Duration, bool) {
+	if ep.leaving {
+		return 0, false
+	}
 	wait, known := ep.limited.opens(now, daemons)
 	return max(wait, ep.restUntil.Sub(now)), known
 }
@@ -47,7 +53,7 @@
 
 // idle tells whether nothing is known of the endpoint that holds still.
 func (ep *endpoint) idle(now time.Time) bool {
-	return now.Sub(ep.limitAt) > forgetAfter && now.After(ep.restUntil)
+	return now.Sub(ep.limitAt) > forgetAfter && now.Sub(ep.leftAt) > forgetAfter && now.After(ep.restUntil)
 }
 
 // SetRest takes in that the endpoint turned a request away and wants none of this daemon for
@@ -126,12 +132,16 @@
 	return ep
 }
 
-// find returns what is known of that life of an endpoint, or nil.
+// find returns what is known of that life of an endpoint, or nil. What was said by a life whose
+// start wasn't known belongs to the first one that is.
 func (re *Register) find(li catalog.Life) *endpoint {
 	ep := re.endpoints[li.ID]
 	if ep == nil || ep.incarnation.Differs(li.Incarnation) {
 		return nil
 	}
+	if ep.incarnation == 0 {
+		ep.incarnation = li.Incarnation
+	}
 	return ep
 }
 
@@ -173,6 +183,36 @@
 	return ep.opens(now, re.daemons.num())
 }
 
+// SetLeaving takes in that the endpoint said then that it stops soon, and tells whether that is
+// new. It can't be taken back but by another incarnation.
+func (re *Register) SetLeaving(li catalog.Life, at time.Time) bool {
+	re.mu.Lock()
+	defer re.mu.Unlock()
+	ep := re.life(li)
+	if ep == nil {
+		return false
+	}
+	news := !ep.leaving
+	if at.After(ep.leftAt) {
+		ep.leftAt = at
+	}
+	if news {
+		ep.leaving, ep.due, ep.heard = true, true, true
+	}
+	return news
+}
+
+// Leaving tells whether the endpoint has said that it stops soon.
+func (re *Register) Leaving(li catalog.Life) bool {
+	if re == nil || re.num.Load() == 0 {
+		return false
+	}
+	re.mu.Lock()
+	defer re.mu.Unlock()
+	ep := re.find(li)
+	return ep != nil && ep.leaving
+}
+
 // Resting returns the number of endpoints that want no request of this daemon.
 func (re *Register) Resting(now time.Time) int {
 	re.mu.Lock()
--- a/internal/core/backpressure/word.go
+++ b/internal/core/backpressure/word.go
@@ -17,6 +17,9 @@
 	// LimitAge is how long ago the endpoint held to the limit for certain. Ages are told and
 	// not times: the clocks of machines differ.
 	LimitAge time.Duration `cbor:"3,keyasint,omitempty"`
+	// Leaving is set if the endpoint has said that it stops soon, LeavingAge is how long ago.
+	Leaving    bool          `cbor:"4,keyasint,omitempty"`
+	LeavingAge time.Duration `cbor:"5,keyasint,omitempty"`
 }
 
 // tellings is what the other daemons were told of an endpoint.
@@ -48,12 +51,24 @@
 			ep.due, ep.until, ep.told = false, now.Add(span), ep.limitAt
 		}
 		if now.Before(ep.until) {
-			words = append(words, Word{catalog.Life{ID: id, Incarnation: ep.incarnation}, ep.limit, now.Sub(ep.limitAt)})
+			words = append(words, ep.word(catalog.Life{ID: id, Incarnation: ep.incarnation}, now))
 		}
 	}
 	return words
 }
 
+// word is what there is to tell of the endpoint.
+func (ep *endpoint) word(li catalog.Life, now time.Time) Word {
+	wo := Word{Life: li, Limit: ep.limit, Leaving: ep.leaving}
+	if !ep.limitAt.IsZero() {
+		wo.LimitAge = now.Sub(ep.limitAt)
+	}
+	if ep.leaving {
+		wo.LeavingAge = now.Sub(ep.leftAt)
+	}
+	return wo
+}
+
 // Retell has the others told again of everything that they aren't being told now, as a daemon
 // has started that knows nothing.
 func (re *Register) Retell(now time.Time) {
@@ -67,18 +82,38 @@
 	}
 }
 
-// Hear takes in what another daemon told.
-func (re *Register) Hear(words []Word, now time.Time) {
-	if len(words) == 0 {
-		return
+// Hear takes in what another daemon told, and returns the endpoints of which it is new that they
+// leave.
+func (re *Register) Hear(words []Word, now time.Time) (leaving []catalog.Life) {
+	for _, wo := range words {
+		if wo.Leaving && re.hearLeaving(wo, now) {
+			leaving = append(leaving, wo.Life)
+		}
+		re.hearLimit(wo, now)
+	}
+	return leaving
+}
+
+func (re *Register) hearLeaving(wo Word, now time.Time) bool {
+	if !re.SetLeaving(wo.Life, now.Add(-wo.LeavingAge)) {
+		return false
 	}
 	re.mu.Lock()
 	defer re.mu.Unlock()
-	for _, wo := range words {
-		ep := re.life(wo.Life)
-		if at := now.Add(-wo.LimitAge); ep != nil && at.After(ep.limitAt) {
-			ep.heard = false
-			re.setLimit(wo.Life.ID, ep, wo.Limit, at, now)
-		}
+	if ep := re.find(wo.Life); ep != nil {
+		ep.heard = false
+	}
+	return true
+}
+
+func (re *Register) hearLimit(wo Word, now time.Time) {
+	re.mu.Lock()
+	defer re.mu.Unlock()
+	if re.endpoints[wo.Life.ID] == nil && !wo.Limit.Named {
+		return
+	}
+	ep := re.life(wo.Life)
+	if at := now.Add(-wo.LimitAge); ep != nil && at.After(ep.limitAt) && re.setLimit(wo.Life.ID, ep, wo.Limit, at, now) {
+		ep.heard = false
 	}
 }
--- a/internal/entry/beats.go
+++ b/internal/entry/beats.go
@@ -72,7 +72,9 @@
 	ct.hearConfig(be)
 	ct.hearDeputy(be, now)
 	ct.hearQuarantine(be, now)
-	ct.da.backpressure.Hear(be.Backpressure, now)
+	for _, li := range ct.da.backpressure.Hear(be.Backpressure, now) {
+		ct.saidLeaving(li)
+	}
 	if be.Uptime < knowsNothing {
 		ct.da.backpressure.Retell(now)
 	}
--- a/internal/entry/endpoints.go
+++ b/internal/entry/endpoints.go
@@ -140,6 +140,8 @@
 	if ok && had.Revision > ep.Revision {
 		return
 	}
+	// Its entry may say later than its answers that it leaves.
+	ep.Leaving = ep.Leaving || ct.da.backpressure.Leaving(ep.Life())
 	switch {
 	case !ok && ct.firstRead:
 		// A line for each of 1,100 endpoints would delay a small machine that starts.
@@ -163,6 +165,18 @@
 	}
 }
 
+// saidLeaving takes in that an endpoint has said in an answer that it stops soon.
+func (ct *control) saidLeaving(li catalog.Life) {
+	ep, ok := ct.endpoints[li.ID]
+	if ok && !ep.Incarnation.Differs(li.Incarnation) {
+		ct.register(ep)
+	} else {
+		ct.da.Log.Info("control: endpoint leaves.", "endpoint", li.ID)
+		ct.newGone = ct.gone.note(li, ct.da.Clock.Now()) || ct.newGone
+	}
+	ct.updateView()
+}
+
 // restarted forgets the earlier life of a server that started again under its ID.
 // Its connections end with the old process, so idle ones to it are closed: what is
 // sent on them would be reset, and might have run.
--- a/internal/front/harness_test.go
+++ b/internal/front/harness_test.go
@@ -81,7 +81,7 @@
 	}
 	ri.cfg.Prepare()
 	ri.front = &Server{Clock: clock.System{}, Log: slog.New(slog.NewTextHandler(&ri.log, nil)), Table: ri.table, Plain: ri.plain,
-		Config: func() *catalog.Config { return ri.cfg }, Stale: func() bool { return false }, OnWrong: func() {},
+		Config: func() *catalog.Config { return ri.cfg }, Stale: func() bool { return false }, OnWrong: func() {}, OnLeaving: func(catalog.Life) {},
 		Quarantine: &quarantine.Ledger{}, OnBrokenOff: ri.brokenOff, OnAnswered: ri.answeredWhole,
 		Backpressure: &backpressure.Register{},
 		Pool:         &http1.Pool{Clock: clock.System{}, DialTimeout: longTimeout},
--- a/internal/front/heard.go
+++ b/internal/front/heard.go
@@ -21,6 +21,17 @@
 		sv.setLimit(li, limit, sent)
 	}
 	sv.hearRest(li, rsp)
+	sv.hearLeaving(li, rsp)
+}
+
+// hearLeaving takes in that the endpoint stops soon.
+func (sv *Server) hearLeaving(li catalog.Life, rsp *http.Response) {
+	if rsp.StatusCode == http.StatusMisdirectedRequest || !platform.SaysLeaving(rsp.Header) {
+		return
+	}
+	if sv.Backpressure.SetLeaving(li, sv.Clock.Now()) {
+		sv.OnLeaving(li)
+	}
 }
 
 // restCount counts the answers of endpoints that ask for rest.
@@ -45,6 +56,7 @@
 	if limit, ok := sv.limitOf(li, rsp); ok && limit.Named {
 		sv.setLimit(li, limit, sent)
 	}
+	sv.hearLeaving(li, rsp)
 }
 
 // limitOf returns the limit that an answer tells of; false if it tells nothing.
