Share rests among the daemons: six try an endpoint that turned one away

Where daemons are many, each learnt by a refusal of its own, every three seconds anew, that an endpoint takes nothing: 370 daemons were turned away 1,124 times in 11 s by one endpoint. The retry budget of a thousand requests a second is 200.

The word of one daemon is told to all; six by rendezvous hashing try the endpoint until half a second after its rest. Once it takes a request all may.

Evidence: TestRestsAreShared, without a network: 1,124 to 20 refusals with 370 daemons, 195 to 18 with 65, 18 with 6 either way. With an endpoint that turns away two in five, 370 daemons get 694 requests through in place of 1,581.

--- a/internal/core/backpressure/limit_test.go
+++ b/internal/core/backpressure/limit_test.go
@@ -27,6 +27,9 @@
 	toldBefore = 500 * time.Millisecond
 	// answerTime is the time from a request to the head of its answer.
 	answerTime = 100 * time.Millisecond
+	// refuseTime is the time until a refusal, rest what the endpoint asks for then.
+	refuseTime = 10 * time.Millisecond
+	rest       = 3 * time.Second
 )
 
 var limitedLife = catalog.Life{ID: "head-1", Incarnation: 7}
@@ -35,6 +38,10 @@
 type sim struct {
 	daemons []*simDaemon
 	limit   func(at time.Duration) Limit
+	// sheds is the part of the requests that the endpoint turns away, asking for rest; nil for
+	// none. refused are those that it did.
+	sheds   func(at time.Duration) float64
+	refused int
 	// demand is the number of requests a second that each daemon has and could send there.
 	demand float64
 	// arrivals are the requests that count.
@@ -138,8 +145,14 @@
 	if da.counts(si.at) {
 		si.arrivals = append(si.arrivals, si.at)
 	}
+	if si.sheds != nil && si.rd.Float64() < si.sheds(si.at) {
+		si.refused++
+		si.after(refuseTime, func() { da.reg.SetRest(limitedLife, rest, si.now()) })
+		return
+	}
 	reg, sent, limit := da.reg, si.now(), si.limit(si.at)
 	si.after(answerTime, func() {
+		reg.SetTaken(limitedLife, sent, si.now())
 		reg.SetLimit(limitedLife, limit, sent, si.now())
 		if limit.Named && reg == da.reg && da.answered == 0 {
 			da.answered = si.at
--- a/internal/core/backpressure/register.go
+++ b/internal/core/backpressure/register.go
@@ -27,8 +27,7 @@
 type endpoint struct {
 	incarnation catalog.Incarnation
 	limited
-	// restUntil is until when it wants no request of this daemon.
-	restUntil time.Time
+	rested
 	// leaving is set once it has said that it stops soon, leftAt is when it last did.
 	leaving bool
 	leftAt  time.Time
@@ -42,7 +41,7 @@
 		return 0, false
 	}
 	wait, known := ep.limited.opens(now, daemons)
-	return max(wait, ep.restUntil.Sub(now)), known
+	return max(wait, ep.rested.opens(now, ep.rank)), known
 }
 
 // takes tells whether the endpoint takes a request of this daemon now.
@@ -53,18 +52,37 @@
 
 // idle tells whether nothing is known of the endpoint that holds still.
 func (ep *endpoint) idle(now time.Time) bool {
-	return now.Sub(ep.limitAt) > forgetAfter && now.Sub(ep.leftAt) > forgetAfter && now.After(ep.restUntil)
+	return now.Sub(ep.limitAt) > forgetAfter && now.Sub(ep.leftAt) > forgetAfter && now.Sub(ep.shedAt) > forgetAfter &&
+		now.After(ep.restUntil)
 }
 
 // SetRest takes in that the endpoint turned a request away and wants none of this daemon for
-// that long. Its word is to this daemon alone.
+// that long.
 func (re *Register) SetRest(li catalog.Life, rest time.Duration, now time.Time) {
 	re.mu.Lock()
 	defer re.mu.Unlock()
 	ep := re.life(li)
-	if until := now.Add(rest); ep != nil && until.After(ep.restUntil) {
+	if ep == nil {
+		return
+	}
+	if until := now.Add(rest); until.After(ep.restUntil) {
 		ep.restUntil = until
 	}
+	ep.setShed(now, rest+probeSpan)
+	ep.due, ep.heard = true, true
+}
+
+// SetTaken takes in that the endpoint took a request that was sent then.
+func (re *Register) SetTaken(li catalog.Life, sent, now time.Time) {
+	if re.num.Load() == 0 {
+		return
+	}
+	re.mu.Lock()
+	defer re.mu.Unlock()
+	ep := re.find(li)
+	if ep != nil && now.Before(ep.shedUntil) && ep.setShed(sent, 0) {
+		ep.due, ep.heard = true, true
+	}
 }
 
 // SetLimit takes in the limit of an answer to a request that was sent then, and tells whether
@@ -88,11 +106,11 @@
 		return false
 	}
 	ep.heard = true
-	return re.setLimit(li.ID, ep, limit, at, now)
+	return ep.setLimit(limit, at, now)
 }
 
 // setLimit replaces an endpoint's limit, and tells whether it has changed.
-func (re *Register) setLimit(id string, ep *endpoint, limit Limit, at, now time.Time) bool {
+func (ep *endpoint) setLimit(limit Limit, at, now time.Time) bool {
 	before := ep.limit
 	if !limit.Named && !before.Named {
 		return false
@@ -102,7 +120,6 @@
 		return false
 	}
 	ep.due = true
-	ep.rank = re.daemons.rank(id)
 	if !before.Named {
 		ep.empty(now)
 	}
@@ -123,6 +140,7 @@
 			re.endpoints = make(map[string]*endpoint)
 		}
 		ep = &endpoint{}
+		ep.rank = re.daemons.rank(li.ID)
 		re.endpoints[li.ID] = ep
 		re.num.Store(int64(len(re.endpoints)))
 	}
@@ -226,15 +244,15 @@
 	return num
 }
 
-// Limited tells whether the endpoint names a limit.
-func (re *Register) Limited(li catalog.Life) bool {
+// Restricted tells whether few daemons or none send to the endpoint now.
+func (re *Register) Restricted(li catalog.Life, now time.Time) bool {
 	if re == nil || re.num.Load() == 0 {
 		return false
 	}
 	re.mu.Lock()
 	defer re.mu.Unlock()
 	ep := re.find(li)
-	return ep != nil && ep.limit.Named
+	return ep != nil && (ep.limit.Named || ep.leaving || now.Before(ep.shedUntil))
 }
 
 // NumLimited returns the number of endpoints that name a limit.
--- a/internal/core/backpressure/word.go
+++ b/internal/core/backpressure/word.go
@@ -20,6 +20,10 @@
 	// Leaving is set if the endpoint has said that it stops soon, LeavingAge is how long ago.
 	Leaving    bool          `cbor:"4,keyasint,omitempty"`
 	LeavingAge time.Duration `cbor:"5,keyasint,omitempty"`
+	// Shed is for how long, from when the endpoint last turned a request away, few daemons only
+	// send to it; 0 if it has taken one since. ShedAge is how long ago either was; 0 for never.
+	Shed    time.Duration `cbor:"6,keyasint,omitempty"`
+	ShedAge time.Duration `cbor:"7,keyasint,omitempty"`
 }
 
 // tellings is what the other daemons were told of an endpoint.
@@ -66,6 +70,10 @@
 	if ep.leaving {
 		wo.LeavingAge = now.Sub(ep.leftAt)
 	}
+	if !ep.shedAt.IsZero() {
+		wo.Shed = max(0, ep.shedUntil.Sub(ep.shedAt))
+		wo.ShedAge = max(1, now.Sub(ep.shedAt))
+	}
 	return wo
 }
 
@@ -90,6 +98,7 @@
 			leaving = append(leaving, wo.Life)
 		}
 		re.hearLimit(wo, now)
+		re.hearShed(wo, now)
 	}
 	return leaving
 }
@@ -113,7 +122,18 @@
 		return
 	}
 	ep := re.life(wo.Life)
-	if at := now.Add(-wo.LimitAge); ep != nil && at.After(ep.limitAt) && re.setLimit(wo.Life.ID, ep, wo.Limit, at, now) {
+	if at := now.Add(-wo.LimitAge); ep != nil && at.After(ep.limitAt) && ep.setLimit(wo.Limit, at, now) {
 		ep.heard = false
 	}
 }
+
+func (re *Register) hearShed(wo Word, now time.Time) {
+	if wo.ShedAge == 0 {
+		return
+	}
+	re.mu.Lock()
+	defer re.mu.Unlock()
+	if ep := re.life(wo.Life); ep != nil && ep.setShed(now.Add(-wo.ShedAge), wo.Shed) {
+		ep.due, ep.heard = true, false
+	}
+}
--- a/internal/core/dispatch/spread.go
+++ b/internal/core/dispatch/spread.go
@@ -38,7 +38,7 @@
 	for _, gr := range ta.byName {
 		if gr.Model == model && gr.listed {
 			groups = append(groups, gr)
-			closed = append(closed, gr.leaving || gr.stalled || ta.Backpressure.Limited(gr.head()))
+			closed = append(closed, gr.leaving || gr.stalled || ta.Backpressure.Restricted(gr.head(), now))
 		}
 	}
 	if ta.delay <= 0 || len(groups) == 0 {
--- a/internal/front/heard.go
+++ b/internal/front/heard.go
@@ -20,7 +20,7 @@
 	if limit, ok := sv.limitOf(li, rsp); ok {
 		sv.setLimit(li, limit, sent)
 	}
-	sv.hearRest(li, rsp)
+	sv.hearRest(li, rsp, sent)
 	sv.hearLeaving(li, rsp)
 }
 
@@ -38,7 +38,11 @@
 var restCount = metrics.NewCounter("corianderhub_endpoint_rests_total")
 
 // hearRest takes in that the endpoint turned a request away, and for how long it wants none.
-func (sv *Server) hearRest(li catalog.Life, rsp *http.Response) {
+func (sv *Server) hearRest(li catalog.Life, rsp *http.Response, sent time.Time) {
+	if !notRun(rsp) {
+		sv.Backpressure.SetTaken(li, sent, sv.Clock.Now())
+		return
+	}
 	rest, err := platform.RestOf(rsp, sv.Clock.Now())
 	if err != nil {
 		sv.Log.Info("front: answer's head not understood.", "endpoint", li.ID, "cause", err.Error())
