Keep the retry budget over daemons that start anew

Servers turn requests away, what was saved up in a calm time is spent at once, two daemons are killed, and the new ones spend their part of the same window once more.

Cause: a daemon that starts has forgotten what it spent. Requests were counted over up to 11 s besides.

In the first window after its start a daemon uses half of its part of the slack only; later the last whole window's requests count.

Evidence: TestBudgetOverRestarts failed before (122, 232, 22 and 292 repeats too many with two daemons, all, all as the trouble begins, and all twice) and passes.

--- a/internal/core/dispatch/budget.go
+++ b/internal/core/dispatch/budget.go
@@ -14,6 +14,8 @@
 	// Slack is what this daemon may send besides in each window.
 	Slack  float64
 	Window time.Duration
+	// Began is when the daemon started.
+	Began time.Time
 
 	mu       sync.Mutex
 	services map[string]*account
@@ -41,7 +43,7 @@
 	bu.mu.Lock()
 	defer bu.mu.Unlock()
 	ac := bu.account(service, now)
-	if float64(sum(ac.repeats)+1) > bu.allowed(ac) {
+	if float64(sum(ac.repeats)+1) > bu.allowed(ac, now) {
 		return false
 	}
 	ac.repeats[ac.at%(slots+1)]++
@@ -53,13 +55,23 @@
 	bu.mu.Lock()
 	defer bu.mu.Unlock()
 	ac := bu.account(service, now)
-	return bu.allowed(ac) - float64(sum(ac.repeats))
+	return bu.allowed(ac, now) - float64(sum(ac.repeats))
 }
 
-func (bu *Budget) allowed(ac *account) float64 {
-	return bu.Ratio*float64(sum(ac.requests)) + bu.Slack
+// allowed is how many repeats there may be in the window that ends now. A daemon that has just
+// started does not know what it spent before: what is left to it is a part of the slack, which
+// all daemons together use half of.
+func (bu *Budget) allowed(ac *account, now time.Time) float64 {
+	if now.Sub(bu.Began) < bu.Window {
+		return freshShare * bu.Slack
+	}
+	return bu.Ratio*float64(sum(ac.requests)-ac.requests[(ac.at+1)%(slots+1)]) + bu.Slack
 }
 
+// freshShare is the part of its slack that a daemon uses in the first window after its start.
+// Two starts of all daemons in one window stay within the slack.
+const freshShare = 0.5
+
 func (bu *Budget) account(service string, now time.Time) *account {
 	if bu.services == nil {
 		bu.services = make(map[string]*account)
--- /dev/null
+++ b/internal/core/dispatch/budget_test.go
@@ -0,0 +1,99 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+)
+
+// budgetPlay is daemons that send as many repeats as their budgets let them.
+type budgetPlay struct {
+	budgets []*Budget
+	// requests and repeats are counted in steps of budgetStep.
+	requests, repeats []int
+	slack             float64
+}
+
+const (
+	budgetStep   = 20 * time.Millisecond
+	budgetWindow = 10 * time.Second
+	budgetRatio  = 0.2
+	// slackShare is the part of the slack that all daemons use together.
+	slackShare = 0.5
+)
+
+func (bp *budgetPlay) start(num int, now time.Time) {
+	bp.budgets[num] = &Budget{Ratio: budgetRatio, Slack: bp.slack * slackShare / float64(len(bp.budgets)), Window: budgetWindow, Began: now}
+}
+
+// step plays requests of each daemon, each of which is sent again if wanted and allowed.
+func (bp *budgetPlay) step(requests int, wanted bool, now time.Time) {
+	repeats := 0
+	for num := range requests {
+		bu := bp.budgets[num%len(bp.budgets)]
+		bu.Earn("some", now)
+		if wanted && bu.Spend("some", now) {
+			repeats++
+		}
+	}
+	bp.requests, bp.repeats = append(bp.requests, requests), append(bp.repeats, repeats)
+}
+
+// excess returns by how many repeats the worst window is over what is allowed: the ratio of
+// the requests of that window, the one before it or the one half a window before it, and the
+// slack.
+func (bp *budgetPlay) excess() float64 {
+	span := int(budgetWindow / budgetStep)
+	sum := func(counts []int, from int) int {
+		num := 0
+		for _, count := range counts[max(0, from):max(0, min(len(counts), from+span))] {
+			num += count
+		}
+		return num
+	}
+	worst := -bp.slack
+	for from := range bp.repeats {
+		requests := max(sum(bp.requests, from), sum(bp.requests, from-span/2), sum(bp.requests, from-span))
+		worst = max(worst, float64(sum(bp.repeats, from))-budgetRatio*float64(requests)-bp.slack)
+	}
+	return worst
+}
+
+// Guards against daemons that start anew and have forgotten what they had spent: the budget
+// holds over all daemons in each window, whatever was saved up before. The load is that of
+// groups that turn requests away after a calm time, while callers who come back double the
+// requests and daemons are killed.
+func TestBudgetOverRestarts(t *testing.T) {
+	const daemons, slack, calm, until = 6, 130, 20 * time.Second, 45 * time.Second
+	begin := time.Unix(1000, 0)
+	tests := []struct {
+		name  string
+		kills map[time.Duration]int
+	}{
+		{"none", nil},
+		{"two of six", map[time.Duration]int{23 * time.Second: 2}},
+		{"all", map[time.Duration]int{23 * time.Second: daemons}},
+		{"all as the trouble begins", map[time.Duration]int{calm + 500*time.Millisecond: daemons}},
+		{"all, twice", map[time.Duration]int{23 * time.Second: daemons, 27 * time.Second: daemons}},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			bp := &budgetPlay{budgets: make([]*Budget, daemons), slack: slack}
+			for num := range daemons {
+				bp.start(num, begin.Add(-budgetWindow))
+			}
+			for at := time.Duration(0); at < until; at += budgetStep {
+				for num := range tc.kills[at] {
+					bp.start(num, begin.Add(at))
+				}
+				requests := 3
+				if at >= calm {
+					requests = 6
+				}
+				bp.step(requests, at >= calm, begin.Add(at))
+			}
+			if over := bp.excess(); over > 0 {
+				t.Errorf("%.0f repeats more than allowed in one window", over)
+			}
+		})
+	}
+}
