--- a/internal/entry/limit_test.go
+++ b/internal/entry/limit_test.go
@@ -18,24 +18,6 @@
 	limitLearnt = 3 * time.Second
 )
 
-// most returns the largest number of requests that a server got in one window after a moment.
-func most(sv *emulator.Server, after time.Time) int {
-	arrivals := sv.Arrivals()
-	largest := 0
-	for i, first := range arrivals {
-		num := 0
-		for _, ar := range arrivals[i:] {
-			if ar.At.Sub(first.At) < limitWindow {
-				num++
-			}
-		}
-		if first.At.After(after) {
-			largest = max(largest, num)
-		}
-	}
-	return largest
-}
-
 // Guards against daemons that each keep an endpoint's limit by themselves, or not at all, so
 // that the sum of what they send is over it.
 func TestLimitHoldsOverAllDaemons(t *testing.T) {
@@ -52,10 +34,10 @@
 		time.Sleep(15 * time.Millisecond)
 	}
 	allowed := limitRatio*perSecond*limitWindow.Seconds() + limitSlack
-	if num := most(limited, begin.Add(limitLearnt)); float64(num) > allowed {
+	if num := limited.Busiest(limitWindow, begin.Add(limitLearnt)); float64(num) > allowed {
 		t.Errorf("%d requests in %s, allowed %.0f", num, limitWindow, allowed)
 	}
-	if num := most(limited, begin.Add(limitLearnt)); num == 0 {
+	if num := limited.Busiest(limitWindow, begin.Add(limitLearnt)); num == 0 {
 		t.Error("no request at all")
 	}
 }
--- a/internal/front/limit_test.go
+++ b/internal/front/limit_test.go
@@ -20,19 +20,9 @@
 // withinLimit checks what a server got after a moment against the limit that it names.
 func withinLimit(t *testing.T, sv *emulator.Server, perSecond float64, after time.Time) {
 	t.Helper()
-	arrivals := sv.Arrivals()
 	allowed := limitRatio*perSecond*limitWindow.Seconds() + limitSlack
-	for i, first := range arrivals {
-		num := 0
-		for _, ar := range arrivals[i:] {
-			if ar.At.Sub(first.At) < limitWindow {
-				num++
-			}
-		}
-		if first.At.After(after) && float64(num) > allowed {
-			t.Errorf("%s got %d requests in %s, allowed %.0f", sv.ID, num, limitWindow, allowed)
-			return
-		}
+	if num := sv.Busiest(limitWindow, after); float64(num) > allowed {
+		t.Errorf("%s got %d requests in %s, allowed %.0f", sv.ID, num, limitWindow, allowed)
 	}
 }
 
