Tell a daemon that has started of endpoints' limits

A daemon that starts knew of no limit until an endpoint named it to that daemon itself, and a new steward passed on none of those that were told before.

Whoever hears a steward for the first time fetches what it knows, and tells it once more what endpoints said to this daemon. A word that comes back is no news: ages grow on the way, so that it looked newer than what it came from.

--- a/internal/core/backpressure/limit_test.go
+++ b/internal/core/backpressure/limit_test.go
@@ -372,10 +372,20 @@
 			t.Errorf("after %s: %d words, want %d", st.at, got, st.want)
 		}
 	}
-	re.Retell(now.Add(5500 * time.Millisecond))
-	if num := len(re.Tell(now.Add(5500*time.Millisecond), span, false)); num != 1 {
+	if num := len(re.Known(now.Add(5500 * time.Millisecond))); num != 1 {
 		t.Errorf("%d words for a daemon that has started", num)
 	}
+	re.Retell()
+	if num := len(re.Tell(now.Add(5500*time.Millisecond), span, false)); num != 1 {
+		t.Errorf("%d words for a steward that has started", num)
+	}
+	re.SetLimit(limitedLife, Limit{3, true}, now.Add(6*time.Second), now.Add(6*time.Second))
+	re.Hear(re.Known(now.Add(6*time.Second)), now.Add(6100*time.Millisecond))
+	re.Tell(now.Add(7*time.Second), span, false)
+	re.Retell()
+	if num := len(re.Tell(now.Add(8*time.Second), span, false)); num != 1 {
+		t.Errorf("%d words of its own left after they came back", num)
+	}
 	other := &Register{}
 	other.Hear([]Word{{Life: limitedLife, Limit: Limit{2, true}, LimitAge: 0}}, now)
 	if num := len(other.Tell(now, span, false)); num != 0 {
--- a/internal/core/backpressure/word.go
+++ b/internal/core/backpressure/word.go
@@ -10,6 +10,10 @@
 // saying.
 const retellEvery = 3 * time.Second
 
+// echoSlack is by how much older a word is taken that says what is known already: ages grow on
+// the way, and what a daemon told comes back to it.
+const echoSlack = 500 * time.Millisecond
+
 // Word is what an endpoint said, as daemons tell each other.
 type Word struct {
 	Life  catalog.Life `cbor:"1,keyasint"`
@@ -77,16 +81,27 @@
 	return wo
 }
 
-// Retell has the others told again of everything that they aren't being told now, as a daemon
-// has started that knows nothing.
-func (re *Register) Retell(now time.Time) {
+// Known returns all that is known, for a daemon that has just started.
+func (re *Register) Known(now time.Time) []Word {
+	re.mu.Lock()
+	defer re.mu.Unlock()
+	var words []Word
+	for id, ep := range re.endpoints {
+		words = append(words, ep.word(catalog.Life{ID: id, Incarnation: ep.incarnation}, now))
+	}
+	return words
+}
+
+// Retell has the others told again of what endpoints said to this daemon: a new steward may
+// not know it.
+func (re *Register) Retell() {
 	if re.num.Load() == 0 {
 		return
 	}
 	re.mu.Lock()
 	defer re.mu.Unlock()
 	for _, ep := range re.endpoints {
-		ep.due = ep.due || now.After(ep.until)
+		ep.due = ep.due || ep.heard
 	}
 }
 
@@ -122,7 +137,14 @@
 		return
 	}
 	ep := re.life(wo.Life)
-	if at := now.Add(-wo.LimitAge); ep != nil && at.After(ep.limitAt) && ep.setLimit(wo.Limit, at, now) {
+	if ep == nil {
+		return
+	}
+	at := now.Add(-wo.LimitAge)
+	if wo.Limit == ep.limit {
+		at = at.Add(-echoSlack)
+	}
+	if at.After(ep.limitAt) && ep.setLimit(wo.Limit, at, now) {
 		ep.heard = false
 	}
 }
@@ -133,7 +155,12 @@
 	}
 	re.mu.Lock()
 	defer re.mu.Unlock()
-	if ep := re.life(wo.Life); ep != nil && ep.setShed(now.Add(-wo.ShedAge), wo.Shed) {
+	ep := re.life(wo.Life)
+	if ep == nil {
+		return
+	}
+	at := now.Add(-wo.ShedAge)
+	if ep.setShed(at, wo.Shed) {
 		ep.due, ep.heard = true, false
 	}
 }
--- a/internal/entry/beats.go
+++ b/internal/entry/beats.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"corianderhub.dev/corianderhub/internal/core/backpressure"
 	"corianderhub.dev/corianderhub/internal/core/catalog"
 	"corianderhub.dev/corianderhub/internal/core/dispatch"
 	"corianderhub.dev/corianderhub/internal/mesh"
@@ -34,7 +35,8 @@
 	be.Uptime = now.Sub(ct.begun)
 	ct.promise(&be)
 	ct.tellQuarantine(&be, now)
-	be.Backpressure = ct.da.backpressure.Tell(now, ct.tellFor(), ct.lease.settled() && !ct.da.mesh.Direct())
+	relay := ct.lease.settled() && !ct.da.mesh.Direct()
+	be.Backpressure = ct.da.backpressure.Tell(now, ct.tellFor(), relay)
 	ct.lease.sent(ct.number)
 	work := mesh.Work{Own: ct.da.table.Own(now)}
 	if ct.lease.settled() {
@@ -72,12 +74,7 @@
 	ct.hearConfig(be)
 	ct.hearDeputy(be, now)
 	ct.hearQuarantine(be, now)
-	for _, li := range ct.da.backpressure.Hear(be.Backpressure, now) {
-		ct.saidLeaving(li)
-	}
-	if be.Uptime < knowsNothing {
-		ct.da.backpressure.Retell(now)
-	}
+	ct.hearBackpressure(be.Backpressure, now)
 	if ct.told == nil && be.Follows && be.Taking && !ct.follows() {
 		// No steward yet, as after a loss of all daemons: the groups that serve
 		// can be used by what a daemon that reads the store made of the entries.
@@ -89,6 +86,7 @@
 	if be.Term > ct.steward.Term {
 		ct.da.Log.Info("control: steward heard.", "steward", be.Name, "term", be.Term)
 		ct.retell(now)
+		ct.learnBackpressure(be)
 	}
 	ct.steward, ct.heard = be, now
 	ct.da.mesh.SetSteward(be.IP)
@@ -101,6 +99,27 @@
 	}
 }
 
+// hearBackpressure takes in what another daemon told of what endpoints said.
+func (ct *control) hearBackpressure(words []backpressure.Word, now time.Time) {
+	for _, li := range ct.da.backpressure.Hear(words, now) {
+		ct.saidLeaving(li)
+	}
+}
+
+// learnBackpressure evens out with a steward that was not heard before what either knows of
+// what endpoints said: one of both may have just started.
+func (ct *control) learnBackpressure(be mesh.Beat) {
+	ct.da.backpressure.Retell()
+	ct.fetch("backpressure", func(ctx context.Context) func() {
+		words, err := ct.da.peers.Backpressure(ctx, be.IP)
+		if err != nil {
+			ct.da.Log.Info("control: backpressure not fetched.", "from", be.Name, "cause", err.Error())
+			return nil
+		}
+		return func() { ct.hearBackpressure(words, ct.da.Clock.Now()) }
+	})
+}
+
 // learnView takes in the steward's new view: by what changed, if that came with
 // the beat and fits, and else by fetching all of it.
 func (ct *control) learnView(be mesh.Beat) {
@@ -113,9 +132,6 @@
 	ct.fetchView(be)
 }
 
-// knowsNothing is how long after its start a daemon is told what the others were told before.
-const knowsNothing = time.Second
-
 // hearDelay is added to the age that another daemon tells, for the way.
 const hearDelay = 10 * time.Millisecond
 
--- a/internal/mesh/call.go
+++ b/internal/mesh/call.go
@@ -14,6 +14,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"corianderhub.dev/corianderhub/internal/core/backpressure"
 	"corianderhub.dev/corianderhub/internal/core/catalog"
 	"corianderhub.dev/corianderhub/internal/core/quarantine"
 )
@@ -25,6 +26,8 @@
 	PathDaemons = "/peer/daemons"
 	// PathQuarantine is that of the requests that are quarantined.
 	PathQuarantine = "/peer/quarantine"
+	// PathBackpressure is that of what endpoints said of how much they take.
+	PathBackpressure = "/peer/backpressure"
 	// headerRevision carries the store's revision of a configuration.
 	headerRevision = "Revision"
 )
@@ -112,12 +115,23 @@
 	return entries, eris.Wrap(json.Unmarshal(raw, &entries), "quarantine")
 }
 
+// Backpressure fetches what another daemon knows of what endpoints said.
+func (cl *Client) Backpressure(ctx context.Context, ip string) ([]backpressure.Word, error) {
+	raw, _, err := cl.get(ctx, ip, PathBackpressure)
+	if err != nil {
+		return nil, err
+	}
+	var words []backpressure.Word
+	return words, eris.Wrap(json.Unmarshal(raw, &words), "backpressure")
+}
+
 // Server answers other daemons' calls.
 type Server struct {
-	View       func() *catalog.View
-	Config     func() (raw []byte, revision int64)
-	Daemons    func() []string
-	Quarantine func() []quarantine.Entry
+	View         func() *catalog.View
+	Config       func() (raw []byte, revision int64)
+	Daemons      func() []string
+	Quarantine   func() []quarantine.Entry
+	Backpressure func() []backpressure.Word
 
 	view, config packed
 }
@@ -129,6 +143,7 @@
 	mux.HandleFunc("GET "+PathConfig, se.sendConfig)
 	mux.HandleFunc("GET "+PathDaemons, func(w http.ResponseWriter, _ *http.Request) { sendJSON(w, se.Daemons()) })
 	mux.HandleFunc("GET "+PathQuarantine, func(w http.ResponseWriter, _ *http.Request) { sendJSON(w, se.Quarantine()) })
+	mux.HandleFunc("GET "+PathBackpressure, func(w http.ResponseWriter, _ *http.Request) { sendJSON(w, se.Backpressure()) })
 	return mux
 }
 
