Keep a rest's own word when it comes back from the steward

Where daemons are many, a daemon told the steward that an endpoint asked it for rest, and heard the same from the steward a moment later. The age grows on the way, so that it looked like newer word of another daemon, and the daemon told it no more: a steward that started anew never learnt of the rest, nor did daemons that started after it.

--- a/internal/core/backpressure/limit_test.go
+++ b/internal/core/backpressure/limit_test.go
@@ -380,6 +380,7 @@
 		t.Errorf("%d words for a steward that has started", num)
 	}
 	re.SetLimit(limitedLife, Limit{3, true}, now.Add(6*time.Second), now.Add(6*time.Second))
+	re.SetRest(limitedLife, 20*time.Second, now.Add(6*time.Second))
 	re.Hear(re.Known(now.Add(6*time.Second)), now.Add(6100*time.Millisecond))
 	re.Tell(now.Add(7*time.Second), span, false)
 	re.Retell()
--- a/internal/core/backpressure/word.go
+++ b/internal/core/backpressure/word.go
@@ -160,6 +160,9 @@
 		return
 	}
 	at := now.Add(-wo.ShedAge)
+	if wo.Shed == ep.shedUntil.Sub(ep.shedAt) {
+		at = at.Add(-echoSlack)
+	}
 	if ep.setShed(at, wo.Shed) {
 		ep.due, ep.heard = true, false
 	}
--- a/internal/entry/limit_test.go
+++ b/internal/entry/limit_test.go
@@ -43,29 +43,40 @@
 	}
 }
 
-// Guards against a limit that only the daemon knows which was told, where daemons are many and
-// tell the steward alone, or where one has just started.
-func TestLimitAmongManyDaemons(t *testing.T) {
+// newCrowd is a stack of so many daemons that they tell the steward alone.
+func newCrowd(t *testing.T) *stack {
 	sk := newStack(t, 20)
 	if sk.daemons[0].da.mesh.Direct() {
 		t.Fatal("so few daemons tell each other everything, so the test shows nothing")
 	}
-	ids := sk.de.IDs("desk")
-	limited := sk.de.Server(ids[0])
-	limited.SetNeed(emulator.Need{Limit: "2"})
+	return sk
+}
+
+// untilAllLeaveItToFew has one daemon told what a desk needs, and waits until all know, also one
+// that starts then.
+func (sk *stack) untilAllLeaveItToFew(id string, need emulator.Need) {
+	sk.t.Helper()
+	desk := sk.de.Server(id)
+	desk.SetNeed(need)
 	told := sk.daemons[len(sk.daemons)-1]
 	sk.until("one daemon is told", func() bool {
 		sk.ask(told, "/slot/", fmt.Sprint("told-", time.Now().UnixNano()))
-		return len(limited.Arrivals()) > 0
+		return len(desk.Arrivals()) > 0
 	})
 	knows := func(ru *running) bool {
-		return ru.da.backpressure.Restricted(catalog.Life{ID: ids[0]}, ru.da.Clock.Now())
+		return ru.da.backpressure.Restricted(catalog.Life{ID: id}, ru.da.Clock.Now())
 	}
 	for _, ru := range sk.daemons {
 		sk.until("all daemons know", func() bool { return knows(ru) })
 	}
-	fresh := sk.daemons[0]
-	sk.kill(fresh)
-	fresh = sk.start(0)
+	sk.kill(sk.daemons[0])
+	fresh := sk.start(0)
 	sk.until("a daemon that has started knows", func() bool { return knows(fresh) })
 }
+
+// Guards against a limit that only the daemon knows which was told, where daemons are many and
+// tell the steward alone, or where one has just started.
+func TestLimitAmongManyDaemons(t *testing.T) {
+	sk := newCrowd(t)
+	sk.untilAllLeaveItToFew(sk.de.IDs("desk")[0], emulator.Need{Limit: "2"})
+}
