Try an endpoint without a group again after failures

While requests are few, an endpoint that had failed once or twice was left out for good: its rate of failures counted as waiting requests, which the others never had, and faded only with its own answers.

The rate fades with time now. Evidence: TestFailedEndpointIsTriedAgain (not tried again within 40 s with a rate that does not fade) passes; TestFailingEndpointIsAvoided holds as before.

--- a/internal/core/dispatch/dispatch_test.go
+++ b/internal/core/dispatch/dispatch_test.go
@@ -315,7 +315,7 @@
 			pl.Failed(ep, now)
 			continue
 		}
-		pl.Answered(ep, time.Millisecond, false)
+		pl.Answered(ep, time.Millisecond, false, now)
 	}
 	if picked["bad"] > 10 {
 		t.Errorf("%d of 200 requests went to the failing endpoint", picked["bad"])
@@ -325,6 +325,28 @@
 	}
 }
 
+// Guards against an endpoint that is left out for good after failures, since others always have
+// less to do while requests are few.
+func TestFailedEndpointIsTriedAgain(t *testing.T) {
+	pl := &Plain{DataCenter: "here"}
+	pl.Update(plainView("good", "bad"))
+	now, failures := begin, 0
+	for range 400 {
+		now = now.Add(100 * time.Millisecond)
+		ep := pl.Pick("desk", nil, now)
+		if ep.ID == "bad" && failures < 3 {
+			failures++
+			pl.Failed(ep, now)
+			continue
+		}
+		pl.Answered(ep, time.Millisecond, false, now)
+		if ep.ID == "bad" {
+			return
+		}
+	}
+	t.Errorf("not tried again in 40 s after %d failures", failures)
+}
+
 // An endpoint that leaves gets no new request, also when no other is there.
 func TestLeavingEndpoint(t *testing.T) {
 	pl := &Plain{}
--- a/internal/core/dispatch/plain.go
+++ b/internal/core/dispatch/plain.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -22,6 +23,9 @@
 	// answers, and failurePenalty is what a rate of 1 counts in requests.
 	failureWeight  = 0.1
 	failurePenalty = 20.0
+	// failureSpan is the time in which a rate of failures fades that is not measured again:
+	// nothing is sent to an endpoint with a high rate while others have little to do.
+	failureSpan = 5 * time.Second
 	// latencyWeight smooths the time of answers.
 	latencyWeight = 0.2
 )
@@ -45,8 +49,10 @@
 	open     int
 	failures int
 	rate     float64
-	latency  time.Duration
-	avoid    time.Time
+	// ratedAt is when the rate of failures was last measured.
+	ratedAt time.Time
+	latency time.Duration
+	avoid   time.Time
 }
 
 // Update takes a view in. What is known of endpoints that stay is kept; one that
@@ -110,7 +116,7 @@
 // cost counts in waiting requests. The random part spreads the requests of
 // daemons that know the same.
 func (pl *Plain) cost(ep *PlainEndpoint, now time.Time) float64 {
-	co := float64(ep.open) + ep.rate*failurePenalty + float64(ep.latency)/float64(latencyUnit) + rand.Float64()
+	co := float64(ep.open) + ep.failureRate(now)*failurePenalty + float64(ep.latency)/float64(latencyUnit) + rand.Float64()
 	if ep.DataCenter != pl.DataCenter {
 		co += remotePenalty
 	}
@@ -128,18 +134,24 @@
 )
 
 // Answered tells that an endpoint has answered after that time.
-func (pl *Plain) Answered(ep *PlainEndpoint, took time.Duration, failed bool) {
+func (pl *Plain) Answered(ep *PlainEndpoint, took time.Duration, failed bool, now time.Time) {
 	pl.mu.Lock()
 	defer pl.mu.Unlock()
 	ep.open--
 	ep.failures = 0
 	ep.avoid = time.Time{}
 	ep.latency += time.Duration(latencyWeight * float64(took-ep.latency))
-	ep.count(failed)
+	ep.count(failed, now)
 }
 
-func (ep *PlainEndpoint) count(failed bool) {
-	ep.rate *= 1 - failureWeight
+// failureRate is the part of the endpoint's answers that were failures.
+func (ep *PlainEndpoint) failureRate(now time.Time) float64 {
+	return ep.rate * math.Exp(-now.Sub(ep.ratedAt).Seconds()/failureSpan.Seconds())
+}
+
+func (ep *PlainEndpoint) count(failed bool, now time.Time) {
+	ep.rate = ep.failureRate(now) * (1 - failureWeight)
+	ep.ratedAt = now
 	if failed {
 		ep.rate += failureWeight
 	}
@@ -150,7 +162,7 @@
 	pl.mu.Lock()
 	defer pl.mu.Unlock()
 	ep.open--
-	ep.count(true)
+	ep.count(true, now)
 	ep.avoid = now.Add(min(avoidMost, avoidFirst<<min(ep.failures, 4)))
 	ep.failures++
 }
--- a/internal/front/plain.go
+++ b/internal/front/plain.go
@@ -130,7 +130,8 @@
 		return nil, err
 	}
 	an := &answer{ex.Response.StatusCode, ex.Response.Header, body, notRun(ex.Response)}
-	ca.sv.Plain.Answered(ep, ca.sv.Clock.Now().Sub(begin), an.status >= http.StatusInternalServerError)
+	now := ca.sv.Clock.Now()
+	ca.sv.Plain.Answered(ep, now.Sub(begin), an.status >= http.StatusInternalServerError, now)
 	if an.status == http.StatusMisdirectedRequest {
 		ca.sv.OnWrong()
 	}
