Leave out a group for a while that refuses requests though it has room

A refusal without Retry-After counted for nothing.

From the second refusal in a row a group that should be half empty is left out for 50 ms, doubling up to 1.6 s.

--- a/internal/core/backpressure/register.go
+++ b/internal/core/backpressure/register.go
@@ -53,7 +53,7 @@
 // idle tells whether nothing is known of the endpoint that holds still.
 func (ep *endpoint) idle(now time.Time) bool {
 	return now.Sub(ep.limitAt) > forgetAfter && now.Sub(ep.leftAt) > forgetAfter && now.Sub(ep.shedAt) > forgetAfter &&
-		now.After(ep.restUntil)
+		now.Sub(ep.restUntil) > refusalsKept
 }
 
 // SetRest takes in that the endpoint turned a request away and wants none of this daemon for
@@ -72,6 +72,16 @@
 	ep.due, ep.heard = true, true
 }
 
+// SetRefused takes in that the endpoint turned a request away that was sent then, without asking
+// for rest. Refusals to requests that were sent while it was left out count once.
+func (re *Register) SetRefused(li catalog.Life, sent, now time.Time) {
+	re.mu.Lock()
+	defer re.mu.Unlock()
+	if ep := re.life(li); ep != nil && !sent.Before(ep.restUntil) {
+		ep.refuse(now)
+	}
+}
+
 // SetTaken takes in that the endpoint took a request that was sent then.
 func (re *Register) SetTaken(li catalog.Life, sent, now time.Time) {
 	if re.num.Load() == 0 {
@@ -80,7 +90,11 @@
 	re.mu.Lock()
 	defer re.mu.Unlock()
 	ep := re.find(li)
-	if ep != nil && now.Before(ep.shedUntil) && ep.setShed(sent, 0) {
+	if ep == nil {
+		return
+	}
+	ep.refusals = 0
+	if now.Before(ep.shedUntil) && ep.setShed(sent, 0) {
 		ep.due, ep.heard = true, true
 	}
 }
--- a/internal/core/backpressure/rest.go
+++ b/internal/core/backpressure/rest.go
@@ -23,6 +23,32 @@
 	// shedAt is when it last turned away or took a request of any daemon, shedUntil is until
 	// when it is left to the probers; not after shedAt if it took one.
 	shedAt, shedUntil time.Time
+	// refusals are the requests in a row that it turned away without asking for rest.
+	refusals int
+}
+
+const (
+	// backoffFirst is for how long a daemon leaves out an endpoint that turns requests away
+	// without asking for rest. The time doubles with each refusal in a row, up to backoffMost.
+	backoffFirst = 50 * time.Millisecond
+	backoffMost  = 1600 * time.Millisecond
+	// refusalsInRow is the number of refusals in a row from which that holds. One alone is that
+	// of an endpoint whose last place was taken meanwhile.
+	refusalsInRow = 2
+	// refusalsKept is how long after that the refusals still count as in a row.
+	refusalsKept = 5 * time.Second
+)
+
+// refuse takes in that the endpoint turned a request away without asking for rest.
+func (rs *rested) refuse(now time.Time) {
+	rs.refusals++
+	if rs.refusals < refusalsInRow {
+		return
+	}
+	backoff := min(backoffMost, backoffFirst<<min(rs.refusals-refusalsInRow, 10))
+	if until := now.Add(backoff); until.After(rs.restUntil) {
+		rs.restUntil = until
+	}
 }
 
 // opens returns after what time this daemon may send to the endpoint.
--- a/internal/core/dispatch/table.go
+++ b/internal/core/dispatch/table.go
@@ -146,6 +146,8 @@
 	Prediction
 	// Running is how many requests the group is expected to run besides.
 	Running float64
+	// Idle is set if half of the group's slots should be free at least.
+	Idle bool
 	// Fits tells whether the objective is expected to be met.
 	Fits bool
 	// Groups is how many groups of the model the request could be sent to. Closed is set if
@@ -182,6 +184,7 @@
 	}
 	best := choose(cands, ta.random())
 	ch.Prediction, ch.Fits, ch.Running = best.Prediction, best.fits, best.running
+	ch.Idle = best.running < float64(best.gr.engine.Slots)/2
 	if crowded := !ne.Begun && ta.random() < left; crowded || !best.fits && !admissible(best, ne) {
 		ch.Again = max(againFull, best.First-ne.Objective)
 		return ch, nil
--- a/internal/front/rest_test.go
+++ b/internal/front/rest_test.go
@@ -97,3 +97,41 @@
 		})
 	}
 }
+
+// Guards against an endpoint that turns away all it gets without asking for rest: it runs nothing,
+// so that it looks empty and would get most requests, and the retry budget runs out.
+func TestRefusingEndpointIsLeftOut(t *testing.T) {
+	const requests, span = 60, 1500 * time.Millisecond
+	// mostTries is the number of doublings from some 50 ms that fit into the span, and one more.
+	const mostTries = 6
+	for _, path := range []string{"/draft/x", "/confirm/x", "/slot/x"} {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			ri := newRig(t)
+			for _, fault := range []emulator.Fault{emulator.Refuses, emulator.None} {
+				ri.desk(always(fault))
+				ri.head(always(fault))
+			}
+			for num := range requests {
+				if re := ri.ask(path, fmt.Sprint("id-", num), streaming); re.status != http.StatusOK {
+					t.Errorf("request %d: status %d, though another endpoint takes it", num, re.status)
+				}
+				time.Sleep(span / requests)
+			}
+			for _, sv := range []*emulator.Server{ri.desks[0], ri.heads[0]} {
+				if num := len(sv.Arrivals()); num > mostTries {
+					t.Errorf("%s got %d requests", sv.ID, num)
+				}
+			}
+			ri.desks[0].SetFault(nil)
+			ri.heads[0].SetFault(nil)
+			before := len(ri.desks[0].Runs()) + len(ri.heads[0].Runs())
+			for end := time.Now().Add(longTimeout); len(ri.desks[0].Runs())+len(ri.heads[0].Runs()) == before; time.Sleep(20 * time.Millisecond) {
+				ri.ask(path, "later", streaming)
+				if time.Now().After(end) {
+					t.Fatal("it is left out although it takes requests again")
+				}
+			}
+		})
+	}
+}
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -128,7 +128,7 @@
 	defer ex.Close()
 	st.sv.Heard(head.Life(), ex.Response, sent)
 	if ex.Response.StatusCode != http.StatusOK {
-		return ch, st.other(part, ch.Group, ex)
+		return ch, st.other(part, ch, ex, sent)
 	}
 	st.state = verdict.Ran
 	err = st.relay(ex, ti, sent, ch.First)
@@ -296,7 +296,8 @@
 }
 
 // other handles an answer that is no stream: a refusal, or an error.
-func (st *stream) other(ctx context.Context, gr *dispatch.Group, ex *http1.Exchange) bool {
+func (st *stream) other(ctx context.Context, ch dispatch.Choice, ex *http1.Exchange, sent time.Time) bool {
+	gr := ch.Group
 	body, err := ex.ReadAll(maxAnswer)
 	if err != nil {
 		st.failed(ctx, gr, err, verdict.MayHaveRun)
@@ -307,6 +308,10 @@
 		if an.status == http.StatusMisdirectedRequest {
 			st.sv.Table.Wrong(gr)
 			st.sv.OnWrong()
+		} else if ch.Idle {
+			// It has room and takes nothing, so that it would look best again.
+			head := gr.Head()
+			st.sv.Backpressure.SetRefused(head.Life(), sent, st.sv.Clock.Now())
 		}
 		st.log.Info("front: group refused.", "group", gr.Name, "status", an.status)
 		return false
