Take a word that says nothing of a limit for no withdrawal of it

Found by reading: a daemon that knew of an endpoint's rest or leave, and not of its limit, told others that there is none as of now, and they dropped it.

Evidence: the case of TestLimitsOrder failed before and passes.

--- a/internal/core/backpressure/word.go
+++ b/internal/core/backpressure/word.go
@@ -18,8 +18,8 @@
 type Word struct {
 	Life  catalog.Life `cbor:"1,keyasint"`
 	Limit Limit        `cbor:"2,keyasint"`
-	// LimitAge is how long ago the endpoint held to the limit for certain. Ages are told and
-	// not times: the clocks of machines differ.
+	// LimitAge is how long ago the endpoint held to the limit, or to none, for certain; 0 if it
+	// never named one. Ages are told and not times: the clocks of machines differ.
 	LimitAge time.Duration `cbor:"3,keyasint,omitempty"`
 	// Leaving is set if the endpoint has said that it stops soon, LeavingAge is how long ago.
 	Leaving    bool          `cbor:"4,keyasint,omitempty"`
@@ -69,7 +69,7 @@
 func (ep *endpoint) word(li catalog.Life, now time.Time) Word {
 	wo := Word{Life: li, Limit: ep.limit, Leaving: ep.leaving}
 	if !ep.limitAt.IsZero() {
-		wo.LimitAge = now.Sub(ep.limitAt)
+		wo.LimitAge = max(1, now.Sub(ep.limitAt))
 	}
 	if ep.leaving {
 		wo.LeavingAge = now.Sub(ep.leftAt)
@@ -131,6 +131,9 @@
 }
 
 func (re *Register) hearLimit(wo Word, now time.Time) {
+	if wo.LimitAge == 0 {
+		return
+	}
 	re.mu.Lock()
 	defer re.mu.Unlock()
 	if re.endpoints[wo.Life.ID] == nil && !wo.Limit.Named {
