--- a/internal/core/backpressure/limit.go
+++ b/internal/core/backpressure/limit.go
@@ -30,9 +30,9 @@
 
 // Limit is the number of requests a second that an endpoint takes from all daemons together.
 type Limit struct {
-	PerSecond float64 `cbor:"1,keyasint,omitempty"`
+	PerSecond float64 `json:"per-second,omitempty" cbor:"1,keyasint,omitempty"`
 	// Named is false if the endpoint names no limit.
-	Named bool `cbor:"2,keyasint,omitempty"`
+	Named bool `json:"named,omitempty" cbor:"2,keyasint,omitempty"`
 }
 
 // perSecond is the rate at which the endpoint is sent requests.
--- a/internal/core/backpressure/word.go
+++ b/internal/core/backpressure/word.go
@@ -16,18 +16,18 @@
 
 // Word is what an endpoint said, as daemons tell each other.
 type Word struct {
-	Life  catalog.Life `cbor:"1,keyasint"`
-	Limit Limit        `cbor:"2,keyasint"`
+	Life  catalog.Life `json:"life" cbor:"1,keyasint"`
+	Limit Limit        `json:"limit" cbor:"2,keyasint"`
 	// LimitAge is how long ago the endpoint held to the limit, or to none, for certain; 0 if it
 	// never named one. Ages are told and not times: the clocks of machines differ.
-	LimitAge time.Duration `cbor:"3,keyasint,omitempty"`
+	LimitAge time.Duration `json:"limit-age,omitempty" cbor:"3,keyasint,omitempty"`
 	// Leaving is set if the endpoint has said that it stops soon, LeavingAge is how long ago.
-	Leaving    bool          `cbor:"4,keyasint,omitempty"`
-	LeavingAge time.Duration `cbor:"5,keyasint,omitempty"`
+	Leaving    bool          `json:"leaving,omitempty" cbor:"4,keyasint,omitempty"`
+	LeavingAge time.Duration `json:"leaving-age,omitempty" cbor:"5,keyasint,omitempty"`
 	// Shed is for how long, from when the endpoint last turned a request away, few daemons only
 	// send to it; 0 if it has taken one since. ShedAge is how long ago either was; 0 for never.
-	Shed    time.Duration `cbor:"6,keyasint,omitempty"`
-	ShedAge time.Duration `cbor:"7,keyasint,omitempty"`
+	Shed    time.Duration `json:"shed,omitempty" cbor:"6,keyasint,omitempty"`
+	ShedAge time.Duration `json:"shed-age,omitempty" cbor:"7,keyasint,omitempty"`
 }
 
 // tellings is what the other daemons were told of an endpoint.
