Take a refusal that names no limit for no withdrawal of it

Found by reading: a server's answers name its limit for as long as it stands, but a refusal may be made before the server sees the request, and one without the header ended the limit for all daemons.

Only an answer to a request that ran ends it now. Evidence: TestLimitOutlastsRefusals failed before (a refusal ended the limit) and passes.

--- a/internal/front/heard.go
+++ b/internal/front/heard.go
@@ -17,7 +17,8 @@
 // Heard takes in what the head of an answer to a request says of its endpoint. sent is when the
 // request was sent.
 func (sv *Server) Heard(li catalog.Life, rsp *http.Response, sent time.Time) {
-	if limit, ok := sv.limitOf(li, rsp); ok {
+	// A refusal may be made before the server sees the request, so what it lacks says nothing.
+	if limit, ok := sv.limitOf(li, rsp); ok && (limit.Named || !notRun(rsp)) {
 		sv.setLimit(li, limit, sent)
 	}
 	sv.hearRest(li, rsp, sent)
--- a/internal/front/limit_test.go
+++ b/internal/front/limit_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"corianderhub.dev/corianderhub/internal/core/catalog"
+	"corianderhub.dev/corianderhub/platform"
 	"corianderhub.dev/corianderhub/platform/emulator"
 )
 
@@ -70,3 +72,31 @@
 		}
 	}
 }
+
+// Guards against a refusal that names no limit, as one made before the server itself sees the
+// request, and against another server's answer, which say nothing of the endpoint's limit.
+func TestLimitOutlastsRefusals(t *testing.T) {
+	li := catalog.Life{ID: "desk-0"}
+	answer := func(status int, header http.Header) *http.Response {
+		return &http.Response{StatusCode: status, Header: header}
+	}
+	tests := []struct {
+		name string
+		rsp  *http.Response
+		want int
+	}{
+		{"answered", answer(http.StatusOK, http.Header{}), 0},
+		{"failed", answer(http.StatusInternalServerError, http.Header{}), 0},
+		{"refused", answer(http.StatusServiceUnavailable, http.Header{platform.HeaderNotRun: {"1"}}), 1},
+		{"another server's", answer(http.StatusMisdirectedRequest, http.Header{}), 1},
+	}
+	for _, tc := range tests {
+		ri := newRig(t)
+		now := time.Now()
+		ri.front.Heard(li, answer(http.StatusOK, http.Header{platform.HeaderLimit: {"2"}}), now)
+		ri.front.Heard(li, tc.rsp, time.Now())
+		if num := ri.front.Backpressure.NumLimited(); num != tc.want {
+			t.Errorf("%s: %d endpoints with a limit, want %d", tc.name, num, tc.want)
+		}
+	}
+}
