--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -157,6 +157,16 @@
 	}
 }
 
+// Limited notes what a server got in its busiest span since it named a limit of one request a
+// second. A daemon that was killed, stood still or was cut off meanwhile is excused.
+func (ch *Checker) Limited(server string, requests int, since time.Time) {
+	ch.mu.Lock()
+	defer ch.mu.Unlock()
+	if requests > mostLimited && ch.calm(since, time.Now()) {
+		ch.violate("%s named a limit of one request a second and got %d in %v, %d allowed", server, requests, needWindow, mostLimited)
+	}
+}
+
 // Served notes that a process was seen to serve, or not to know, a route that came
 // with a version of the configuration.
 func (ch *Checker) Served(process string, version int, known bool) {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -144,6 +144,7 @@
 	for _, ps := range so.daemons {
 		clients.Go(func() { so.watchConfig(busy, ps) })
 	}
+	clients.Go(func() { so.playNeeds(busy, &running) })
 	rnd := rand.New(rand.NewPCG(so.Seed, 1))
 	for busy.Err() == nil {
 		fa, dur := draw(rnd), time.Duration(rnd.Int64N(int64(6*so.Every)))
@@ -151,8 +152,8 @@
 		running.Go(func() { so.runFault(fa, own, dur) })
 		so.pause(busy, time.Duration(rnd.ExpFloat64()*float64(so.Every)))
 	}
-	running.Wait()
 	clients.Wait()
+	running.Wait()
 }
 
 func (so *Soak) runFault(fa fault, rnd *rand.Rand, dur time.Duration) {
