Respect evacuations of data centres and limits of cold servers

Cause: no code read op/evacuate/, cold_start_s, cold_per_s or cold_left_ms.

Change: an evacuation is an order with the store's revision, whole in each heartbeat; the view used for traffic drains those data centres, the view that daemons fetch does not. Their groups stay and count for nothing in the steward's planning. The view says which endpoints are cold; the first of all known daemons by rendezvous hashing share the rate, as many as the bound for one second allows with half of the slack kept. Weighed: senders among the daemons that are alive (each part of a partition sends the whole rate: TestHoldColdInAnyParts fails with it); closing groups of an evacuated zone (loads for nothing). The token bucket is shared with the announced limits; the order of senders is not, because a limit's senders must be alive to see it change. A cold VM does not lead a group if another can.

--- a/internal/core/backpressure/limit.go
+++ b/internal/core/backpressure/limit.go
@@ -24,8 +24,6 @@
 	// send, and another one after each further interval: the regular senders may have no
 	// requests for the endpoint.
 	extraSenderInterval = 10 * time.Second
-	// burst is the capacity of a daemon's token bucket, in requests.
-	burst = 1
 	// unranked is the rank of a daemon that does not accept requests and so never sends any.
 	unranked = math.MaxInt
 )
@@ -55,26 +53,14 @@
 	limitAsOf time.Time
 	// rank is the position of this daemon in the endpoint's order of senders; 0 is the first.
 	rank int
-	// tokens is the number of requests that this daemon may send, as of refilledAt. It is negative
-	// after requests in excess of the share.
-	tokens     float64
-	refilledAt time.Time
+	bucket
 }
 
-// clearTokens empties the token bucket.
-func (li *limitState) clearTokens(now time.Time) { li.tokens, li.refilledAt = 0, now }
-
 // rate returns this daemon's share of the limit, in requests a second.
 func (li *limitState) rate(daemons int) float64 {
 	return li.limit.perSecond() / float64(li.limit.senders(daemons))
 }
 
-// refill adds the tokens that have accrued since the last refill.
-func (li *limitState) refill(now time.Time, daemons int) {
-	li.tokens = min(burst, li.tokens+li.rate(daemons)*now.Sub(li.refilledAt).Seconds())
-	li.refilledAt = now
-}
-
 // maySend reports whether this daemon is among the senders, regardless of its tokens.
 func (li *limitState) maySend(now time.Time, daemons int) bool {
 	extra := max(0, int(now.Sub(li.limitAsOf)/extraSenderInterval))
@@ -90,42 +76,42 @@
 	if !li.maySend(now, daemons) {
 		return 0, false
 	}
-	li.refill(now, daemons)
-	missing := max(0, burst-li.tokens)
-	return time.Duration(math.Ceil(missing / li.rate(daemons) * float64(time.Second))), true
+	return li.bucket.waitTime(now, li.rate(daemons)), true
 }
 
 // spendToken takes a token for a request, if the endpoint has a limit.
 func (li *limitState) spendToken(now time.Time, daemons int) {
 	if li.limit.Named {
-		li.refill(now, daemons)
-		li.tokens--
+		li.take(now, li.rate(daemons))
 	}
 }
 
-// daemons describes the daemons that share limits.
-type daemons struct {
-	// own is the address of this daemon; empty if it runs alone.
-	own string
-	// accepting lists the addresses of the daemons that accept requests.
-	accepting []string
-	// known is the number of all daemons seen so far, including unresponsive ones.
-	known int
+// Daemons describes the daemons that share limits.
+type Daemons struct {
+	// Own is the address of this daemon; empty if it runs alone.
+	Own string
+	// Accepting lists the addresses of the daemons that accept requests, including this one if it
+	// does.
+	Accepting []string
+	// Known lists the addresses of all daemons seen so far, including this one and unresponsive
+	// ones. Complete is set once the list can be expected to hold every daemon.
+	Known    []string
+	Complete bool
 }
 
 // num returns the number of daemons that a limit is divided among. Unresponsive daemons count,
 // as they may still be sending.
-func (da *daemons) num() int { return max(1, da.known) }
+func (da *Daemons) num() int { return max(1, len(da.Known)) }
 
 // rank returns the position of this daemon in the endpoint's order of senders, or unranked if it
 // accepts no requests.
-func (da *daemons) rank(endpoint string) int {
-	if da.own == "" {
+func (da *Daemons) rank(endpoint string) int {
+	if da.Own == "" {
 		return 0
 	}
-	own, rank, accepting := weight(da.own, endpoint), 0, false
-	for _, ip := range da.accepting {
-		accepting = accepting || ip == da.own
+	own, rank, accepting := weight(da.Own, endpoint), 0, false
+	for _, ip := range da.Accepting {
+		accepting = accepting || ip == da.Own
 		if weight(ip, endpoint) > own {
 			rank++
 		}
--- a/internal/core/backpressure/limit_test.go
+++ b/internal/core/backpressure/limit_test.go
@@ -135,6 +135,15 @@
 	si.scheduled = slices.DeleteFunc(si.scheduled, due)
 }
 
+// ips returns the addresses of all daemons.
+func (si *sim) ips() []string {
+	var all []string
+	for _, da := range si.daemons {
+		all = append(all, da.ip)
+	}
+	return all
+}
+
 // updateMembers passes to each daemon the daemons that accept requests.
 func (si *sim) updateMembers() {
 	var accepting []string
@@ -150,7 +159,7 @@
 		}
 		if !da.down && !slices.Equal(da.seen, seen) {
 			da.seen = seen
-			da.tracker.SetDaemons(da.ip, seen, len(si.daemons), si.now())
+			da.tracker.SetDaemons(Daemons{Own: da.ip, Accepting: seen, Known: si.ips(), Complete: true}, si.now())
 		}
 	}
 }
--- a/internal/core/backpressure/tracker.go
+++ b/internal/core/backpressure/tracker.go
@@ -21,8 +21,11 @@
 type Tracker struct {
 	mu        sync.Mutex
 	endpoints map[string]*endpoint
-	daemons   daemons
-	// num is len(endpoints). Readers check it first, to avoid the lock while the map is empty.
+	// cold holds the endpoints that are cold.
+	cold    map[catalog.Instance]*coldState
+	daemons Daemons
+	// num is the number of endpoints with any state. Readers check it first, to avoid the lock
+	// while there are none.
 	num atomic.Int64
 }
 
@@ -48,12 +51,6 @@
 	return max(wait, ep.shedState.waitTime(now, ep.rank)), known
 }
 
-// accepts reports whether this daemon may send a request to the endpoint now.
-func (ep *endpoint) accepts(now time.Time, daemons int) bool {
-	wait, known := ep.waitTime(now, daemons)
-	return known && wait <= 0
-}
-
 // expired reports whether all state of the endpoint is out of date.
 func (ep *endpoint) expired(now time.Time) bool {
 	return now.Sub(ep.limitAsOf) > retention && now.Sub(ep.leavingAsOf) > retention && now.Sub(ep.shedAt) > retention &&
@@ -141,7 +138,7 @@
 	}
 	ep.pending = true
 	if !before.Named {
-		ep.clearTokens(now)
+		ep.clear(now)
 	}
 	return true
 }
@@ -163,7 +160,7 @@
 		ep = &endpoint{}
 		ep.rank = re.daemons.rank(li.ID)
 		re.endpoints[li.ID] = ep
-		re.num.Store(int64(len(re.endpoints)))
+		re.countEndpoints()
 	}
 	if ep.incarnation == 0 {
 		ep.incarnation = li.Incarnation
@@ -191,8 +188,22 @@
 	}
 	re.mu.Lock()
 	defer re.mu.Unlock()
-	ep := re.find(li)
-	return ep == nil || ep.accepts(now, re.daemons.num())
+	wait, known := re.waitTime(li, now)
+	return known && wait <= 0
+}
+
+// waitTime implements WaitTime. The caller holds mu.
+func (re *Tracker) waitTime(li catalog.Instance, now time.Time) (time.Duration, bool) {
+	wait, known := time.Duration(0), true
+	if ep := re.find(li); ep != nil {
+		wait, known = ep.waitTime(now, re.daemons.num())
+	}
+	if cs := re.cold[li]; cs != nil && known {
+		var coldWait time.Duration
+		coldWait, known = cs.waitTime(now, re.daemons.num())
+		wait = max(wait, coldWait)
+	}
+	return wait, known
 }
 
 // RecordSent deducts a request that is being sent to the endpoint from this daemon's share of its
@@ -206,6 +217,9 @@
 	if ep := re.find(li); ep != nil {
 		ep.spendToken(now, re.daemons.num())
 	}
+	if cs := re.cold[li]; cs != nil {
+		cs.take(now, cs.rate(re.daemons.num()))
+	}
 }
 
 // WaitTime returns how long this daemon must wait before it may send a request to the endpoint.
@@ -217,11 +231,7 @@
 	}
 	re.mu.Lock()
 	defer re.mu.Unlock()
-	ep := re.find(li)
-	if ep == nil {
-		return 0, true
-	}
-	return ep.waitTime(now, re.daemons.num())
+	return re.waitTime(li, now)
 }
 
 // SetLeaving records that the endpoint announced its shutdown at the given time, and reports
@@ -268,14 +278,17 @@
 	return num
 }
 
-// Restricted reports whether the endpoint has a limit, sheds load or is shutting down, so that at
-// most a few daemons send to it now.
+// Restricted reports whether the endpoint has a limit, is cold, sheds load or is shutting down, so
+// that at most a few daemons send to it now.
 func (re *Tracker) Restricted(li catalog.Instance, now time.Time) bool {
 	if re == nil || re.num.Load() == 0 {
 		return false
 	}
 	re.mu.Lock()
 	defer re.mu.Unlock()
+	if re.cold[li] != nil {
+		return true
+	}
 	ep := re.find(li)
 	return ep != nil && (ep.limit.Named || ep.leaving || now.Before(ep.shedUntil))
 }
@@ -293,18 +306,17 @@
 	return num
 }
 
-// SetDaemons sets the daemons that share limits: own is the address of this daemon, accepting
-// lists the addresses of all daemons that accept requests, including this one if it does, and
-// known is the number of daemons that are known, reachable or not.
-func (re *Tracker) SetDaemons(own string, accepting []string, known int, now time.Time) {
+// SetDaemons sets the daemons that share limits.
+func (re *Tracker) SetDaemons(daemons Daemons, now time.Time) {
 	re.mu.Lock()
 	defer re.mu.Unlock()
-	re.daemons = daemons{own, accepting, known}
+	re.daemons = daemons
+	re.updateColdRanks(now)
 	for id, ep := range re.endpoints {
 		rank := re.daemons.rank(id)
 		if rank < ep.rank {
 			// The daemon that held this rank before may have just used up its share.
-			ep.clearTokens(now)
+			ep.clear(now)
 		}
 		ep.rank = rank
 	}
@@ -319,5 +331,8 @@
 			delete(re.endpoints, id)
 		}
 	}
-	re.num.Store(int64(len(re.endpoints)))
+	re.countEndpoints()
 }
+
+// countEndpoints updates num. The caller holds mu.
+func (re *Tracker) countEndpoints() { re.num.Store(int64(len(re.endpoints) + len(re.cold))) }
--- a/internal/core/catalog/catalog_test.go
+++ b/internal/core/catalog/catalog_test.go
@@ -122,6 +122,40 @@
 	}
 }
 
+// Guards against a cold leader that daemons without a steward take for a warm one, or that they
+// still take for cold once its entry says otherwise.
+func TestViewFromEntriesCold(t *testing.T) {
+	eps, cfg := entriesFixture()
+	var vi *View
+	for _, cold := range []bool{false, true, false} {
+		for _, id := range []string{"head", "desk-1"} {
+			ep := eps[id]
+			ep.Cold = cold
+			eps[id] = ep
+		}
+		vi = ViewFromEntries(eps, cfg, vi, 7)
+		if vi.Groups[0].Cold != cold || vi.Plain[0].Cold != cold {
+			t.Errorf("group cold %v, plain endpoint cold %v, want %v", vi.Groups[0].Cold, vi.Plain[0].Cold, cold)
+		}
+	}
+}
+
+// Guards against requests to an evacuated data centre, and against a view that keeps the effects
+// of an evacuation after it has ended.
+func TestDrained(t *testing.T) {
+	vi := &View{Term: 7, Plain: []PlainEndpoint{{ID: "a", DataCenter: "hall-a"}, {ID: "b", DataCenter: "hall-b"}},
+		Groups: []Group{{Name: "a", DataCenter: "hall-a"}, {Name: "b", DataCenter: "hall-b"}}}
+	drained := vi.Drained(func(dataCenter string) bool { return dataCenter == "hall-b" })
+	want := &View{Term: 7, Plain: []PlainEndpoint{{ID: "a", DataCenter: "hall-a"}, {ID: "b", DataCenter: "hall-b", Leaving: true}},
+		Groups: []Group{{Name: "a", DataCenter: "hall-a"}, {Name: "b", DataCenter: "hall-b", Draining: true}}}
+	if diff := cmp.Diff(want, drained); diff != "" {
+		t.Errorf("(-want +got):\n%s", diff)
+	}
+	if vi.Plain[1].Leaving || vi.Groups[1].Draining {
+		t.Error("the original view has changed")
+	}
+}
+
 func TestIdempotent(t *testing.T) {
 	tests := []struct {
 		ro   Route
--- a/internal/core/catalog/config.go
+++ b/internal/core/catalog/config.go
@@ -42,8 +42,10 @@
 	Services   map[string]Service
 	Workspaces []Workspace
 	Limits     Limits
-	index      routeIndex
-	keys       map[string]*Workspace
+	// Ignored describes values that are invalid and have no effect, each with its key.
+	Ignored []string
+	index   routeIndex
+	keys    map[string]*Workspace
 }
 
 // Route maps requests of a host below a path prefix to services.
@@ -89,6 +91,11 @@
 	// MaxConns is the number of connections that an endpoint accepts from all
 	// callers together.
 	MaxConns int
+	// ColdStart is how long an endpoint is cold after it has started. ColdPerSecond is the
+	// number of requests a second that a cold endpoint tolerates from all daemons together; 0
+	// means that there is no limit.
+	ColdStart     time.Duration
+	ColdPerSecond float64
 	// Engine is nil for plain services.
 	Engine *Engine
 }
--- a/internal/core/catalog/endpoint.go
+++ b/internal/core/catalog/endpoint.go
@@ -1,6 +1,9 @@
 package catalog
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 // GroupState is the state of a group as one of its members reports it.
 type GroupState string
@@ -67,6 +70,11 @@
 	// Slowness is the factor by which the endpoint is slower than usual. It is
 	// 0 if the endpoint did not report it.
 	Slowness float64
+	// ColdLeft is how much longer the endpoint said it would stay cold when it wrote the
+	// entry. Cold is set for that time after the entry was read, if the service limits the
+	// requests to a cold endpoint.
+	ColdLeft time.Duration
+	Cold     bool
 	// Revision is the store's revision of the entry.
 	Revision int64
 }
--- a/internal/core/catalog/entries.go
+++ b/internal/core/catalog/entries.go
@@ -14,6 +14,7 @@
 	if previous != nil {
 		for _, gr := range previous.Groups {
 			if gr.stillOpen(endpoints) {
+				gr.Cold = endpoints[gr.Leader().ID].Cold
 				vi.Groups = append(vi.Groups, gr)
 			}
 		}
@@ -77,7 +78,7 @@
 		return Group{}, false
 	}
 	gr := Group{Name: leader.Member.Group, Epoch: leader.Member.Epoch, Service: leader.Service, Model: mo.Name,
-		DataCenter: leader.DataCenter, Members: make([]Member, mo.Size)}
+		DataCenter: leader.DataCenter, Members: make([]Member, mo.Size), Cold: leader.Cold}
 	found := 0
 	for _, ep := range endpoints {
 		mb := ep.Member
@@ -101,7 +102,7 @@
 			continue
 		}
 		plain = append(plain, PlainEndpoint{ID: ep.ID, Service: ep.Service, Address: ep.Address,
-			DataCenter: ep.DataCenter, Slots: ep.Slots, Leaving: ep.Leaving, Incarnation: ep.Incarnation})
+			DataCenter: ep.DataCenter, Slots: ep.Slots, Leaving: ep.Leaving, Incarnation: ep.Incarnation, Cold: ep.Cold})
 	}
 	return plain
 }
--- a/internal/core/catalog/view.go
+++ b/internal/core/catalog/view.go
@@ -27,6 +27,8 @@
 	Leaving    bool   `json:"leaving,omitempty"`
 	// Incarnation is the incarnation of the process that the view refers to.
 	Incarnation Incarnation `json:"incarnation,omitempty"`
+	// Cold endpoints tolerate only the rate of requests that their service sets.
+	Cold bool `json:"cold,omitempty"`
 }
 
 // Instance returns the instance that the view refers to.
@@ -44,6 +46,8 @@
 	Draining bool `json:"leaving,omitempty"`
 	// Slowness is that of the slowest member.
 	Slowness float64 `json:"slowness,omitempty"`
+	// Cold is set while the leader is cold.
+	Cold bool `json:"cold,omitempty"`
 }
 
 // Leader returns the member that accepts the requests.
@@ -86,6 +90,22 @@
 	return instances
 }
 
+// Drained returns a copy of the view in which the endpoints and groups of the data centres for
+// which evacuated is true accept no new requests.
+func (vi *View) Drained(evacuated func(dataCenter string) bool) *View {
+	drained := *vi
+	drained.Plain, drained.Groups = slices.Clone(vi.Plain), slices.Clone(vi.Groups)
+	for i := range drained.Plain {
+		ep := &drained.Plain[i]
+		ep.Leaving = ep.Leaving || evacuated(ep.DataCenter)
+	}
+	for i := range drained.Groups {
+		gr := &drained.Groups[i]
+		gr.Draining = gr.Draining || evacuated(gr.DataCenter)
+	}
+	return &drained
+}
+
 // Without returns a copy of the view without the plain endpoints for which
 // ended is true and without the groups for whose leaders it is true.
 func (vi *View) Without(ended func(li Instance) bool) *View {
--- a/internal/core/dispatch/endpoints.go
+++ b/internal/core/dispatch/endpoints.go
@@ -181,6 +181,22 @@
 	ep.openRequests--
 }
 
+// RequestsIn returns the number of this daemon's requests that have not ended at the endpoints of a
+// data centre.
+func (pl *PlainTable) RequestsIn(dataCenter string) int {
+	pl.mu.Lock()
+	defer pl.mu.Unlock()
+	num := 0
+	for _, list := range pl.services {
+		for _, ep := range list {
+			if ep.DataCenter == dataCenter {
+				num += ep.openRequests
+			}
+		}
+	}
+	return num
+}
+
 // Count returns the number of endpoints of a service in the view.
 func (pl *PlainTable) Count(service string) int {
 	pl.mu.Lock()
--- a/internal/core/dispatch/table.go
+++ b/internal/core/dispatch/table.go
@@ -385,6 +385,20 @@
 	return num
 }
 
+// RequestsIn returns the number of this daemon's running and waiting requests at the groups of a
+// data centre.
+func (ta *Table) RequestsIn(dataCenter string) int {
+	ta.mu.Lock()
+	defer ta.mu.Unlock()
+	num := 0
+	for _, gr := range ta.groups {
+		if gr.DataCenter == dataCenter {
+			num += gr.ownLoad.Requests
+		}
+	}
+	return num
+}
+
 // GroupStatus is the state of a group for operators.
 type GroupStatus struct {
 	Name, Model string
--- a/internal/core/steward/entries.go
+++ b/internal/core/steward/entries.go
@@ -29,6 +29,7 @@
 	co.applyEntry(vm, ep, now)
 	vm.registered = true
 	vm.ep.Leaving = ep.Leaving
+	vm.ep.Cold = ep.Cold
 	vm.ep.Address = ep.Address
 	vm.ep.Revision = ep.Revision
 	if vm.down {
--- a/internal/core/steward/form.go
+++ b/internal/core/steward/form.go
@@ -87,7 +87,7 @@
 // available reports whether a VM may be assigned to a new group: it belongs to no group, or is
 // a spare that holds a model in memory for this purpose.
 func (co *Core) available(vm *vm) bool {
-	if !vm.usable() || vm.orderPending || vm.failures > 0 {
+	if !vm.usable() || vm.orderPending || vm.failures > 0 || co.evacuated(vm) {
 		return false
 	}
 	mb := vm.ep.Member
@@ -157,6 +157,7 @@
 	slices.SortStableFunc(do.free, func(one, other *vm) int {
 		return cmp.Or(byTargetModel(one, other, mo.Name), cmp.Compare(co.joinTime(one, mo.Name), co.joinTime(other, mo.Name)), byID(one, other))
 	})
+	slices.SortStableFunc(do.free[:mo.Size], coldLast)
 	members := make([]string, mo.Size)
 	loads := 0
 	for i, vm := range do.free[:mo.Size] {
@@ -177,6 +178,18 @@
 	return co.sendJoins(gr)
 }
 
+// coldLast compares two VMs so that a cold one does not lead a group: the leader alone receives
+// requests.
+func coldLast(one, other *vm) int {
+	switch {
+	case one.ep.Cold == other.ep.Cold:
+		return 0
+	case one.ep.Cold:
+		return 1
+	}
+	return -1
+}
+
 // plan adds a new group to the table of groups, with the next epoch and a name derived from it.
 func (co *Core) plan(prefix, service, model string, members []string, now time.Time) *group {
 	epoch := co.nextEpoch()
@@ -250,7 +263,7 @@
 func (co *Core) counts(service string, en *catalog.Engine) []int {
 	counts := make([]int, len(en.Models))
 	for _, gr := range co.groups {
-		if gr.service != service || gr.spare() || gr.dissolving || gr.reassigned {
+		if gr.service != service || gr.spare() || gr.dissolving || gr.reassigned || co.groupEvacuated(gr) {
 			continue
 		}
 		for mi, mo := range en.Models {
@@ -262,6 +275,14 @@
 	return counts
 }
 
+// groupEvacuated reports whether the group is in an evacuated data centre.
+func (co *Core) groupEvacuated(gr *group) bool {
+	if len(co.evacuation.DataCenters) == 0 {
+		return false
+	}
+	return slices.ContainsFunc(gr.members, func(id string) bool { return co.vms[id] != nil && co.evacuated(co.vms[id]) })
+}
+
 // replaceable reports whether an available VM of the same domain could replace the member
 // without a load.
 func (co *Core) replaceable(member *vm, model string) bool {
@@ -302,7 +323,7 @@
 	planned := co.plannedModels()
 	for _, id := range co.ids() {
 		vm := co.vms[id]
-		if vm.ep.Service != service || vm.down {
+		if vm.ep.Service != service || vm.down || co.evacuated(vm) {
 			continue
 		}
 		sp, ok := plan[vm.ep.Domain]
--- a/internal/core/steward/loads.go
+++ b/internal/core/steward/loads.go
@@ -196,7 +196,7 @@
 	held := make(map[domainModel]int)
 	planned := co.plannedModels()
 	for id, vm := range co.vms {
-		if vm.ep.Service != service || !vm.usable() || vm.targetModel != "" {
+		if vm.ep.Service != service || !vm.usable() || vm.targetModel != "" || co.evacuated(vm) {
 			continue
 		}
 		model, ok := planned[id]
--- a/internal/core/steward/rebalance.go
+++ b/internal/core/steward/rebalance.go
@@ -236,7 +236,7 @@
 	}
 	held := co.heldOrLoading(service)
 	for _, vm := range co.vms {
-		if vm.ep.Service == service && vm.targetModel != "" && vm.usable() {
+		if vm.ep.Service == service && vm.targetModel != "" && vm.usable() && !co.evacuated(vm) {
 			held[domainModel{vm.ep.Domain, vm.targetModel}]++
 		}
 	}
@@ -308,7 +308,7 @@
 	groups := make(map[string][]*group)
 	for _, ke := range co.keys() {
 		gr := co.groups[ke]
-		if gr.service == service && gr.model == model && !gr.spare() && !gr.dissolving && !gr.reassigned && co.complete(gr) {
+		if gr.service == service && gr.model == model && !gr.spare() && !gr.dissolving && !gr.reassigned && !co.groupEvacuated(gr) && co.complete(gr) {
 			domain := co.vms[gr.members[0]].ep.Domain
 			groups[domain] = append(groups[domain], gr)
 		}
--- a/internal/core/steward/steward.go
+++ b/internal/core/steward/steward.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"corianderhub.dev/corianderhub/internal/core/catalog"
+	"corianderhub.dev/corianderhub/internal/core/evacuation"
 	"corianderhub.dev/corianderhub/internal/core/rtt"
 )
 
@@ -235,6 +236,8 @@
 	startedAt time.Time
 	// incompleteGroups are the keys of groups that have lost a restored member.
 	incompleteGroups map[groupKey]bool
+	// evacuation lists the data centres in which no group is formed.
+	evacuation evacuation.Order
 	// rebalanceAt is when to check next whether groups of one model should be exchanged for
 	// groups of another.
 	rebalanceAt time.Time
@@ -278,6 +281,14 @@
 	}
 }
 
+// SetEvacuation sets the data centres that are evacuated. Their groups stay as they are, so that
+// they serve again as soon as the evacuation ends, but they count for nothing: no group is formed
+// there, and the other data centres are planned as if they were alone.
+func (co *Core) SetEvacuation(or evacuation.Order) { co.evacuation = or }
+
+// evacuated reports whether the VM is in an evacuated data centre.
+func (co *Core) evacuated(vm *vm) bool { return co.evacuation.Has(vm.ep.DataCenter) }
+
 // groupKey identifies a group.
 type groupKey struct {
 	name  string
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -6,7 +6,9 @@
 	"sync/atomic"
 	"time"
 
+	"corianderhub.dev/corianderhub/internal/core/backpressure"
 	"corianderhub.dev/corianderhub/internal/core/catalog"
+	"corianderhub.dev/corianderhub/internal/core/evacuation"
 	"corianderhub.dev/corianderhub/internal/mesh"
 	"corianderhub.dev/corianderhub/platform"
 )
@@ -69,8 +71,9 @@
 	// generation counts how often following has begun; shared, guarded by mu. A follower
 	// from an earlier generation reads everything again.
 	generation int
-	// joined is set once the daemon knows the other daemons.
-	joined bool
+	// joined is set once the daemon knows other daemons, knowsDaemons once it has read the list of
+	// all of them from the store.
+	joined, knowsDaemons bool
 	// haveAll is set once all endpoints have been read since following began.
 	haveAll bool
 	// fetching holds the kinds of fetches from other daemons that are in flight.
@@ -113,13 +116,16 @@
 	// misroutedAt is when a misrouted request was last logged.
 	misroutedAt time.Time
 	crashChecks crashChecks
+	// evacuation is the operators' order of which data centres are evacuated.
+	evacuation evacuation.Tracker
+	cold       coldEndpoints
 	// quarantine is the state of the quarantine of requests that crash endpoints.
 	quarantine quarantineControl
 }
 
 func newControl(da *Daemon) *control {
 	return &control{da: da, events: make(chan func(), queueSize), endpoints: make(map[string]catalog.Endpoint),
-		wake: time.NewTimer(tick), missing: make(map[string]time.Time), loggedInvalid: make(map[string]bool), departed: make(departedEndpoints), crashChecks: make(crashChecks), healthy: make(healthyGroups), fetching: make(map[string]bool)}
+		wake: time.NewTimer(tick), missing: make(map[string]time.Time), loggedInvalid: make(map[string]bool), departed: make(departedEndpoints), cold: coldEndpoints{until: make(map[string]time.Time)}, crashChecks: make(crashChecks), healthy: make(healthyGroups), fetching: make(map[string]bool)}
 }
 
 // post queues an event for the control loop. It drops the event if the daemon ends first.
@@ -203,6 +209,7 @@
 	now := ct.da.Clock.Now()
 	ct.stepFollowing(now)
 	ct.stepMissing(now)
+	ct.stepCold(now)
 	ct.stepSteward(now)
 	ct.stepStalls(now)
 	ct.stepQuarantine(now)
@@ -253,7 +260,8 @@
 			accepting = append(accepting, pe.IP)
 		}
 	}
-	ct.da.backpressure.SetDaemons(ct.da.Settings.IP, accepting, len(ct.da.mesh.Known()), now)
+	ct.da.backpressure.SetDaemons(backpressure.Daemons{Own: ct.da.Settings.IP, Accepting: accepting, Known: ct.da.mesh.Known(),
+		Complete: ct.knowsDaemons || now.Sub(ct.startedAt) >= startupSettleTime}, now)
 }
 
 // age returns the time since the store last confirmed this daemon's state.
@@ -316,9 +324,13 @@
 	}
 	ct.da.config.Store(&configuration{cfg, raw})
 	ct.da.Log.Info("control: configuration in force.", "version", cfg.Version, "revision", revision, "routes", len(cfg.Routes), "from", from)
+	for _, what := range cfg.Ignored {
+		ct.da.Log.Warn("control: invalid value in the configuration ignored.", "version", cfg.Version, "value", what)
+	}
 	if ct.lease.core != nil {
 		ct.lease.core.SetServices(cfg)
 	}
+	ct.refreshCold(ct.da.Clock.Now())
 	ct.updateView()
 	if from == fromStore || ct.da.mesh.Direct() {
 		ct.sendHeartbeat(heartbeatExtra{to: mesh.ToEveryone})
@@ -357,9 +369,14 @@
 	if vi == nil {
 		return
 	}
+	now := ct.da.Clock.Now()
 	vi = ct.departed.filter(vi)
 	first := ct.da.view.Swap(vi) == nil
-	ct.da.table.Update(vi, cfg, ct.da.Clock.Now())
+	// Other daemons fetch the view without the effects of an evacuation, since they could not
+	// undo them.
+	vi = vi.Drained(ct.evacuation.Order().Has)
+	ct.limitCold(vi, cfg, now)
+	ct.da.table.Update(vi, cfg, now)
 	ct.da.plain.Update(vi)
 	if first && ct.follows() {
 		// Daemons that have just started can use what this daemon has read.
--- a/internal/entry/endpoints.go
+++ b/internal/entry/endpoints.go
@@ -156,6 +156,10 @@
 		ct.da.Log.Info("control: endpoint leaves.", "endpoint", ep.ID, "service", ep.Service, "revision", ep.Revision)
 	}
 	delete(ct.missing, ep.ID)
+	if !ok || had.Revision != ep.Revision {
+		ct.cold.add(ep, ct.da.Clock.Now())
+	}
+	ep.Cold = ct.isCold(ep, ct.da.Clock.Now())
 	ct.endpoints[ep.ID] = ep
 	if ep.Leaving {
 		ct.newDeparture = ct.departed.add(ep.Instance(), ct.da.Clock.Now()) || ct.newDeparture
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -54,8 +54,15 @@
 			}
 		}
 	}
-	fo := &follower{ct: ct, prefix: platform.ConfigPrefix, changed: apply,
-		snapshot: func(items []platform.Item, _ int64, _ bool) { apply(items) }}
+	fo := &follower{ct: ct, prefix: platform.ConfigPrefix,
+		changed: func(items []platform.Item) {
+			ct.changeEvacuation(items)
+			apply(items)
+		},
+		snapshot: func(items []platform.Item, revision int64, _ bool) {
+			ct.readEvacuation(items, revision)
+			apply(items)
+		}}
 	fo.run(ctx)
 }
 
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -65,6 +65,9 @@
 	done       chan error
 }
 
+// otherDataCenter is the data centre of every second plain server.
+const otherDataCenter = "hall-b"
+
 // subnets assigns separate addresses to each test.
 var subnets = make(chan int, 200)
 
@@ -81,7 +84,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	sk := &stack{t: t, ctx: ctx, subnet: <-subnets, log: &logBuffer{}, client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
-		de: &emulator.Deployment{ModelServers: 7, PlainServers: 2, EventInterval: 20 * time.Millisecond}}
+		de: &emulator.Deployment{ModelServers: 7, PlainServers: 2, PlainDataCenters: []string{emulator.DataCenter, otherDataCenter}, EventInterval: 20 * time.Millisecond}}
 	if err := sk.de.Start(ctx); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/entry/heartbeats.go
+++ b/internal/entry/heartbeats.go
@@ -34,6 +34,7 @@
 	}
 	be.Leaving = ct.da.stopping.Load()
 	be.Uptime = now.Sub(ct.startedAt)
+	be.Evacuation = ct.evacuation.Order()
 	ct.addPromise(&be)
 	ct.addQuarantine(&be, now)
 	relay := ct.lease.ready() && !ct.da.mesh.Direct()
@@ -72,6 +73,7 @@
 			ct.lease.core.HandleProgressReport(su.Group, su.Epoch, now)
 		}
 	}
+	ct.applyEvacuation(be.Evacuation, "daemon "+be.Name)
 	ct.fetchNewerConfig(be)
 	ct.recordDeputy(be, now)
 	ct.applyQuarantine(be, now)
--- a/internal/entry/join.go
+++ b/internal/entry/join.go
@@ -60,6 +60,7 @@
 	ct.addDaemons(ips)
 	if known {
 		ct.da.Log.Info("control: daemons known.", "count", len(ips))
+		ct.post(func() { ct.knowsDaemons = true })
 		return true, nil
 	}
 	put := platform.Put{Key: daemonPrefix + ct.da.Settings.IP, Value: []byte(ct.da.Settings.Name)}
--- a/internal/entry/lease.go
+++ b/internal/entry/lease.go
@@ -358,6 +358,7 @@
 		ct.resignNow()
 	}
 	ct.da.mesh.SetSteward(ct.da.Settings.IP)
+	ct.lease.core.SetEvacuation(ct.evacuation.Order())
 	if cfg := ct.da.currentConfig(); cfg != nil {
 		ct.lease.core.SetServices(cfg)
 	}
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -52,6 +52,7 @@
 		{`corianderhub_daemons{state="alive"}`, func() float64 { return float64(len(da.mesh.Alive()) + 1) }},
 		{`corianderhub_daemons{state="known"}`, func() float64 { return float64(len(da.mesh.Known())) }},
 		{"corianderhub_endpoints_limited", func() float64 { return float64(da.backpressure.NumLimited()) }},
+		{"corianderhub_endpoints_cold", func() float64 { return float64(da.backpressure.NumCold()) }},
 		{"corianderhub_endpoints_resting", func() float64 { return float64(da.backpressure.NumBackingOff(da.Clock.Now())) }},
 		{"corianderhub_requests_in_progress", func() float64 { return float64(da.front.InFlight()) }},
 		{"corianderhub_retry_budget_left", da.minRetryBudget},
@@ -104,4 +105,14 @@
 	metrics.WritePrometheus(w, true)
 	da.gauges.WritePrometheus(w)
 	da.writeWork(w)
+	da.writeEvacuations(w)
+}
+
+// writeEvacuations writes, for each evacuated data centre, the requests of this daemon that still
+// run there.
+func (da *Daemon) writeEvacuations(w io.Writer) {
+	for _, dc := range da.control.evacuation.Order().DataCenters {
+		num := da.table.RequestsIn(dc) + da.plain.RequestsIn(dc)
+		metrics.WriteGaugeUint64(w, `corianderhub_evacuated_requests{data_center=`+strconv.Quote(dc)+`}`, uint64(num))
+	}
 }
--- a/internal/explain/request.go
+++ b/internal/explain/request.go
@@ -19,7 +19,7 @@
 
 // RequestLines returns the lines of a request, the lines from the same time about the
 // groups and endpoints that it was sent to and the daemons that handled it, the last
-// view published before it, and all earlier lines about crashes under requests with
+// view published before it, the evacuations in force then, and all earlier lines about crashes under requests with
 // the same content. Lines must be sorted by time. The result is nil if no line names
 // the request.
 func RequestLines(lines []Line, id string) []Line {
@@ -45,12 +45,12 @@
 	if first.IsZero() {
 		return nil
 	}
-	viewIndex := lastView(lines, first)
+	viewIndex, evacuated := lastView(lines, first), evacuations(lines, first, sources)
 	var found []Line
 	for i, li := range lines {
 		meanwhile := !li.At.Before(first.Add(-marginBefore)) && !li.At.After(last.Add(marginAfter))
 		crashed := !li.At.After(last) && reportsCrash(&li, content)
-		if li.Get("request") == id || i == viewIndex || crashed || meanwhile && isRelated(&li, targets, sources) {
+		if li.Get("request") == id || i == viewIndex || evacuated[i] || crashed || meanwhile && isRelated(&li, targets, sources) {
 			found = append(found, li)
 		}
 	}
@@ -102,7 +102,39 @@
 	if targets[li.Get("group")] || targets[li.Get("endpoint")] {
 		return true
 	}
-	return sources[li.Source] && (li.Message == "control: configuration in force." || li.Message == "control: following the store.")
+	return sources[li.Source] && slices.Contains(daemonMessages, li.Message)
+}
+
+// daemonMessages are messages about the state of a daemon that decide about all its requests.
+var daemonMessages = []string{"control: configuration in force.", "control: following the store.",
+	messageEvacuated, messageEvacuationEnded, "control: cold endpoints."}
+
+// Messages of a daemon that learns of an evacuation or of its end.
+const (
+	messageEvacuated       = "control: data centre evacuated."
+	messageEvacuationEnded = "control: evacuation ended."
+)
+
+// evacuations returns the indexes of the lines by which the sources learned of evacuations that
+// had not ended at a time, however long ago they began.
+func evacuations(lines []Line, at time.Time, sources map[string]bool) map[int]bool {
+	last := make(map[[2]string]int)
+	for i, li := range lines {
+		if li.At.After(at) || !sources[li.Source] {
+			continue
+		}
+		switch key := [2]string{li.Source, li.Get("data-center")}; li.Message {
+		case messageEvacuated:
+			last[key] = i
+		case messageEvacuationEnded:
+			delete(last, key)
+		}
+	}
+	indexes := make(map[int]bool)
+	for _, i := range last {
+		indexes[i] = true
+	}
+	return indexes
 }
 
 // stateMessages are the messages that set a part of a daemon's state. A line
@@ -119,10 +151,16 @@
 	{"store", "store: lost.", "prefix"},
 	{"store", "store: regained.", "prefix"},
 	{"group", "control: group stands still.", "group"},
+	{"evacuation", messageEvacuated, "data-center"},
+	{"evacuation", messageEvacuationEnded, "data-center"},
+	{"cold", "control: cold endpoints.", ""},
 	{"endpoint", "control: endpoint leaves.", "endpoint"},
 	{"endpoint", "control: endpoint gone.", "endpoint"},
 }
 
+// lastingKinds are the kinds of state that last until a later line supersedes them.
+var lastingKinds = map[string]bool{"store": true, "evacuation": true}
+
 // recentWindow is how long a line about a single group or endpoint counts as
 // current state.
 const recentWindow = 10 * time.Second
@@ -136,7 +174,7 @@
 			continue
 		}
 		for _, sm := range stateMessages {
-			if li.Message != sm.message || sm.attr != "" && sm.kind != "store" && at.Sub(li.At) > recentWindow {
+			if li.Message != sm.message || sm.attr != "" && !lastingKinds[sm.kind] && at.Sub(li.At) > recentWindow {
 				continue
 			}
 			last[li.Source+"\x00"+sm.kind+"\x00"+li.Get(sm.attr)] = li
@@ -214,6 +252,10 @@
 			text = li.Get("group") + " had lost its member " + li.Get("member")
 		case li.Message == "steward: group-broken." && !quarantined:
 			text = li.Get("group") + " was broken: " + li.Get("reason")
+		case li.Message == messageEvacuated && isCapacityRefusal(lines):
+			text = "data centre " + li.Get("data-center") + " was evacuated"
+		case li.Message == "control: cold endpoints." && li.Get("count") != "0" && isCapacityRefusal(lines):
+			text = li.Get("count") + " endpoints were cold and accepted few requests"
 		case li.Message == "store: lost.":
 			text = "the store was lost: " + li.Get("cause")
 		case li.Message == "steward: view published." && !viewNamed:
--- a/internal/mesh/heartbeat.go
+++ b/internal/mesh/heartbeat.go
@@ -20,6 +20,7 @@
 	"corianderhub.dev/corianderhub/internal/core/backpressure"
 	"corianderhub.dev/corianderhub/internal/core/catalog"
 	"corianderhub.dev/corianderhub/internal/core/dispatch"
+	"corianderhub.dev/corianderhub/internal/core/evacuation"
 	"corianderhub.dev/corianderhub/internal/core/quarantine"
 )
 
@@ -90,6 +91,8 @@
 	// direct mode they go to all daemons, otherwise to the steward, which forwards them
 	// to all.
 	Backpressure []backpressure.Notice `cbor:"34,keyasint,omitempty"`
+	// Evacuation is the operators' order of which data centres are evacuated.
+	Evacuation evacuation.Order `cbor:"35,keyasint,omitzero"`
 	// FollowsStore is set while the daemon follows the store itself.
 	FollowsStore bool `cbor:"26,keyasint,omitempty"`
 	// Healthy lists groups that were reported as stalled and whose members have all
