Bound the memory of bodies that callers send or read slowly

Cause: bodies of all callers were held without a common bound, and a response without a deadline for as long as its caller kept the connection. Besides, net/http reads what is left of a short body before it responds: a caller whose body never arrived got no response at all, since the read deadline had been cleared.

Change: BodyMemory counts the bytes of request bodies and complete responses. At a quarter of the machine's memory the largest body that is still being read is given up with 503, which is true: it was not passed on. Responses are counted and never refused. A response is written in chunks with a deadline each. The read deadline is cleared only after a complete body. Weighed: refusing the request that comes last (a slow caller would then shut out all others); a semaphore of fixed body slots (small bodies would wait behind large ones).

Failing before: TestBodyThatNeverArrives (no answer in 5 s with the deadline cleared), TestSlowLargeBodyGivesWay (hung).

--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -53,6 +53,9 @@
 	// stopMargin is subtracted from the grace period, so that the remaining work ends
 	// before the process is killed.
 	stopMargin = 800 * time.Millisecond
+	// bodyMemoryDivisor is the part of the machine's memory that request and response bodies may
+	// fill. The heap grows to about twice what is in use before it is collected.
+	bodyMemoryDivisor = 4
 	// budgetShare is the share of the retry budget's slack that is divided among all
 	// daemons. The rest covers daemons that restart and lose their counts.
 	budgetShare = 0.5
@@ -159,6 +162,7 @@
 		OnLeaving:   func(li catalog.Instance) { da.control.post(func() { da.control.endpointLeaving(li) }) },
 		OnMisrouted: func() { da.control.noteMisrouted() },
 		Quarantine:  da.quarantine, Backpressure: da.backpressure,
+		Memory:       front.BodyMemory{Limit: set.MemoryBytes / bodyMemoryDivisor},
 		OnDisconnect: func(bo front.Disconnect) <-chan struct{} { return da.control.checkCrash(bo) },
 		OnCompletion: func(fp quarantine.Fingerprint) { da.control.post(func() { da.control.requestCompleted(fp) }) },
 		Budget: &dispatch.Budget{StartedAt: da.Clock.Now(), Ratio: set.Bounds.RetryRatio, Window: set.Bounds.RetryWindow,
--- a/internal/front/plain.go
+++ b/internal/front/plain.go
@@ -129,6 +129,7 @@
 		ca.plainAttemptFailed(ctx, ep, err)
 		return nil, err
 	}
+	ca.hold.add(int64(len(body)))
 	an := &response{ex.Response.StatusCode, ex.Response.Header, body, notRun(ex.Response)}
 	now := ca.sv.Clock.Now()
 	ca.sv.Plain.RecordResponse(ep, now.Sub(begin), an.status >= http.StatusInternalServerError, now)
@@ -184,6 +185,22 @@
 // retryAfterNoEndpoint allows time for an endpoint to register.
 const retryAfterNoEndpoint = time.Second
 
+// writeChunkBytes is how many bytes of a response a caller has to read within writeTimeout.
+const writeChunkBytes = 64 << 10
+
+// writeBody writes a response body. It fails if the caller stops reading: the body would
+// otherwise be held for as long as the caller keeps the connection.
+func writeBody(w http.ResponseWriter, body []byte) error {
+	rc := http.NewResponseController(w)
+	for chunk := range slices.Chunk(body, writeChunkBytes) {
+		_ = rc.SetWriteDeadline(time.Now().Add(writeTimeout))
+		if _, err := w.Write(chunk); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // writeResponse forwards an endpoint's response unchanged.
 func (ca *call) writeResponse(an *response) {
 	header := ca.w.Header()
@@ -196,7 +213,7 @@
 		header.Set("Content-Length", strconv.Itoa(len(an.body)))
 	}
 	ca.w.WriteHeader(an.status)
-	if _, err := ca.w.Write(an.body); err != nil {
+	if err := writeBody(ca.w, an.body); err != nil {
 		ca.log.Debug("front: caller disconnected before the response was sent.", "cause", err.Error())
 	}
 	ca.log.Info("front: answered.", "outcome", "passed", "status", an.status, "sends", ca.sends,
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -5,7 +5,6 @@
 
 import (
 	"errors"
-	"io"
 	"log/slog"
 	"net/http"
 	"strconv"
@@ -45,6 +44,8 @@
 	Budget *dispatch.Budget
 	// Backpressure holds the rate limits, back-off times and announced shutdowns of endpoints.
 	Backpressure *backpressure.Tracker
+	// Memory bounds the bodies that are held for callers.
+	Memory BodyMemory
 	// OnMisrouted is called when an endpoint refuses a request that was meant for another one.
 	OnMisrouted func()
 	// OnLeaving is called when an endpoint has announced its shutdown in a response.
@@ -89,6 +90,8 @@
 	route   *catalog.Route
 	service string
 	body    []byte
+	// hold counts the memory of the request's body and of its response.
+	hold *bodyHold
 	// fingerprint identifies the request by its content. It is the same for all attempts of
 	// a caller.
 	fingerprint quarantine.Fingerprint
@@ -116,6 +119,7 @@
 	}
 	ca := &call{sv: sv, w: w, req: req, id: req.Header.Get(platform.HeaderRequestID), arrived: sv.Clock.Now()}
 	ca.log = sv.Log.With("request", ca.id)
+	defer func() { ca.hold.close() }()
 	if re := ca.admit(sv.awaitConfig(req.Context())); re != nil {
 		ca.refuse(*re)
 		return
@@ -212,10 +216,17 @@
 	rc := http.NewResponseController(ca.w)
 	// The deadline keeps a body that never arrives from blocking the connection forever.
 	_ = rc.SetReadDeadline(time.Now().Add(bodyTimeoutFactor * ca.timeout()))
-	body, err := io.ReadAll(http.MaxBytesReader(ca.w, ca.req.Body, limit))
-	_ = rc.SetReadDeadline(time.Time{})
+	ca.hold = ca.sv.Memory.open(func() { _ = rc.SetReadDeadline(time.Unix(1, 0)) })
+	body, complete, err := ca.hold.readAll(http.MaxBytesReader(ca.w, ca.req.Body, limit))
+	if complete && err == nil {
+		// Otherwise the deadline stays: before it sends a response, net/http reads what is left of
+		// a short body, and would wait for it without end.
+		_ = rc.SetReadDeadline(time.Time{})
+	}
 	var tooLarge *http.MaxBytesError
 	switch {
+	case !complete:
+		return &refusal{status: http.StatusServiceUnavailable, reason: "memory-full", retryAfter: retryAfterMemory}
 	case errors.As(err, &tooLarge):
 		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "body-too-large"}
 	case err != nil:
