Rank senders to a limited endpoint among all known daemons

Cause: each daemon ranked itself among those that accept requests as far as it heard, so each part of a network partition chose senders of its own and sent the whole limit.

Change: the order covers every known daemon, those that are unresponsive too; another sender joins after each 10 s without a confirmed limit, as before. A daemon that may not know all others ranks itself among those it hears. Weighed: shares by the number of daemons heard (a part of one sends all); nothing while others are unresponsive (a third of the daemons down would leave the endpoint unused).

Failing before: ten cases of TestLimitAcrossDaemons (halves and all cut off from each other).

--- a/internal/core/backpressure/cold.go
+++ b/internal/core/backpressure/cold.go
@@ -8,9 +8,9 @@
 
 // A cold endpoint tolerates only a few requests a second, and crashes at more. Like a limit that
 // an endpoint announces, this applies to all daemons together, so the first few daemons by
-// rendezvous hashing share it. Other than there, the order covers all known daemons and not only
-// those that are alive: in a network partition each part would otherwise choose senders of its
-// own, and together they would crash the endpoint.
+// rendezvous hashing share it. Other than there, a daemon that may not know all others sends
+// nothing, and no others take the place of senders that have failed: the endpoint is cold for a
+// few seconds only.
 
 // Cold is an endpoint that is cold, with the requests that it tolerates.
 type Cold struct {
@@ -91,13 +91,7 @@
 	if !da.Complete {
 		return unranked
 	}
-	own, rank := weight(da.Own, endpoint), 0
-	for _, ip := range da.Known {
-		if weight(ip, endpoint) > own {
-			rank++
-		}
-	}
-	return rank
+	return da.rankAmong(da.Known, endpoint)
 }
 
 // NumCold returns the number of cold endpoints whose requests are limited.
--- a/internal/core/backpressure/limit.go
+++ b/internal/core/backpressure/limit.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -11,6 +12,8 @@
 // daemons, the endpoint could receive 195 requests at once. Therefore only the first few daemons
 // by rendezvous hashing send to it, each at an equal share of the limit. This needs no
 // coordination, and if the daemons' membership views differ slightly, only a few shares change.
+// The order covers unresponsive daemons as well: in a network partition each part would otherwise
+// choose senders of its own.
 
 const (
 	// minSenders is the number of daemons that share a limit in addition to one per request a
@@ -103,22 +106,29 @@
 // as they may still be sending.
 func (da *Daemons) num() int { return max(1, len(da.Known)) }
 
-// rank returns the position of this daemon in the endpoint's order of senders, or unranked if it
-// accepts no requests.
+// rank returns the position of this daemon in the endpoint's order of senders to an endpoint with a
+// limit, or unranked if it accepts no requests. While this daemon may not know all others, it ranks
+// itself among those that accept requests.
 func (da *Daemons) rank(endpoint string) int {
-	if da.Own == "" {
+	switch {
+	case da.Own == "":
 		return 0
+	case !slices.Contains(da.Accepting, da.Own):
+		return unranked
+	case da.Complete:
+		return da.rankAmong(da.Known, endpoint)
 	}
-	own, rank, accepting := weight(da.Own, endpoint), 0, false
-	for _, ip := range da.Accepting {
-		accepting = accepting || ip == da.Own
+	return da.rankAmong(da.Accepting, endpoint)
+}
+
+// rankAmong returns the position of this daemon among others.
+func (da *Daemons) rankAmong(others []string, endpoint string) int {
+	own, rank := weight(da.Own, endpoint), 0
+	for _, ip := range others {
 		if weight(ip, endpoint) > own {
 			rank++
 		}
 	}
-	if !accepting {
-		return unranked
-	}
 	return rank
 }
 
--- a/internal/core/backpressure/limit_test.go
+++ b/internal/core/backpressure/limit_test.go
@@ -65,6 +65,9 @@
 	// A down daemon has stalled or stopped; a partitioned one exchanges no messages with the
 	// others; an idle one receives no requests.
 	down, partitioned, idle bool
+	// part is the part of a network partition that the daemon is in; daemons of different parts
+	// exchange no messages.
+	part int
 	// seen are the daemons that were last passed to SetDaemons.
 	seen []string
 	// limitKnownAt is when its process first received a response that announces the limit; 0
@@ -146,14 +149,14 @@
 
 // updateMembers passes to each daemon the daemons that accept requests.
 func (si *sim) updateMembers() {
-	var accepting []string
+	accepting := make(map[int][]string)
 	for _, da := range si.daemons {
 		if !da.down && !da.partitioned {
-			accepting = append(accepting, da.ip)
+			accepting[da.part] = append(accepting[da.part], da.ip)
 		}
 	}
 	for _, da := range si.daemons {
-		seen := accepting
+		seen := accepting[da.part]
 		if da.partitioned {
 			seen = []string{da.ip}
 		}
@@ -198,7 +201,7 @@
 		}
 		si.schedule(noticeDelay, func() {
 			for _, other := range si.daemons {
-				if other != da && !other.partitioned && !other.down {
+				if other != da && !other.partitioned && !other.down && other.part == da.part {
 					other.tracker.ApplyNotices(notices, si.now())
 				}
 			}
@@ -265,6 +268,22 @@
 				da.down = num%3 == 0 && at >= 20*time.Second && at < 25*time.Second
 			}
 		}},
+		{"halves are cut off from each other", func(si *sim, at time.Duration) {
+			for num, da := range si.daemons {
+				da.part = 0
+				if at >= 20*time.Second && at < 30*time.Second {
+					da.part = num % 2
+				}
+			}
+		}},
+		{"all are cut off from each other", func(si *sim, at time.Duration) {
+			for num, da := range si.daemons {
+				da.part = 0
+				if at >= 20*time.Second && at < 30*time.Second {
+					da.part = num
+				}
+			}
+		}},
 		{"two are cut off", func(si *sim, at time.Duration) {
 			for _, da := range si.daemons[:2] {
 				da.partitioned = at >= 20*time.Second && at < 40*time.Second
