Name evacuations and cold endpoints as causes in explain

A refusal for want of an endpoint names the data centres that were evacuated, however long before, and the number of cold endpoints. testdata/evacuated.txtar is the log of TestEvacuationOfAllIsRefusedAtOnce.

--- a/internal/explain/request.go
+++ b/internal/explain/request.go
@@ -252,9 +252,9 @@
 			text = li.Get("group") + " had lost its member " + li.Get("member")
 		case li.Message == "steward: group-broken." && !quarantined:
 			text = li.Get("group") + " was broken: " + li.Get("reason")
-		case li.Message == messageEvacuated && isCapacityRefusal(lines):
+		case li.Message == messageEvacuated && foundNoEndpoint(lines):
 			text = "data centre " + li.Get("data-center") + " was evacuated"
-		case li.Message == "control: cold endpoints." && li.Get("count") != "0" && isCapacityRefusal(lines):
+		case li.Message == "control: cold endpoints." && li.Get("count") != "0" && foundNoEndpoint(lines):
 			text = li.Get("count") + " endpoints were cold and accepted few requests"
 		case li.Message == "store: lost.":
 			text = "the store was lost: " + li.Get("cause")
@@ -283,3 +283,10 @@
 	reason := lines[len(lines)-1].Get("reason")
 	return reason == "full" || reason == "no-group"
 }
+
+// foundNoEndpoint reports whether the request was refused because no endpoint accepted it. The
+// last line must be the one that records the request's outcome.
+func foundNoEndpoint(lines []Line) bool {
+	reason := lines[len(lines)-1].Get("reason")
+	return isCapacityRefusal(lines) || reason == "no-endpoint" || reason == "endpoints-closed"
+}
