--- a/internal/core/steward/entries.go
+++ b/internal/core/steward/entries.go
@@ -37,6 +37,13 @@
 	}
 }
 
+// SetCold records whether an endpoint is cold, which changes without a change of its entry.
+func (co *Core) SetCold(id string, cold bool) {
+	if vm := co.vms[id]; vm != nil {
+		vm.ep.Cold = cold
+	}
+}
+
 // newVM returns the state of a VM that has just been seen and is due to be polled.
 func (co *Core) newVM(ep catalog.Endpoint, now time.Time) *vm {
 	return &vm{ep: ep, incarnationSeenAt: now, registered: true, pollAt: now, idleSince: now}
--- a/internal/entry/cold.go
+++ b/internal/entry/cold.go
@@ -35,8 +35,7 @@
 
 // stepCold updates the view when an endpoint stops being cold.
 func (ct *control) stepCold(now time.Time) {
-	expired := !ct.cold.viewExpiresAt.IsZero() && !now.Before(ct.cold.viewExpiresAt)
-	if expired {
+	if at := ct.cold.viewExpiresAt; !at.IsZero() && !now.Before(at) {
 		ct.updateView()
 	}
 	for _, until := range ct.cold.until {
@@ -56,7 +55,7 @@
 			ep.Cold, changed = cold, true
 			ct.endpoints[id] = ep
 			if ct.lease.core != nil {
-				ct.lease.core.Register(ep, now)
+				ct.lease.core.SetCold(id, cold)
 			}
 		}
 		if !now.Before(until) {
@@ -78,38 +77,52 @@
 	}
 }
 
-// coldLimits returns the cold endpoints that vi sends requests to. When an evacuation ends, the
-// endpoints of the data centre may be cold although no entry says so yet.
+// coldLimits returns the limits of the cold endpoints that vi sends requests to.
 func (ct *control) coldLimits(vi *catalog.View, cfg *catalog.Config, now time.Time) []backpressure.Cold {
 	ct.cold.viewExpiresAt = time.Time{}
+	bo := ct.da.Settings.Bounds
 	var cold []backpressure.Cold
-	add := func(li catalog.Instance, service, dataCenter string, reported bool) {
-		se := cfg.Services[service]
-		if se.ColdPerSecond <= 0 {
-			return
-		}
-		if !reported {
-			end, ok := ct.evacuation.EndedAt(dataCenter)
-			warmAt := end.Add(se.ColdStart)
-			if !ok || !now.Before(warmAt) {
-				return
-			}
-			if ct.cold.viewExpiresAt.IsZero() || warmAt.Before(ct.cold.viewExpiresAt) {
-				ct.cold.viewExpiresAt = warmAt
-			}
+	for _, ta := range targets(vi) {
+		se := cfg.Services[ta.service]
+		if se.ColdPerSecond > 0 && (ta.cold || ct.coldAfterEvacuation(ta.dataCenter, se.ColdStart, now)) {
+			cold = append(cold, backpressure.Cold{Instance: ta.instance, PerSecond: se.ColdPerSecond,
+				Peak: se.ColdPerSecond*bo.ColdOvershoot + bo.ColdSlack})
 		}
-		bo := ct.da.Settings.Bounds
-		cold = append(cold, backpressure.Cold{Instance: li, PerSecond: se.ColdPerSecond,
-			Peak: se.ColdPerSecond*bo.ColdOvershoot + bo.ColdSlack})
 	}
-	for i := range vi.Plain {
-		ep := &vi.Plain[i]
-		add(ep.Instance(), ep.Service, ep.DataCenter, ep.Cold)
+	return cold
+}
+
+// coldAfterEvacuation reports whether the endpoints of a data centre may be cold because its
+// evacuation has just ended, although no entry says so yet. span is how long they stay cold.
+func (ct *control) coldAfterEvacuation(dataCenter string, span time.Duration, now time.Time) bool {
+	end, ok := ct.evacuation.EndedAt(dataCenter)
+	warmAt := end.Add(span)
+	if !ok || !now.Before(warmAt) {
+		return false
+	}
+	if ct.cold.viewExpiresAt.IsZero() || warmAt.Before(ct.cold.viewExpiresAt) {
+		ct.cold.viewExpiresAt = warmAt
 	}
-	for i := range vi.Groups {
-		gr := &vi.Groups[i]
+	return true
+}
+
+// target is an endpoint that a view sends requests to.
+type target struct {
+	instance            catalog.Instance
+	service, dataCenter string
+	// cold is set if the endpoint's entry says so.
+	cold bool
+}
+
+// targets returns the endpoints that vi sends requests to.
+func targets(vi *catalog.View) []target {
+	var all []target
+	for _, pe := range vi.Plain {
+		all = append(all, target{pe.Instance(), pe.Service, pe.DataCenter, pe.Cold})
+	}
+	for _, gr := range vi.Groups {
 		leader := gr.Leader()
-		add(leader.Instance(), gr.Service, gr.DataCenter, gr.Cold)
+		all = append(all, target{leader.Instance(), gr.Service, gr.DataCenter, gr.Cold})
 	}
-	return cold
+	return all
 }
