--- a/internal/entry/heartbeats.go
+++ b/internal/entry/heartbeats.go
@@ -124,50 +124,9 @@
 	})
 }
 
-// applyViewUpdate brings the view up to the steward's new one. It applies the change sent
-// with the heartbeat if that matches the current view, and fetches the whole view
-// otherwise.
-func (ct *control) applyViewUpdate(be mesh.Heartbeat) {
-	if be.Change != nil {
-		if next := ct.stewardView.Apply(be.Change); next != nil {
-			ct.applyView(next)
-			return
-		}
-	}
-	ct.fetchView(be)
-}
-
 // heartbeatLatency is added to the age in a heartbeat to allow for its transit time.
 const heartbeatLatency = 10 * time.Millisecond
 
-// fetchNewerConfig fetches the sender's configuration if it is newer than this daemon's.
-func (ct *control) fetchNewerConfig(be mesh.Heartbeat) {
-	co := ct.da.config.Load()
-	if be.ConfigRevision == 0 || co != nil && co.Revision >= be.ConfigRevision {
-		return
-	}
-	ct.fetch("config", func(ctx context.Context) func() {
-		raw, rev, err := ct.da.peers.Config(ctx, be.IP)
-		if err != nil {
-			ct.da.Log.Info("control: fetching the configuration failed.", "from", be.Name, "cause", err.Error())
-			return nil
-		}
-		return func() { ct.setConfig(raw, rev, "daemon "+be.Name) }
-	})
-}
-
-// fetchView fetches the whole view of the heartbeat's sender.
-func (ct *control) fetchView(be mesh.Heartbeat) {
-	ct.fetch("view", func(ctx context.Context) func() {
-		vi, err := ct.da.peers.View(ctx, be.IP)
-		if err != nil {
-			ct.da.Log.Info("control: fetching the view failed.", "from", be.Name, "cause", err.Error())
-			return nil
-		}
-		return func() { ct.applyView(vi) }
-	})
-}
-
 // fetch runs call in a goroutine unless one of the same kind is already in flight. The
 // function that call returns, if any, runs in the control loop.
 func (ct *control) fetch(kind string, call func(context.Context) func()) {
