--- a/internal/core/steward/form.go
+++ b/internal/core/steward/form.go
@@ -31,7 +31,7 @@
 	for _, service := range slices.Sorted(maps.Keys(co.services)) {
 		en := co.services[service]
 		doms := co.domains(service)
-		if co.cold(service) {
+		if co.withoutWeights(service) {
 			calls = append(calls, co.formInitial(service, en, doms, now)...)
 			continue
 		}
@@ -43,8 +43,8 @@
 	return calls
 }
 
-// cold reports whether the service has no group and no weights in memory or staged on any VM.
-func (co *Core) cold(service string) bool {
+// withoutWeights reports whether the service has no group and no weights in memory or staged on any VM.
+func (co *Core) withoutWeights(service string) bool {
 	for _, vm := range co.vms {
 		if vm.ep.Service == service && (vm.lastModel != "" || vm.ep.Member != nil || len(vm.ep.Staged) > 0) {
 			return false
