--- a/internal/core/backpressure/limit.go
+++ b/internal/core/backpressure/limit.go
@@ -106,9 +106,9 @@
 // as they may still be sending.
 func (da *Daemons) num() int { return max(1, len(da.Known)) }
 
-// rank returns the position of this daemon in the endpoint's order of senders to an endpoint with a
-// limit, or unranked if it accepts no requests. While this daemon may not know all others, it ranks
-// itself among those that accept requests.
+// rank returns the position of this daemon in the order of senders to an endpoint with a limit, or
+// unranked if it accepts no requests. While this daemon may not know all others, it ranks itself
+// among those that accept requests.
 func (da *Daemons) rank(endpoint string) int {
 	switch {
 	case da.Own == "":
