Empty the other data centre to see that one is used again

The fault is the test's: nothing promises requests to a remote server while a local one is idle. Now the local data centre is emptied, so that each daemon has to use the other one; that is stricter.

--- a/internal/entry/evacuate_test.go
+++ b/internal/entry/evacuate_test.go
@@ -71,14 +71,17 @@
 	if got := len(evacuated.Arrivals()) - before; got != 0 {
 		t.Errorf("%d requests reached an evacuated data centre", got)
 	}
+	// Daemons prefer endpoints of their own data centre, so that one has to be emptied before the
+	// other one is used.
 	sk.de.EndEvacuation(otherDataCenter)
+	sk.de.Evacuate(emulator.DataCenter)
 	for _, ru := range sk.daemons {
-		sk.untilEvacuated(ru)
+		sk.untilEvacuated(ru, emulator.DataCenter)
+		sk.until("a daemon uses the data centre again", func() bool { return sk.send(ru, "/slot/", "again") == emulator.Body("again") })
+	}
+	if len(evacuated.Arrivals()) == before {
+		t.Error("no request reached the data centre after its evacuation")
 	}
-	sk.until("the data centre is used again", func() bool {
-		sk.sendAll(4)
-		return len(evacuated.Arrivals()) > before
-	})
 }
 
 // Guards against a request that waits until its deadline although no endpoint may serve it: every
