--- a/internal/core/backpressure/cold.go
+++ b/internal/core/backpressure/cold.go
@@ -30,8 +30,8 @@
 	return max(1, min(daemons, int((cl.Peak-cl.PerSecond)*coldBurstShare/burst)))
 }
 
-// rate returns a sender's share of the rate, in requests a second. It is never zero: an endpoint
-// that gets nothing at all would not be used even after it is warm, if no other endpoint is left.
+// rate returns a sender's share of the rate, in requests a second. It is never zero, so that each
+// waiting time is finite.
 func (cl Cold) rate(daemons int) float64 {
 	return max(minPerSecond, min(cl.PerSecond, cl.Peak-burst)) / float64(cl.senders(daemons))
 }
