--- a/internal/core/backpressure/cold_test.go
+++ b/internal/core/backpressure/cold_test.go
@@ -35,14 +35,14 @@
 
 func (cf *coldFleet) now() time.Time { return time.Unix(1000, 0).Add(cf.at) }
 
-// start starts the process of a daemon. complete tells whether it knows all daemons.
+// start replaces a daemon by a new process. complete is set if it knows all daemons.
 func (cf *coldFleet) start(num int, complete bool) {
 	cf.trackers[num] = &Tracker{}
 	cf.join(num, cf.known, complete)
 	cf.trackers[num].SetCold([]Cold{coldEndpoint}, cf.now())
 }
 
-// join sets the daemons that a daemon knows. It hears of those in accepting only.
+// join sets a daemon's membership. accepting lists the daemons that it receives heartbeats from.
 func (cf *coldFleet) join(num int, accepting []string, complete bool) {
 	known := cf.known
 	if !complete {
@@ -51,7 +51,7 @@
 	cf.trackers[num].SetDaemons(Daemons{Own: cf.known[num], Accepting: accepting, Known: known, Complete: complete}, cf.now())
 }
 
-// cut separates the daemons into parts; each hears of its own part only.
+// cut partitions the network: each daemon receives heartbeats from its own part only.
 func (cf *coldFleet) cut(parts int) {
 	members := make([][]string, parts)
 	for num, ip := range cf.known {
--- a/internal/core/evacuation/evacuation.go
+++ b/internal/core/evacuation/evacuation.go
@@ -1,5 +1,5 @@
-// Package evacuation records which data centres the operators have ordered to be emptied:
-// no request may be sent to an endpoint there. It does no input or output.
+// Package evacuation records which data centres the operators have evacuated: no new request
+// may be sent to an endpoint there. It does no input or output.
 package evacuation
 
 import (
--- a/internal/core/evacuation/evacuation_test.go
+++ b/internal/core/evacuation/evacuation_test.go
@@ -82,10 +82,9 @@
 	}
 }
 
-// Guards against a request to an emptied data centre from a daemon in touch: under loss, delay
-// and reordering of messages, restarts and network partitions, no daemon holds a set that the
-// operators never ordered, and all hold the last one as soon as each has received one heartbeat
-// of a daemon that follows the store.
+// Guards against a daemon that routes requests to an evacuated data centre because it lost, delayed
+// or reordered messages, restarted or was partitioned: no daemon holds a set that was never
+// ordered, and one heartbeat of a daemon that follows the store brings it up to date.
 func TestHoldEvacuation(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		fl := &fleet{orders: []Order{{}}}
--- a/internal/entry/evacuate_test.go
+++ b/internal/entry/evacuate_test.go
@@ -47,9 +47,9 @@
 	}
 }
 
-// Guards against requests to an evacuated data centre from any daemon: one that only other daemons
-// told of it, one that starts during it, and one under a new steward while the store is away. The
-// data centre is used again afterwards.
+// Guards against requests to an evacuated data centre from a daemon that learned of the evacuation
+// from another one, that starts during it, or that follows a new steward while the store is
+// unavailable, and against a data centre that stays unused after its evacuation.
 func TestEvacuationReachesAllDaemons(t *testing.T) {
 	sk := newStack(t, 4)
 	evacuated := sk.plainServer(otherDataCenter)
@@ -71,8 +71,8 @@
 	if got := len(evacuated.Arrivals()) - before; got != 0 {
 		t.Errorf("%d requests reached an evacuated data centre", got)
 	}
-	// Daemons prefer endpoints of their own data centre, so that one has to be emptied before the
-	// other one is used.
+	// Daemons prefer endpoints of their own data centre, so that one is evacuated to make
+	// them use the other one.
 	sk.de.EndEvacuation(otherDataCenter)
 	sk.de.Evacuate(emulator.DataCenter)
 	for _, ru := range sk.daemons {
--- a/internal/front/memory_test.go
+++ b/internal/front/memory_test.go
@@ -18,9 +18,9 @@
 	"corianderhub.dev/corianderhub/platform/emulator"
 )
 
-// Guards against bodies of many callers that together exceed the limit, against a caller with a
-// small body that gives way to one with a large body, and against bytes that stay counted after
-// their request has ended.
+// Guards against bodies of many callers that together exceed the limit, against a small body that
+// is evicted while a larger one is being read, and against bytes that stay counted after their
+// request has ended.
 func TestHoldBodyMemory(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		bm := &BodyMemory{Limit: 1000}
@@ -39,7 +39,7 @@
 				}
 				before := bh.bytes
 				if !bh.grow(bytes) && before > 0 && before < largest && bytes <= before {
-					t.Fatalf("a request with %d bytes gave way to one with %d", before, largest)
+					t.Fatalf("a request with %d bytes was evicted before one with %d", before, largest)
 				}
 			},
 			"close": func(t *rapid.T) {
@@ -94,7 +94,7 @@
 
 // Guards against a caller that sends a large body slowly and so uses up the memory of all
 // callers: it is refused as not run, and the others are served.
-func TestSlowLargeBodyGivesWay(t *testing.T) {
+func TestLargestBodyIsEvicted(t *testing.T) {
 	ri := newRig(t)
 	sv := ri.addPlain(nil)
 	ri.front.Memory.Limit = 64 << 10
--- a/pkg/admin/admin.go
+++ b/pkg/admin/admin.go
@@ -43,7 +43,7 @@
 
 // Diff is one object that is added, changed or deleted.
 type Diff struct {
-	// ID is the object's kind and name, such as "workspace/kwekerij".
+	// ID is the object's kind and name, such as "workspace/nursery".
 	ID string `json:"id"`
 	// Action is "add", "change" or "delete".
 	Action string `json:"action"`
