Log and measure the store's era, and configurations that are ignored

Each restore (a rise of Store-Era) and each ignored version has a log line and a metric now, and lines of configurations in force name the era. An era that is missing after one was named, or is no number, is logged once and changes nothing.

No decision uses any of it yet.

--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"corianderhub.dev/corianderhub/internal/mesh"
 	"corianderhub.dev/corianderhub/platform"
 )
@@ -11,6 +13,9 @@
 // revision is its revision in the store. from names its source: fromStore or a daemon.
 func (ct *control) setConfig(raw []byte, revision int64, from string) {
 	if co := ct.da.config.Load(); co != nil && co.Revision >= revision {
+		if co.Revision > revision {
+			ct.logIgnoredConfig(raw, revision, from)
+		}
 		return
 	}
 	cfg, err := platform.DecodeConfig(raw, revision)
@@ -19,7 +24,8 @@
 		return
 	}
 	ct.da.config.Store(&configuration{cfg, raw})
-	ct.da.Log.Info("control: configuration in force.", "version", cfg.Version, "revision", revision, "routes", len(cfg.Routes), "from", from)
+	ct.da.Log.Info("control: configuration in force.", "version", cfg.Version, "revision", revision, "era", ct.da.store.Era(),
+		"routes", len(cfg.Routes), "from", from)
 	for _, what := range cfg.Ignored {
 		ct.da.Log.Warn("control: invalid value in the configuration ignored.", "version", cfg.Version, "value", what)
 	}
@@ -33,6 +39,22 @@
 	}
 }
 
+// logIgnoredConfig logs a configuration that is not newer than the one in force, once for each
+// version.
+func (ct *control) logIgnoredConfig(raw []byte, revision int64, from string) {
+	cfg, err := platform.DecodeConfig(raw, revision)
+	co := ct.da.currentConfig()
+	if err != nil || cfg.Version == co.Version || cfg.Version == ct.loggedIgnored {
+		return
+	}
+	ct.loggedIgnored = cfg.Version
+	ignoredConfigCount.Inc()
+	ct.da.Log.Warn("control: configuration ignored, a newer one is in force.", "version", cfg.Version, "revision", revision,
+		"in-force", co.Version, "in-force-revision", co.Revision, "era", ct.da.store.Era(), "from", from)
+}
+
+var ignoredConfigCount = metrics.NewCounter("corianderhub_configurations_ignored_total")
+
 // fromStore is the source of a configuration read from the store. Unless the mesh is in
 // direct mode, only such a configuration is announced immediately to the other daemons,
 // since one fetched from a daemon is already known to others.
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -47,6 +47,8 @@
 	missing   map[string]time.Time
 	// loggedInvalid are the keys of invalid entries that have been logged.
 	loggedInvalid map[string]bool
+	// loggedIgnored is the version of the last configuration that was logged as ignored.
+	loggedIgnored int64
 	// revision is the store's revision up to which the endpoints have been read.
 	revision int64
 	// firstRead is set while this daemon processes its first full read of the endpoints.
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -145,6 +145,10 @@
 func (da *Daemon) build() error {
 	set := da.Settings
 	da.store = platform.NewStore(set.Store.Address, storeTimeout)
+	da.store.OnRestore = func(before, era int64) { da.control.post(func() { da.control.handleRestore(before, era) }) }
+	da.store.OnInvalidEra = func(value string) {
+		da.Log.Warn("store: invalid era ignored.", "value", value, "era", da.store.Era())
+	}
 	da.pool = &http1.Pool{Clock: da.Clock, DialTimeout: dialTimeout}
 	da.backpressure = &backpressure.Tracker{}
 	da.table = &dispatch.Table{DataCenter: set.DataCenter, Backpressure: da.backpressure}
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -93,15 +93,15 @@
 // followOnce reads all items if needed and then watches for changes once.
 func (fo *follower) followOnce(ctx context.Context) error {
 	if fo.after == 0 {
-		items, rev, err := fo.ct.da.store.Range(ctx, fo.prefix)
+		items, at, err := fo.ct.da.store.Range(ctx, fo.prefix)
 		if err != nil {
 			return err
 		}
 		wasUnavailable := fo.failing
 		fo.handleRecovery()
-		fo.after = rev
+		fo.after = at.Revision
 		fo.ct.post(func() {
-			fo.snapshot(items, rev, wasUnavailable)
+			fo.snapshot(items, at.Revision, wasUnavailable)
 			fo.ct.confirmPrefix(fo.prefix)
 		})
 	}
--- a/internal/entry/lease.go
+++ b/internal/entry/lease.go
@@ -165,7 +165,7 @@
 // acquireLease acquires the lease if it is free or its holder has certainly exited. It then
 // renews the lease, and this daemon acts as the steward, until the lease is lost.
 func (ct *control) acquireLease(ctx context.Context) {
-	item, _, err := ct.da.store.Get(ctx, stewardKey)
+	item, err := ct.da.store.Get(ctx, stewardKey)
 	if err != nil {
 		ct.da.Log.Info("steward: reading the lease failed.", "cause", err.Error())
 		return
@@ -329,7 +329,7 @@
 // reacquireLease acquires a new lease after the previous one expired. It returns
 // platform.ErrConflict if another daemon holds the lease.
 func (ct *control) reacquireLease(ctx context.Context) (term, lease int64, err error) {
-	item, _, err := ct.da.store.Get(ctx, stewardKey)
+	item, err := ct.da.store.Get(ctx, stewardKey)
 	if err != nil {
 		return 0, 0, err
 	}
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -65,7 +65,7 @@
 
 // Get implements Store.
 func (cl *Client) Get(ctx context.Context, key string) (Entry, error) {
-	it, _, err := cl.kv().Get(ctx, key)
+	it, err := cl.kv().Get(ctx, key)
 	return entryOf(it), mapError(err)
 }
 
