Test of a configuration written after a restore of the store, failing

On the code as it stands, all four cases fail: 60 s after the restore no daemon serves the route of the configuration that the operators wrote after it (the revision is 1,000 behind).

--- /dev/null
+++ b/internal/entry/restore_test.go
@@ -0,0 +1,58 @@
+package entry
+
+import (
+	"fmt"
+	"testing"
+
+	"corianderhub.dev/corianderhub/platform/emulator"
+)
+
+// addedRoute returns a route of the plain service below the given prefix.
+func addedRoute(name string) emulator.Route {
+	return emulator.Route{Name: name, Host: emulator.Host, Prefix: "/" + name + "/", Kind: "safe", Timeout: 30000, Target: 10000, Attempts: 2, Service: "desk"}
+}
+
+// untilRoute waits until all daemons that run serve a route.
+func (sk *stack) untilRoute(name string) {
+	sk.t.Helper()
+	for _, ru := range sk.daemons {
+		if ru.dead.Err() == nil {
+			sk.until("route "+name+" in force", func() bool { return sk.send(ru, "/"+name+"/", "id") == emulator.Body("id") })
+		}
+	}
+}
+
+// loseRevisions copies the store and then raises its revision, so that a restore makes it go
+// back far.
+func (sk *stack) loseRevisions() {
+	sk.de.Store.Copy()
+	for num := range 1000 {
+		sk.de.Store.Put(fmt.Sprint("elsewhere/", num), nil)
+	}
+}
+
+// Guards against a configuration that the operators write after the store was restored from a
+// copy, and that no daemon applies since the one before it has a higher revision.
+func TestConfigAfterRestore(t *testing.T) {
+	tests := []struct {
+		name string
+		then func(sk *stack)
+	}{
+		{"alone", func(*stack) {}},
+		{"one daemon is cut off from the store", func(sk *stack) { sk.daemons[1].storeProxy.SetFault(emulator.Unresponsive) }},
+		{"the steward is cut off from the store", func(sk *stack) { sk.steward().storeProxy.SetFault(emulator.Unresponsive) }},
+		{"restored twice", func(sk *stack) { sk.de.Restore() }},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			sk := newStack(t, 3)
+			sk.loseRevisions()
+			sk.de.Configure([]emulator.Route{addedRoute("kept")})
+			sk.untilRoute("kept")
+			sk.de.Restore()
+			tc.then(sk)
+			sk.de.Configure([]emulator.Route{addedRoute("kept"), addedRoute("next")})
+			sk.untilRoute("next")
+		})
+	}
+}
