Order configurations by their version

Cause: configurations were ordered by the store's revision, at the store, in heartbeats and between daemons. The store had come back from a copy: its counter had gone from 249 back to 246, so versions 88, 92 and 94 got revisions that versions in force had had, and were dropped without a word until the counter had passed 249.

Weighed: the pair of era and revision, which takes the copy's older configuration for a newer one as soon as the store shows it, and brings back what was taken away; the operators' version, which rises over any number of restores and keeps what is in force until they write something newer. Taken: the version. Heartbeats carry it beside the revision, which daemons of earlier releases still compare.

--- a/internal/entry/deputies.go
+++ b/internal/entry/deputies.go
@@ -68,8 +68,7 @@
 // follows the store. It counts only if this daemon has the same or a newer configuration.
 // The departures that the deputy has seen are part of the same heartbeat.
 func (ct *control) recordDeputy(be mesh.Heartbeat, now time.Time) {
-	co := ct.da.config.Load()
-	if !be.FollowsStore || be.DataCenter != ct.da.Settings.DataCenter || co == nil || co.Revision < be.ConfigRevision {
+	if !be.FollowsStore || be.DataCenter != ct.da.Settings.DataCenter || ct.da.config.Load() == nil || ct.hasNewerConfig(be) {
 		return
 	}
 	ct.mu.Lock()
--- a/internal/entry/heartbeats.go
+++ b/internal/entry/heartbeats.go
@@ -30,7 +30,7 @@
 		Departed: ct.departed.recent(now, ct.stewardConfirmedAt(), ct.follows()), StallReports: ex.stallReports, ProgressReports: ex.progressReports, Change: ex.change,
 		MilliCPU: int(set.CPUShare * 1000), FollowsStore: ct.follows()}
 	if co := ct.da.config.Load(); co != nil {
-		be.ConfigRevision = co.Revision
+		be.ConfigRevision, be.ConfigVersion = co.Revision, co.Version
 	}
 	be.Leaving = ct.da.stopping.Load()
 	be.Uptime = now.Sub(ct.startedAt)
--- a/internal/entry/restore_test.go
+++ b/internal/entry/restore_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"corianderhub.dev/corianderhub/platform/emulator"
 )
@@ -32,7 +33,8 @@
 }
 
 // Guards against a configuration that the operators write after the store was restored from a
-// copy, and that no daemon applies since the one before it has a higher revision.
+// copy, and that no daemon applies since the one before it has a higher revision; and against the
+// older one in the copy, which daemons must not apply.
 func TestConfigAfterRestore(t *testing.T) {
 	tests := []struct {
 		name string
@@ -51,6 +53,12 @@
 			sk.untilRoute("kept")
 			sk.de.Restore()
 			tc.then(sk)
+			for num := range 20 {
+				if got := sk.send(sk.daemons[num%3], "/kept/", "id"); got != emulator.Body("id") {
+					t.Errorf("while the store shows an older configuration: got %s", got)
+				}
+				time.Sleep(tick)
+			}
 			sk.de.Configure([]emulator.Route{addedRoute("kept"), addedRoute("next")})
 			sk.untilRoute("next")
 		})
--- a/internal/mesh/heartbeat.go
+++ b/internal/mesh/heartbeat.go
@@ -48,7 +48,10 @@
 	// ViewSequence is the sequence number of the steward's current view within the term.
 	ViewSequence int64 `cbor:"10,keyasint,omitempty"`
 	// ConfigRevision is the store's revision of the configuration in force, 0 for none.
+	// ConfigVersion is its version, by which configurations are ordered; daemons of earlier
+	// releases don't send it.
 	ConfigRevision int64 `cbor:"11,keyasint,omitempty"`
+	ConfigVersion  int64 `cbor:"36,keyasint,omitempty"`
 	// StateAge is the time since the store last confirmed the daemon's copy of the stored
 	// state.
 	StateAge time.Duration `cbor:"12,keyasint,omitempty"`
