Don't answer a daemon with the configuration that had the same revision

After a restore two configurations may have one revision, and the daemon was sent the one before. The cache goes by the stored bytes themselves now.

TestConfigsOfOneRevision got 'version 86' for 'version 92' before.

--- a/internal/mesh/call.go
+++ b/internal/mesh/call.go
@@ -174,7 +174,8 @@
 		return
 	}
 	w.Header().Set(headerRevision, strconv.FormatInt(rev, 10))
-	se.config.send(w, rev, func() ([]byte, error) { return raw, nil })
+	// A restored store may have given the same revision to two configurations.
+	se.config.send(w, &raw[0], func() ([]byte, error) { return raw, nil })
 }
 
 // cachedResponse holds the last response of one kind, compressed. All daemons fetch
