Read the store again when it was restored between two reads

A watch after a revision that the restored store has not reached, or has given to another write, missed the changes between; a range over several pages could hold pages of the copy and of the state before; a response from before the restore that arrived late counted as news.

Every response is checked against the era of what it continues, and against the latest one: such a call ends with ErrRestored, and followers read everything again. A response whose era is lower than one seen is taken for a late one: the platform says that eras only rise.

--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"corianderhub.dev/corianderhub/internal/core/catalog"
 	"corianderhub.dev/corianderhub/internal/mesh"
 	"corianderhub.dev/corianderhub/platform"
 )
@@ -36,9 +37,9 @@
 	// receives the items that have changed.
 	snapshot func(items []platform.Item, revision int64, wasUnavailable bool)
 	changed  func(items []platform.Item)
-	// after is the revision from which to continue; 0 means to read everything. generation
-	// is the follow generation for which it is valid.
-	after      int64
+	// after is the position from which to continue; the zero value means to read everything.
+	// generation is the follow generation for which it is valid.
+	after      catalog.Position
 	generation int
 	failing    bool
 	// pause is the time until the next attempt while the store does not answer.
@@ -77,7 +78,7 @@
 	for ctx.Err() == nil {
 		generation := fo.ct.followGeneration()
 		if generation != fo.generation {
-			fo.after, fo.generation = 0, generation
+			fo.after, fo.generation = catalog.Position{}, generation
 		}
 		if generation == 0 {
 			_ = fo.ct.da.Clock.Sleep(ctx, idlePause) // The loop checks ctx.
@@ -92,23 +93,23 @@
 
 // followOnce reads all items if needed and then watches for changes once.
 func (fo *follower) followOnce(ctx context.Context) error {
-	if fo.after == 0 {
+	if fo.after == (catalog.Position{}) {
 		items, at, err := fo.ct.da.store.Range(ctx, fo.prefix)
 		if err != nil {
 			return err
 		}
 		wasUnavailable := fo.failing
 		fo.handleRecovery()
-		fo.after = at.Revision
+		fo.after = at
 		fo.ct.post(func() {
 			fo.snapshot(items, at.Revision, wasUnavailable)
 			fo.ct.confirmPrefix(fo.prefix)
 		})
 	}
 	items, _, err := fo.ct.da.store.Watch(ctx, fo.prefix, fo.after, watchTimeout)
-	if errors.Is(err, platform.ErrCompacted) {
-		fo.ct.da.Log.Info("store: history compacted, reading all items again.", "prefix", fo.prefix)
-		fo.after = 0
+	if errors.Is(err, platform.ErrCompacted) || errors.Is(err, platform.ErrRestored) {
+		fo.ct.da.Log.Info("store: history compacted, reading all items again.", "prefix", fo.prefix, "cause", err.Error())
+		fo.after = catalog.Position{}
 		return nil
 	}
 	if err != nil {
@@ -117,7 +118,7 @@
 	// Only received changes advance the revision: a response without changes may carry a
 	// revision newer than changes that the watch has not delivered yet.
 	for _, it := range items {
-		fo.after = max(fo.after, it.Revision)
+		fo.after.Revision = max(fo.after.Revision, it.Revision)
 	}
 	fo.handleRecovery()
 	fo.ct.post(func() {
@@ -147,7 +148,7 @@
 		fo.pause = most
 	}
 	fo.failing = true
-	fo.after = 0
+	fo.after = catalog.Position{}
 }
 
 // handleRecovery records a successful call to the store.
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -9,6 +9,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"corianderhub.dev/corianderhub/internal/core/catalog"
 	"corianderhub.dev/corianderhub/platform"
 )
 
@@ -103,8 +104,9 @@
 
 // Watch implements Store.
 func (cl *Client) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) error {
-	_, _, err := cl.kv().Watch(ctx, prefix, int64(after), wait)
-	if errors.Is(err, platform.ErrCompacted) {
+	kv := cl.kv()
+	_, _, err := kv.Watch(ctx, prefix, catalog.Position{Era: kv.Era(), Revision: int64(after)}, wait)
+	if errors.Is(err, platform.ErrCompacted) || errors.Is(err, platform.ErrRestored) {
 		// The history after that revision is gone, so there may have been a change.
 		return nil
 	}
