Keep evacuations over a restore of the store

After a restore from a copy every change was ignored until the counter had passed the one before; with another counter the copy would have ended what it lacks. Callers: requests sent to a data centre that the operators empty, or kept away from one that is open again.

Weighed: the pair of era and revision for the whole set, which obeys the copy; the last change of each data centre, ordered by the pair, with the set as a whole as its basis. Taken: the second. In the first 2.3 s of an era (the servers' two seconds and a margin) what was in force stays, each change that the operators write counts at once, and absence counts for nothing; then the store's set is in force as a whole. A daemon that starts on the copy takes the others' word, and alone serves by the copy until then. The wire keeps its fields; daemons of earlier releases read the set.

TestEvacuationAfterRestore failed before (the end of an evacuation in force at no daemon after 60 s).

--- a/internal/core/evacuation/evacuation_test.go
+++ b/internal/core/evacuation/evacuation_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
+
+	"corianderhub.dev/corianderhub/internal/core/catalog"
 )
 
 var dataCenters = []string{"hall-a", "hall-b", "hall-c"}
@@ -42,7 +44,7 @@
 // change writes or removes the evacuation of a data centre.
 func (fl *fleet) change(dataCenter string) {
 	last := fl.current()
-	fl.orders = append(fl.orders, last.With(dataCenter, !last.Has(dataCenter), last.Revision+1))
+	fl.orders = append(fl.orders, last.With(dataCenter, !last.Has(dataCenter), catalog.Position{Revision: last.Revision + 1}))
 }
 
 // follow lets a daemon read up to the given number of changes from the store.
@@ -137,13 +139,13 @@
 		begun, ended []string
 	}{
 		{Order{Revision: 3}, nil, nil},
-		{Order{5, []string{"hall-a"}}, []string{"hall-a"}, nil},
-		{Order{5, []string{"hall-b"}}, nil, nil},
-		{Order{4, nil}, nil, nil},
-		{Order{6, []string{"hall-a", "hall-b"}}, []string{"hall-b"}, nil},
-		{Order{7, []string{"hall-b"}}, nil, []string{"hall-a"}},
-		{Order{8, []string{"hall-a", "hall-b"}}, []string{"hall-a"}, nil},
-		{Order{9, nil}, nil, []string{"hall-a", "hall-b"}},
+		{Order{Revision: 5, DataCenters: []string{"hall-a"}}, []string{"hall-a"}, nil},
+		{Order{Revision: 5, DataCenters: []string{"hall-b"}}, nil, nil},
+		{Order{Revision: 4}, nil, nil},
+		{Order{Revision: 6, DataCenters: []string{"hall-a", "hall-b"}}, []string{"hall-b"}, nil},
+		{Order{Revision: 7, DataCenters: []string{"hall-b"}}, nil, []string{"hall-a"}},
+		{Order{Revision: 8, DataCenters: []string{"hall-a", "hall-b"}}, []string{"hall-a"}, nil},
+		{Order{Revision: 9}, nil, []string{"hall-a", "hall-b"}},
 	}
 	tr := &Tracker{}
 	for _, st := range steps {
@@ -155,7 +157,7 @@
 	if end, ok := tr.EndedAt("hall-a"); !ok || !end.Equal(at) {
 		t.Errorf("the evacuation of hall-a ended at %v, %v, want %v", end, ok, at)
 	}
-	tr.Apply(Order{10, []string{"hall-a"}}, at)
+	tr.Apply(Order{Revision: 10, DataCenters: []string{"hall-a"}}, at)
 	if _, ok := tr.EndedAt("hall-a"); ok {
 		t.Error("an evacuation that was ordered again counts as ended")
 	}
@@ -177,8 +179,8 @@
 	}
 	for _, tc := range tests {
 		t.Run(fmt.Sprint(tc.have, tc.dataCenter, tc.evacuated), func(t *testing.T) {
-			got := Order{1, tc.have}.With(tc.dataCenter, tc.evacuated, 2)
-			if diff := cmp.Diff(Order{2, tc.want}, got); diff != "" {
+			got := Order{Revision: 1, DataCenters: tc.have}.With(tc.dataCenter, tc.evacuated, catalog.Position{Revision: 2})
+			if diff := cmp.Diff(Order{Revision: 2, DataCenters: tc.want}, got); diff != "" {
 				t.Errorf("(-want +got):\n%s", diff)
 			}
 		})
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -211,6 +211,7 @@
 	ct.stepFollowing(now)
 	ct.stepMissing(now)
 	ct.stepCold(now)
+	ct.settleEvacuation(now)
 	ct.stepSteward(now)
 	ct.stepStalls(now)
 	ct.stepQuarantine(now)
--- a/internal/entry/departed_test.go
+++ b/internal/entry/departed_test.go
@@ -57,7 +57,7 @@
 			Groups: []catalog.Group{{Name: "group-1", Members: []catalog.Member{{ID: "engine-1"}, {ID: "engine-2"}}}}}
 		entry := `{"service":"desk","address":"127.0.0.1:9","zone":"dc-0","slots":1,"state":"ready","sequence":1}`
 		items := []platform.Item{{Key: platform.EndpointPrefix + "desk-2", Value: []byte(entry), Revision: 3}}
-		ct.applySnapshot(items, 3, tc.wasUnavailable)
+		ct.applySnapshot(items, catalog.Position{Revision: 3}, tc.wasUnavailable)
 		if !tc.atOnce {
 			if announced := ct.departed.recent(cl.Now(), ct.stewardConfirmedAt(), ct.follows()); len(announced) > 0 {
 				t.Errorf("%s: %v count as departed immediately", tc.name, announced)
@@ -66,7 +66,7 @@
 			ct.stepMissing(cl.Now())
 		}
 		ct.stewardView = &catalog.View{Term: 7, Revision: 9, Plain: []catalog.PlainEndpoint{{ID: "desk-3", Service: "desk"}}}
-		ct.applySnapshot(items, 4, false)
+		ct.applySnapshot(items, catalog.Position{Revision: 4}, false)
 		for id, want := range map[string]bool{"desk-3": false, "desk-1": true, "desk-2": false, "engine-1": true} {
 			if got := ct.departed.has(catalog.Instance{ID: id}); got != want {
 				t.Errorf("%s: %s counts as departed: got %v, want %v", tc.name, id, got, want)
@@ -123,7 +123,7 @@
 	ct.stewardView = &catalog.View{Term: 7, Sequence: 1, Revision: 9, Plain: []catalog.PlainEndpoint{{ID: "i-2", Service: "desk"}}}
 	cl.Advance(time.Minute)
 	ct.stepFollowing(cl.Now())
-	ct.applySnapshot(nil, 10, true)
+	ct.applySnapshot(nil, catalog.Position{Revision: 10}, true)
 	if vi := ct.da.view.Load(); len(vi.Plain) != 1 || vi.Plain[0].ID != "i-2" {
 		t.Errorf("view has %v, want only i-2, whose entry may reappear", vi.Plain)
 	}
--- a/internal/entry/endpoints.go
+++ b/internal/entry/endpoints.go
@@ -13,7 +13,8 @@
 // applySnapshot applies a full read of the endpoints. Endpoints that are no longer
 // registered have departed. If the store was unavailable, they count as missing first,
 // since their entries may reappear soon.
-func (ct *control) applySnapshot(items []platform.Item, revision int64, wasUnavailable bool) {
+func (ct *control) applySnapshot(items []platform.Item, at catalog.Position, wasUnavailable bool) {
+	revision := at.Revision
 	now := ct.da.Clock.Now()
 	outage := ct.age(now) > staleAfter
 	seen := make(map[string]bool, len(items))
--- a/internal/entry/evacuate.go
+++ b/internal/entry/evacuate.go
@@ -2,32 +2,43 @@
 
 import (
 	"slices"
+	"time"
 
-	"corianderhub.dev/corianderhub/internal/core/evacuation"
+	"corianderhub.dev/corianderhub/internal/core/catalog"
 	"corianderhub.dev/corianderhub/internal/mesh"
 	"corianderhub.dev/corianderhub/platform"
 )
 
 // readEvacuation applies a full read of the operators' keys.
-func (ct *control) readEvacuation(items []platform.Item, revision int64) {
-	or := evacuation.Order{Revision: revision}
+func (ct *control) readEvacuation(items []platform.Item, at catalog.Position) {
+	revisions := make(map[string]int64)
 	for _, it := range items {
 		if dc, ok := ct.evacuatedDataCenter(it.Key); ok {
-			or = or.With(dc, true, revision)
+			revisions[dc] = it.Revision
 		}
 	}
-	ct.applyEvacuation(or, fromStore)
+	begun, ended := ct.evacuation.ReadAll(revisions, at, ct.da.Clock.Now())
+	ct.evacuationChanged(begun, ended, fromStore)
 }
 
 // changeEvacuation applies changes of the operators' keys received from a watch.
 func (ct *control) changeEvacuation(items []platform.Item) {
 	for _, it := range items {
 		if dc, ok := ct.evacuatedDataCenter(it.Key); ok {
-			ct.applyEvacuation(ct.evacuation.Order().With(dc, !it.Deleted, it.Revision), fromStore)
+			begun, ended := ct.evacuation.Change(dc, !it.Deleted, it.Position(), ct.da.Clock.Now())
+			ct.evacuationChanged(begun, ended, fromStore)
 		}
 	}
 }
 
+// settleEvacuation applies what the store shows once it must be complete after a restore.
+func (ct *control) settleEvacuation(now time.Time) {
+	if ct.follows() {
+		begun, ended := ct.evacuation.Settle(now)
+		ct.evacuationChanged(begun, ended, fromStore)
+	}
+}
+
 // evacuatedDataCenter returns the data centre whose evacuation a key orders. A key that names
 // none is logged once and ignored. One that names an unknown data centre is logged once and
 // stays in force, since endpoints may appear there later.
@@ -46,18 +57,24 @@
 	return dc, ok
 }
 
-// applyEvacuation applies the operators' order if it is newer than the known one. from names
-// its source: fromStore or a daemon.
-func (ct *control) applyEvacuation(or evacuation.Order, from string) {
-	begun, ended := ct.evacuation.Apply(or, ct.da.Clock.Now())
+// hearEvacuation applies the order in another daemon's heartbeat if it is newer.
+func (ct *control) hearEvacuation(be mesh.Heartbeat) {
+	begun, ended := ct.evacuation.Apply(be.Evacuation, ct.da.Clock.Now())
+	ct.evacuationChanged(begun, ended, "daemon "+be.Name)
+}
+
+// evacuationChanged brings the order in force. begun and ended are the data centres that were
+// added to it and removed from it. from names the source: fromStore or a daemon.
+func (ct *control) evacuationChanged(begun, ended []string, from string) {
 	if len(begun)+len(ended) == 0 {
 		return
 	}
+	or := ct.evacuation.Order()
 	for _, dc := range begun {
-		ct.da.Log.Info("control: data centre evacuated.", "data-center", dc, "revision", or.Revision, "from", from)
+		ct.da.Log.Info("control: data centre evacuated.", "data-center", dc, "revision", or.Revision, "era", or.Era, "from", from)
 	}
 	for _, dc := range ended {
-		ct.da.Log.Info("control: evacuation ended.", "data-center", dc, "revision", or.Revision, "from", from)
+		ct.da.Log.Info("control: evacuation ended.", "data-center", dc, "revision", or.Revision, "era", or.Era, "from", from)
 	}
 	if ct.lease.core != nil {
 		ct.lease.core.SetEvacuation(or)
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -35,7 +35,7 @@
 	prefix string
 	// snapshot receives all items, and whether the store was unavailable before. changed
 	// receives the items that have changed.
-	snapshot func(items []platform.Item, revision int64, wasUnavailable bool)
+	snapshot func(items []platform.Item, at catalog.Position, wasUnavailable bool)
 	changed  func(items []platform.Item)
 	// after is the position from which to continue; the zero value means to read everything.
 	// generation is the follow generation for which it is valid.
@@ -60,8 +60,8 @@
 			ct.changeEvacuation(items)
 			apply(items)
 		},
-		snapshot: func(items []platform.Item, revision int64, _ bool) {
-			ct.readEvacuation(items, revision)
+		snapshot: func(items []platform.Item, at catalog.Position, _ bool) {
+			ct.readEvacuation(items, at)
 			apply(items)
 		}}
 	fo.run(ctx)
@@ -102,7 +102,7 @@
 		fo.handleRecovery()
 		fo.after = at
 		fo.ct.post(func() {
-			fo.snapshot(items, at.Revision, wasUnavailable)
+			fo.snapshot(items, at, wasUnavailable)
 			fo.ct.confirmPrefix(fo.prefix)
 		})
 	}
--- a/internal/entry/heartbeats.go
+++ b/internal/entry/heartbeats.go
@@ -34,7 +34,7 @@
 	}
 	be.Leaving = ct.da.stopping.Load()
 	be.Uptime = now.Sub(ct.startedAt)
-	be.Evacuation = ct.evacuation.Order()
+	be.Evacuation = ct.evacuation.Announcement()
 	ct.addPromise(&be)
 	ct.addQuarantine(&be, now)
 	relay := ct.lease.ready() && !ct.da.mesh.Direct()
@@ -73,7 +73,7 @@
 			ct.lease.core.HandleProgressReport(su.Group, su.Epoch, now)
 		}
 	}
-	ct.applyEvacuation(be.Evacuation, "daemon "+be.Name)
+	ct.hearEvacuation(be)
 	ct.fetchNewerConfig(be)
 	ct.recordDeputy(be, now)
 	ct.applyQuarantine(be, now)
--- a/internal/entry/restore_test.go
+++ b/internal/entry/restore_test.go
@@ -64,3 +64,36 @@
 		})
 	}
 }
+
+// Guards against an evacuation that ends since the copy lacks it, one whose end after the restore no
+// daemon applies, and one that nobody writes again and that stays in force for ever.
+func TestEvacuationAfterRestore(t *testing.T) {
+	sk := newStack(t, 3)
+	evacuated := sk.plainServer(otherDataCenter)
+	sk.loseRevisions()
+	sk.de.Evacuate(otherDataCenter)
+	for _, ru := range sk.daemons {
+		sk.untilEvacuated(ru, otherDataCenter)
+	}
+	before := len(evacuated.Arrivals())
+	sk.de.Restore()
+	sk.sendAll(30)
+	sk.de.Evacuate(otherDataCenter)
+	sk.sendAll(30)
+	if got := len(evacuated.Arrivals()) - before; got != 0 {
+		t.Errorf("%d requests reached an evacuated data centre", got)
+	}
+	sk.de.EndEvacuation(otherDataCenter)
+	for _, ru := range sk.daemons {
+		sk.untilEvacuated(ru)
+	}
+	sk.loseRevisions()
+	sk.de.Evacuate(otherDataCenter)
+	for _, ru := range sk.daemons {
+		sk.untilEvacuated(ru, otherDataCenter)
+	}
+	sk.de.Restore()
+	for _, ru := range sk.daemons {
+		sk.untilEvacuated(ru)
+	}
+}
