Trust a restored store's entries once their servers have written again

After a restore an entry that its server wrote again was ignored while older revisions were ahead (a server that leaves went on being used); the copy's entry of a server that had departed brought it back, and servers that the copy lacks were dropped at once, with the groups that they serve. Callers: requests to servers that leave, or no group for their model.

Entries and views are ordered by era and revision.

TestEntriesAfterRestore failed before: a departed server was back, two that had not written again yet were gone at once. Not covered: a server that departed more than 4 s before the restore and whose entry the copy still has; its departure is forgotten by then.

--- a/internal/core/catalog/catalog_test.go
+++ b/internal/core/catalog/catalog_test.go
@@ -94,7 +94,7 @@
 		t.Run(tc.name, func(t *testing.T) {
 			eps, cfg := entriesFixture()
 			tc.change(eps)
-			vi := ViewFromEntries(eps, cfg, nil, 7)
+			vi := ViewFromEntries(eps, cfg, nil, Position{Revision: 7})
 			if len(vi.Groups) != tc.groups {
 				t.Errorf("%d groups, want %d", len(vi.Groups), tc.groups)
 			}
@@ -111,13 +111,13 @@
 // dropped.
 func TestViewFromEntriesKeepsGroups(t *testing.T) {
 	eps, cfg := entriesFixture()
-	before := ViewFromEntries(eps, cfg, nil, 7)
+	before := ViewFromEntries(eps, cfg, nil, Position{Revision: 7})
 	delete(eps, "second")
-	if after := ViewFromEntries(eps, cfg, before, 8); !cmp.Equal(after.Groups, before.Groups) {
+	if after := ViewFromEntries(eps, cfg, before, Position{Revision: 8}); !cmp.Equal(after.Groups, before.Groups) {
 		t.Errorf("groups changed: %s", cmp.Diff(before.Groups, after.Groups))
 	}
 	delete(eps, "head")
-	if after := ViewFromEntries(eps, cfg, before, 9); len(after.Groups) != 0 {
+	if after := ViewFromEntries(eps, cfg, before, Position{Revision: 9}); len(after.Groups) != 0 {
 		t.Errorf("groups remain after their leader was removed: %v", after.Groups)
 	}
 }
@@ -133,7 +133,7 @@
 			ep.Cold = cold
 			eps[id] = ep
 		}
-		vi = ViewFromEntries(eps, cfg, vi, 7)
+		vi = ViewFromEntries(eps, cfg, vi, Position{Revision: 7})
 		if vi.Groups[0].Cold != cold || vi.Plain[0].Cold != cold {
 			t.Errorf("group cold %v, plain endpoint cold %v, want %v", vi.Groups[0].Cold, vi.Plain[0].Cold, cold)
 		}
--- a/internal/core/catalog/change.go
+++ b/internal/core/catalog/change.go
@@ -15,6 +15,7 @@
 	From     int64 `cbor:"2,keyasint"`
 	Sequence int64 `cbor:"3,keyasint"`
 	Revision int64 `cbor:"4,keyasint"`
+	Era      int64 `cbor:"9,keyasint,omitempty"`
 	// Groups are new or replace the groups of the same names. Removed holds the
 	// names of removed groups.
 	Groups  []Group  `cbor:"5,keyasint,omitempty"`
@@ -27,7 +28,7 @@
 
 // ChangeTo returns the change that turns vi into next.
 func (vi *View) ChangeTo(next *View) *Change {
-	ch := &Change{Term: next.Term, From: vi.Sequence, Sequence: next.Sequence, Revision: next.Revision}
+	ch := &Change{Term: next.Term, From: vi.Sequence, Sequence: next.Sequence, Revision: next.Revision, Era: next.Era}
 	before := make(map[string]Group, len(vi.Groups))
 	for _, gr := range vi.Groups {
 		before[gr.Name] = gr
@@ -54,7 +55,7 @@
 	if vi == nil || vi.Term != ch.Term || vi.Sequence != ch.From {
 		return nil
 	}
-	next := &View{Term: ch.Term, Sequence: ch.Sequence, Revision: ch.Revision, Plain: vi.Plain}
+	next := &View{Term: ch.Term, Sequence: ch.Sequence, Revision: ch.Revision, Era: ch.Era, Plain: vi.Plain}
 	if ch.PlainChanged {
 		next.Plain = ch.Plain
 	}
--- a/internal/core/catalog/endpoint.go
+++ b/internal/core/catalog/endpoint.go
@@ -75,10 +75,13 @@
 	// requests to a cold endpoint.
 	ColdLeft time.Duration
 	Cold     bool
-	// Revision is the store's revision of the entry.
-	Revision int64
+	// Revision is the store's revision of the entry, in the given era of the store.
+	Revision, Era int64
 }
 
+// Position returns the position of the entry in the store's history.
+func (ep *Endpoint) Position() Position { return Position{Era: ep.Era, Revision: ep.Revision} }
+
 // Instance returns the registered instance of the endpoint.
 func (ep *Endpoint) Instance() Instance { return Instance{ep.ID, ep.Incarnation} }
 
--- a/internal/core/catalog/entries.go
+++ b/internal/core/catalog/entries.go
@@ -9,8 +9,8 @@
 // for a daemon that receives no views from a steward. Entries lag, so a group
 // of the previous view stays while its leader is registered and does not report
 // otherwise.
-func ViewFromEntries(endpoints map[string]Endpoint, cfg *Config, previous *View, revision int64) *View {
-	vi := &View{Revision: revision, Plain: PlainEndpoints(endpoints, cfg)}
+func ViewFromEntries(endpoints map[string]Endpoint, cfg *Config, previous *View, at Position) *View {
+	vi := &View{Revision: at.Revision, Era: at.Era, Plain: PlainEndpoints(endpoints, cfg)}
 	if previous != nil {
 		for _, gr := range previous.Groups {
 			if gr.stillOpen(endpoints) {
--- a/internal/core/catalog/view.go
+++ b/internal/core/catalog/view.go
@@ -10,8 +10,9 @@
 	// has term 0.
 	Term     int64 `json:"term"`
 	Sequence int64 `json:"sequence"`
-	// Revision is the store's revision that the view is based on.
+	// Revision is the store's revision that the view is based on, in the given era.
 	Revision int64 `json:"revision"`
+	Era      int64 `json:"era,omitempty"`
 	// Plain lists the endpoints of services without groups.
 	Plain  []PlainEndpoint `json:"plain"`
 	Groups []Group         `json:"groups"`
@@ -66,7 +67,7 @@
 
 // Newer reports whether vi replaces other. Two views of stewards are ordered by
 // term, then by sequence. If one of the two was built from the store, they are
-// ordered by revision, and vi also replaces a view of the same revision.
+// ordered by position, and vi also replaces a view of the same position.
 func (vi *View) Newer(other *View) bool {
 	if other == nil {
 		return true
@@ -74,9 +75,12 @@
 	if vi.Term != 0 && other.Term != 0 {
 		return vi.Term > other.Term || vi.Term == other.Term && vi.Sequence > other.Sequence
 	}
-	return vi.Revision >= other.Revision
+	return !vi.Position().Before(other.Position())
 }
 
+// Position returns the position in the store's history that the view is based on.
+func (vi *View) Position() Position { return Position{Era: vi.Era, Revision: vi.Revision} }
+
 // Instances returns the instances that requests are sent to: the endpoints
 // without groups and the leaders of the groups.
 func (vi *View) Instances() []Instance {
--- a/internal/core/steward/entries.go
+++ b/internal/core/steward/entries.go
@@ -31,7 +31,7 @@
 	vm.ep.Leaving = ep.Leaving
 	vm.ep.Cold = ep.Cold
 	vm.ep.Address = ep.Address
-	vm.ep.Revision = ep.Revision
+	vm.ep.Revision, vm.ep.Era = ep.Revision, ep.Era
 	if vm.down {
 		vm.pollBy(now)
 	}
--- a/internal/core/steward/reports.go
+++ b/internal/core/steward/reports.go
@@ -27,7 +27,7 @@
 			return
 		}
 		co.handleRestart(vm, catalog.Endpoint{ID: id, Incarnation: re.Incarnation, Service: vm.ep.Service, Address: vm.ep.Address,
-			DataCenter: vm.ep.DataCenter, Domain: vm.ep.Domain, Slots: vm.ep.Slots, Revision: vm.ep.Revision}, now)
+			DataCenter: vm.ep.DataCenter, Domain: vm.ep.Domain, Slots: vm.ep.Slots, Revision: vm.ep.Revision, Era: vm.ep.Era}, now)
 	}
 	if vm.orderRefused && sentAt.Sub(vm.lastOrderAt) < co.lag(vm) && re.Orders == vm.ep.Orders && sameMember(re.Member, vm.ep.Member) {
 		// The refused order was based on this same state, so the report predates the refusal.
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -49,8 +49,10 @@
 	loggedInvalid map[string]bool
 	// loggedIgnored is the version of the last configuration that was logged as ignored.
 	loggedIgnored int64
-	// revision is the store's revision up to which the endpoints have been read.
-	revision int64
+	// read is the position in the store's history up to which the endpoints have been read.
+	read catalog.Position
+	// restoredAt is when this daemon first read the endpoints after a restore of the store.
+	restoredAt time.Time
 	// firstRead is set while this daemon processes its first full read of the endpoints.
 	firstRead bool
 	departed  departedEndpoints
--- a/internal/entry/endpoints.go
+++ b/internal/entry/endpoints.go
@@ -11,28 +11,33 @@
 )
 
 // applySnapshot applies a full read of the endpoints. Endpoints that are no longer
-// registered have departed. If the store was unavailable, they count as missing first,
-// since their entries may reappear soon.
+// registered have departed. If the store was unavailable or restored from a copy, they count
+// as missing first, since their entries may reappear soon.
 func (ct *control) applySnapshot(items []platform.Item, at catalog.Position, wasUnavailable bool) {
-	revision := at.Revision
 	now := ct.da.Clock.Now()
-	outage := ct.age(now) > staleAfter
+	if ct.read.Revision > 0 && at.Era > ct.read.Era {
+		ct.restoredAt = now
+	}
+	restored := ct.justRestored(now)
+	maybeLapsed := restored || ct.age(now) > staleAfter
 	seen := make(map[string]bool, len(items))
 	ct.firstRead = len(ct.endpoints) == 0
 	for _, it := range items {
-		if ep, ok := ct.decode(it); ok {
-			seen[ep.ID] = true
-			ct.register(ep)
+		ep, ok := ct.decode(it)
+		if !ok || restored && ct.outdated(ep) {
+			continue
 		}
+		seen[ep.ID] = true
+		ct.register(ep)
 	}
 	if ct.firstRead {
-		ct.da.Log.Info("control: endpoints read.", "count", len(seen), "revision", revision)
+		ct.da.Log.Info("control: endpoints read.", "count", len(seen), "revision", at.Revision, "era", at.Era)
 		ct.firstRead = false
 	}
 	for id := range maps.Clone(ct.endpoints) {
 		switch {
 		case seen[id]:
-		case outage:
+		case maybeLapsed:
 			if _, ok := ct.missing[id]; !ok {
 				ct.missing[id] = now
 			}
@@ -40,12 +45,38 @@
 			ct.unregister(id)
 		}
 	}
-	ct.compareView(seen, revision, wasUnavailable)
-	ct.revision = max(ct.revision, revision)
+	ct.compareView(seen, at, wasUnavailable || restored)
+	ct.advance(at)
 	ct.haveAll = true
 	ct.endpointsChanged()
 }
 
+// justRestored reports whether the store may still show entries of a copy that their servers
+// are about to write again.
+func (ct *control) justRestored(now time.Time) bool {
+	return !ct.restoredAt.IsZero() && now.Sub(ct.restoredAt) <= returnGrace
+}
+
+// outdated reports whether an entry in a restored store is older than what this daemon knows
+// of the endpoint: that it leaves, has restarted, or has departed.
+func (ct *control) outdated(ep catalog.Endpoint) bool {
+	had, ok := ct.endpoints[ep.ID]
+	switch {
+	case !ok:
+		return ct.departed.has(ep.Instance())
+	case had.Incarnation.Differs(ep.Incarnation):
+		return had.Incarnation > ep.Incarnation
+	}
+	return had.Leaving && !ep.Leaving
+}
+
+// advance records that the endpoints have been read up to a position.
+func (ct *control) advance(at catalog.Position) {
+	if ct.read.Before(at) {
+		ct.read = at
+	}
+}
+
 // outageAge is the age of the last confirmation by the store after which entries may be
 // missing because of an outage. Entries lapse after three heartbeats (3.6 s in the
 // deployments) and reappear within 2 s. A daemon that has just started cannot know of an
@@ -56,8 +87,8 @@
 // daemon began to follow the store, so that it cannot see the removal itself. Without this,
 // daemons that rely on this one as a deputy use the view of a steward that is cut off from
 // the store; they sent requests to an endpoint 3.2 s after its entry had been removed.
-func (ct *control) compareView(seen map[string]bool, revision int64, wasUnavailable bool) {
-	if ct.stewardView == nil || ct.stewardView.Revision > revision {
+func (ct *control) compareView(seen map[string]bool, at catalog.Position, wasUnavailable bool) {
+	if ct.stewardView == nil || at.Before(ct.stewardView.Position()) {
 		// Endpoints in a newer view may have registered since.
 		return
 	}
@@ -90,7 +121,7 @@
 		named[pe.ID] = true
 	}
 	for id, ep := range ct.endpoints {
-		if cfg.Services[ep.Service].Engine == nil && !named[id] && ep.Revision <= ct.stewardView.Revision {
+		if cfg.Services[ep.Service].Engine == nil && !named[id] && !ct.stewardView.Position().Before(ep.Position()) {
 			delete(ct.endpoints, id)
 			delete(ct.missing, id)
 		}
@@ -100,7 +131,7 @@
 // applyChanges applies changes of endpoint entries received from a watch.
 func (ct *control) applyChanges(items []platform.Item) {
 	for _, it := range items {
-		ct.revision = max(ct.revision, it.Revision)
+		ct.advance(it.Position())
 		ep, ok := catalog.Endpoint{}, false
 		if !it.Deleted {
 			ep, ok = ct.decode(it)
@@ -139,7 +170,7 @@
 // register adds or updates an endpoint. An entry older than the known one is ignored.
 func (ct *control) register(ep catalog.Endpoint) {
 	had, ok := ct.endpoints[ep.ID]
-	if ok && had.Revision > ep.Revision {
+	if ok && ep.Position().Before(had.Position()) {
 		return
 	}
 	// The endpoint may have announced its shutdown in a response before its entry shows
@@ -157,7 +188,7 @@
 		ct.da.Log.Info("control: endpoint leaves.", "endpoint", ep.ID, "service", ep.Service, "revision", ep.Revision)
 	}
 	delete(ct.missing, ep.ID)
-	if !ok || had.Revision != ep.Revision {
+	if !ok || had.Position() != ep.Position() {
 		ct.cold.add(ep, ct.da.Clock.Now())
 	}
 	ep.Cold = ct.isCold(ep, ct.da.Clock.Now())
--- a/internal/entry/promise_test.go
+++ b/internal/entry/promise_test.go
@@ -70,7 +70,7 @@
 	ct, cl := newTestControl(192)
 	ct.da.table, ct.da.plain = &dispatch.Table{}, &dispatch.PlainTable{}
 	ct.da.view.Store(&catalog.View{})
-	ct.revision, ct.haveAll = 3, false
+	ct.read.Revision, ct.haveAll = 3, false
 	ct.endpoints["i-old"] = catalog.Endpoint{ID: "i-old"}
 	gr := catalog.Group{Name: "group-1", Members: []catalog.Member{{ID: "i-new"}}}
 	ct.stewardView = &catalog.View{Term: 7, Sequence: 2, Revision: 9, Groups: []catalog.Group{gr}}
--- a/internal/entry/restore_test.go
+++ b/internal/entry/restore_test.go
@@ -5,6 +5,9 @@
 	"testing"
 	"time"
 
+	"corianderhub.dev/corianderhub/internal/core/catalog"
+	"corianderhub.dev/corianderhub/internal/core/dispatch"
+	"corianderhub.dev/corianderhub/platform"
 	"corianderhub.dev/corianderhub/platform/emulator"
 )
 
@@ -97,3 +100,55 @@
 		sk.untilEvacuated(ru)
 	}
 }
+
+// Guards against a copy's entries that are taken for news (an endpoint that left, restarted or
+// departed is used again), against endpoints that are dropped since the copy lacks them, and against
+// entries that are ignored after the restore since older ones had higher revisions.
+func TestEntriesAfterRestore(t *testing.T) {
+	entry := func(id, state string, born int) platform.Item {
+		return platform.Item{Key: platform.EndpointPrefix + id, Value: fmt.Appendf(nil,
+			`{"service":"desk","address":"127.0.0.1:9","zone":"dc-0","slots":1,"state":%q,"sequence":1,"born":%d}`, state, born)}
+	}
+	at := func(era, revision int64, items ...platform.Item) []platform.Item {
+		for i := range items {
+			items[i].Era, items[i].Revision = era, revision
+		}
+		return items
+	}
+	ct, cl := newTestControl(800)
+	ct.da.table, ct.da.plain = &dispatch.Table{}, &dispatch.PlainTable{}
+	cl.Advance(time.Minute)
+	known := at(1, 100, entry("leaving", "draining", 1), entry("restarted", "ready", 2), entry("registered", "ready", 1),
+		entry("departed", "ready", 1), entry("unchanged", "ready", 1), entry("lost", "ready", 1))
+	ct.applySnapshot(known, catalog.Position{Era: 1, Revision: 100}, false)
+	ct.applyChanges([]platform.Item{{Key: platform.EndpointPrefix + "departed", Era: 1, Revision: 101, Deleted: true}})
+	ct.confirm(cl.Now())
+
+	old := at(2, 50, entry("leaving", "ready", 1), entry("restarted", "ready", 1), entry("departed", "ready", 1),
+		entry("unchanged", "ready", 1))
+	ct.applySnapshot(old, catalog.Position{Era: 2, Revision: 50}, false)
+	check := func(when, id string, registered, leaving bool) {
+		t.Helper()
+		if ep, ok := ct.endpoints[id]; ok != registered || ep.Leaving != leaving {
+			t.Errorf("%s: %s registered %t, leaving %t, want %t, %t", when, id, ok, ep.Leaving, registered, leaving)
+		}
+	}
+	check("after the restore", "leaving", true, true)
+	check("after the restore", "restarted", true, false)
+	check("after the restore", "departed", false, false)
+	check("after the restore", "unchanged", true, false)
+	check("after the restore", "registered", true, false)
+	check("after the restore", "lost", true, false)
+	if got := ct.endpoints["restarted"].Incarnation; got != 2 {
+		t.Errorf("restarted: got incarnation %d, want 2", got)
+	}
+	ct.applyChanges(at(2, 51, entry("restarted", "ready", 2), entry("registered", "draining", 1)))
+	check("written again", "registered", true, true)
+
+	cl.Advance(returnGrace + time.Millisecond)
+	ct.confirm(cl.Now())
+	ct.stepMissing(cl.Now())
+	check("after the wait", "restarted", true, false)
+	check("after the wait", "lost", false, false)
+	check("after the wait", "leaving", false, false)
+}
--- a/internal/entry/steward.go
+++ b/internal/entry/steward.go
@@ -124,7 +124,7 @@
 func (ct *control) publish() {
 	sh := &ct.lease
 	cfg := ct.da.currentConfig()
-	vi := &catalog.View{Term: sh.term, Revision: ct.revision, Plain: catalog.PlainEndpoints(ct.endpoints, cfg), Groups: sh.core.Groups()}
+	vi := &catalog.View{Term: sh.term, Revision: ct.read.Revision, Era: ct.read.Era, Plain: catalog.PlainEndpoints(ct.endpoints, cfg), Groups: sh.core.Groups()}
 	if sh.published != nil && reflect.DeepEqual(sh.published.Groups, vi.Groups) && reflect.DeepEqual(sh.published.Plain, vi.Plain) {
 		return
 	}
--- a/internal/entry/view.go
+++ b/internal/entry/view.go
@@ -28,8 +28,8 @@
 	// Entries read in an earlier generation may be minutes old, so the steward's last view
 	// is used until the store has been read again. Otherwise, in an outage of the store,
 	// all groups formed since would be missing and half of the requests refused.
-	if ct.lease.core == nil && ct.follows() && (ct.haveAll || ct.stewardView == nil) && ct.revision > 0 {
-		vi = catalog.ViewFromEntries(ct.endpoints, cfg, ct.stewardView, ct.revision)
+	if ct.lease.core == nil && ct.follows() && (ct.haveAll || ct.stewardView == nil) && ct.read.Revision > 0 {
+		vi = catalog.ViewFromEntries(ct.endpoints, cfg, ct.stewardView, ct.read)
 	}
 	if vi == nil {
 		return
