Let the steward's term rise over a restore of the store

After a restore from a copy the next steward had a lower term than the one before; daemons ignore heartbeats of lower terms, so nobody obeyed it and no loss was repaired until the counter had caught up; VMs would have refused its epochs too. Callers: streams that stall, then 503 for want of groups, for as long as the numbers are behind.

The term is the revision or one more than the highest term that any daemon has named, whichever is higher; a steward that learns of a higher one later, while the store confirms its lease and no other steward is heard, raises its own. Epochs rise above all that VMs report.

Open: a daemon that has just started, hears nobody and finds the lease gone may act beside a cut-off steward for up to 1.5 s, as that one's lease says.

--- a/internal/core/steward/observe.go
+++ b/internal/core/steward/observe.go
@@ -29,6 +29,7 @@
 
 // observeMember enters one VM's membership in the table of groups.
 func (co *Core) observeMember(id string, vm *vm, mb *catalog.Membership, now time.Time) {
+	co.maxEpoch = max(co.maxEpoch, mb.Epoch)
 	gr := co.groups[groupKey{mb.Group, mb.Epoch}]
 	if gr == nil {
 		gr = &group{name: mb.Group, epoch: mb.Epoch, service: vm.ep.Service, discoveredAt: now}
--- a/internal/core/steward/steward.go
+++ b/internal/core/steward/steward.go
@@ -222,6 +222,8 @@
 	idsChanged bool
 	// epochCounter counts the epochs issued in this term.
 	epochCounter int64
+	// maxEpoch is the highest epoch issued or reported by an endpoint.
+	maxEpoch int64
 	// loads limits the rate of loads from the weight store.
 	loads loadLimiter
 	// demand is the measured demand of the models.
@@ -329,10 +331,13 @@
 	return co.sortedIDs
 }
 
-// nextEpoch issues the next epoch. Epochs grow with terms and within a term.
+// nextEpoch issues the next epoch. Epochs grow with terms and within a term. After a restore of
+// the store a term may be lower than one that endpoints have seen, so the epochs that they report
+// count too.
 func (co *Core) nextEpoch() int64 {
 	co.epochCounter++
-	return co.Term<<epochBits + co.epochCounter
+	co.maxEpoch = max(co.maxEpoch+1, co.Term<<epochBits+co.epochCounter)
+	return co.maxEpoch
 }
 
 // epochBits is the number of low bits of an epoch that count the groups of one term.
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -111,6 +111,8 @@
 	// campaigning is set while this daemon tries to acquire the lease.
 	campaigning bool
 
+	// maxTerm is the highest term of a steward that any daemon has named.
+	maxTerm int64
 	// steward is the last heartbeat from the steward with the highest term;
 	// lastStewardHeartbeat is when it arrived.
 	steward              mesh.Heartbeat
--- a/internal/entry/heartbeats.go
+++ b/internal/entry/heartbeats.go
@@ -63,6 +63,7 @@
 	case mesh.WorkNone:
 	}
 	ct.served = ct.served || be.RequestReceived
+	ct.maxTerm = max(ct.maxTerm, be.Term, be.AckTerm)
 	ct.lease.recordPromise(be)
 	ct.applyDepartures(be.Departed, now)
 	if ct.lease.core != nil {
--- a/internal/entry/lease.go
+++ b/internal/entry/lease.go
@@ -179,7 +179,7 @@
 		ct.da.Log.Info("steward: granting a lease failed.", "cause", err.Error())
 		return
 	}
-	term, err := ct.writeLeaseKey(ctx, item.Revision, lease)
+	revision, err := ct.writeLeaseKey(ctx, item.Revision, lease)
 	if err != nil {
 		ct.da.Log.Info("steward: acquiring the lease failed.", "cause", err.Error())
 		// A write that takes effect late must find its lease ended.
@@ -188,7 +188,7 @@
 	}
 	renewing, resign := context.WithCancel(ctx)
 	defer resign()
-	ct.post(func() { ct.becomeSteward(term, begin+leaseTTL-leaseMargin, resign) })
+	ct.post(func() { ct.becomeSteward(revision, begin+leaseTTL-leaseMargin, resign) })
 	lease = ct.renew(renewing, lease)
 	why := "lease lost"
 	if renewing.Err() != nil {
@@ -212,8 +212,8 @@
 	}
 }
 
-// writeLeaseKey writes the steward's key if its revision is unchanged. The new revision is
-// the term; it increases with each steward.
+// writeLeaseKey writes the steward's key if its revision is unchanged, and returns the new
+// revision.
 func (ct *control) writeLeaseKey(ctx context.Context, revision, lease int64) (int64, error) {
 	value, err := json.Marshal(holder{ct.da.Settings.IP, ct.da.started})
 	if err != nil {
@@ -254,14 +254,14 @@
 	for ctx.Err() == nil && ct.da.Clock.Sleep(ctx, renewInterval) == nil {
 		begin := clock.SinceBoot()
 		err := ct.da.store.Renew(ctx, lease)
-		term := int64(0)
+		revision := int64(0)
 		if errors.Is(err, platform.ErrNoLease) {
 			if !ct.extendLease(0, 0) {
 				return lease
 			}
 			begin = clock.SinceBoot()
 			newLease := int64(0)
-			if term, newLease, err = ct.reacquireLease(ctx); errors.Is(err, platform.ErrConflict) {
+			if revision, newLease, err = ct.reacquireLease(ctx); errors.Is(err, platform.ErrConflict) {
 				return lease
 			}
 			if err == nil {
@@ -275,21 +275,22 @@
 		if err == nil {
 			until = begin + leaseTTL - leaseMargin
 		}
-		if !ct.extendLease(until, term) {
+		if !ct.extendLease(until, revision) {
 			return lease
 		}
 	}
 	return lease
 }
 
-// extendLease updates the lease's end, and the term if the lease was acquired again. Zero
-// values leave them unchanged. It reports whether this daemon is still the steward.
-func (ct *control) extendLease(until time.Duration, term int64) bool {
+// extendLease updates the lease's end, and the term if the lease was acquired again at a revision
+// of the store. Zero values leave them unchanged. It reports whether this daemon is still the
+// steward.
+func (ct *control) extendLease(until time.Duration, revision int64) bool {
 	held := make(chan bool, 1)
 	ct.post(func() {
 		if ct.lease.core != nil {
 			ct.lease.extend(until)
-			if ct.lease.adoptTerm(term) {
+			if revision > 0 && ct.lease.adoptTerm(ct.nextTerm(revision)) {
 				ct.applyView(ct.lease.published)
 			}
 		}
@@ -313,9 +314,6 @@
 // adoptTerm continues under a new term with the current state. It reports whether the
 // published view must be applied again under that term.
 func (sh *stewardship) adoptTerm(term int64) bool {
-	if term == 0 {
-		return false
-	}
 	sh.term, sh.core.Term = term, term
 	if sh.published == nil {
 		return false
@@ -328,7 +326,7 @@
 
 // reacquireLease acquires a new lease after the previous one expired. It returns
 // platform.ErrConflict if another daemon holds the lease.
-func (ct *control) reacquireLease(ctx context.Context) (term, lease int64, err error) {
+func (ct *control) reacquireLease(ctx context.Context) (revision, lease int64, err error) {
 	item, err := ct.da.store.Get(ctx, stewardKey)
 	if err != nil {
 		return 0, 0, err
@@ -340,14 +338,38 @@
 	if lease, err = ct.da.store.Grant(ctx, leaseTTL); err != nil {
 		return 0, 0, err
 	}
-	term, err = ct.writeLeaseKey(ctx, item.Revision, lease)
-	return term, lease, err
+	revision, err = ct.writeLeaseKey(ctx, item.Revision, lease)
+	return revision, lease, err
+}
+
+// nextTerm returns the term of a steward that has acquired the lease at a revision of the store.
+// It is higher than all terms before: that of the revision, unless the store was restored from a
+// copy and its revisions went back.
+func (ct *control) nextTerm(revision int64) int64 {
+	ct.maxTerm = max(revision, ct.maxTerm+1)
+	return ct.maxTerm
+}
+
+// raiseTerm gives this steward a higher term if daemons know of a higher one than its own, which
+// they would obey. That is so if it acquired the lease after a restore of the store and had not
+// heard of its predecessor. A steward that is still heard is left to the lease.
+func (ct *control) raiseTerm(now time.Time) {
+	sh := &ct.lease
+	if ct.maxTerm <= sh.term || clock.SinceBoot() >= sh.until || now.Sub(ct.lastStewardHeartbeat) <= relayedStewardTimeout {
+		return
+	}
+	before := sh.term
+	if sh.adoptTerm(ct.nextTerm(0)) {
+		ct.applyView(sh.published)
+	}
+	ct.da.Log.Warn("steward: term raised.", "term", sh.term, "before", before)
 }
 
-// becomeSteward starts acting as the steward of a new term. The lease is held until the
-// given time since boot.
-func (ct *control) becomeSteward(term int64, until time.Duration, resign context.CancelFunc) {
+// becomeSteward starts acting as the steward of a new term after it acquired the lease at a
+// revision of the store. The lease is held until the given time since boot.
+func (ct *control) becomeSteward(revision int64, until time.Duration, resign context.CancelFunc) {
 	now := ct.da.Clock.Now()
+	term := ct.nextTerm(revision)
 	ct.da.Log.Info("steward: lease taken.", "term", term)
 	ct.lease = stewardship{core: steward.New(term, now), term: term, until: until, resign: resign,
 		endpointsAt: ct.lease.endpointsAt, configAt: ct.lease.configAt,
--- a/internal/entry/restore_test.go
+++ b/internal/entry/restore_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
+	"corianderhub.dev/corianderhub/internal/clock"
 	"corianderhub.dev/corianderhub/internal/core/catalog"
 	"corianderhub.dev/corianderhub/internal/core/dispatch"
+	"corianderhub.dev/corianderhub/internal/core/steward"
 	"corianderhub.dev/corianderhub/platform"
 	"corianderhub.dev/corianderhub/platform/emulator"
 )
@@ -152,3 +155,58 @@
 	check("after the wait", "lost", false, false)
 	check("after the wait", "leaving", false, false)
 }
+
+// Guards against a steward that nobody obeys: it acquired the lease after a restore of the store, and
+// the steward before it had a higher term.
+func TestStewardAfterRestore(t *testing.T) {
+	for _, kill := range []bool{false, true} {
+		t.Run(fmt.Sprint("the steward is killed: ", kill), func(t *testing.T) {
+			sk := newStack(t, 3)
+			sk.loseRevisions()
+			first := sk.steward()
+			sk.kill(first)
+			last := sk.steward()
+			sk.untilUnused(last, sk.loseMember(last))
+			sk.de.Restore()
+			if kill {
+				sk.kill(last)
+			}
+			num := slices.Index(sk.daemons, first)
+			fresh := sk.start(num)
+			sk.until("the daemon serves", func() bool { return sk.send(fresh, "/draft/", "fresh") == completeStream("fresh") })
+			sk.untilUnused(fresh, sk.loseMember(sk.steward()))
+			sk.checkInvariants()
+		})
+	}
+}
+
+// Guards against a steward that daemons ignore since they know of a higher term, and against two
+// stewards that raise their terms in turn.
+func TestRaiseTerm(t *testing.T) {
+	tests := []struct {
+		name       string
+		known      int64
+		heardSince time.Duration
+		held       bool
+		want       int64
+	}{
+		{"no higher term known", 7, time.Minute, true, 7},
+		{"a higher one, its steward not heard", 15, time.Minute, true, 16},
+		{"a higher one, its steward heard", 15, stewardTimeout, true, 7},
+		{"the lease not held", 15, time.Minute, false, 7},
+	}
+	for _, tc := range tests {
+		ct, cl := newTestControl(192)
+		cl.Advance(time.Hour)
+		ct.lastStewardHeartbeat = cl.Now().Add(-tc.heardSince)
+		ct.lease = stewardship{core: steward.New(7, ct.startedAt), term: 7, promises: make(map[string]promise)}
+		if tc.held {
+			ct.lease.until = clock.SinceBoot() + time.Minute
+		}
+		ct.maxTerm = tc.known
+		ct.raiseTerm(cl.Now())
+		if got := ct.lease.term; got != tc.want || ct.lease.core.Term != tc.want {
+			t.Errorf("%s: term %d, in the core %d, want %d", tc.name, got, ct.lease.core.Term, tc.want)
+		}
+	}
+}
--- a/internal/entry/steward.go
+++ b/internal/entry/steward.go
@@ -50,6 +50,7 @@
 	if ct.lapsed(now) {
 		return
 	}
+	ct.raiseTerm(now)
 	if !ct.haveAll || ct.da.currentConfig() == nil {
 		return
 	}
