Register daemons again after a restore of the store

A registration written after the copy was gone, and daemons that start later did not find it at the store; they divide budgets and limits among too few.

Each daemon checks its own key once in each era, that it learns from its own calls or from another daemon's heartbeat (new field), spread over a second where daemons are many: one read each, and a write for those that are missing.

TestRegistrationAfterRestore failed before: not registered 60 s after the restore.

--- a/internal/entry/heartbeats.go
+++ b/internal/entry/heartbeats.go
@@ -32,6 +32,7 @@
 	if co := ct.da.config.Load(); co != nil {
 		be.ConfigRevision, be.ConfigVersion = co.Revision, co.Version
 	}
+	be.StoreEra = ct.da.store.Era()
 	be.Leaving = ct.da.stopping.Load()
 	be.Uptime = now.Sub(ct.startedAt)
 	be.Evacuation = ct.evacuation.Announcement()
@@ -75,6 +76,7 @@
 		}
 	}
 	ct.hearEvacuation(be)
+	ct.hearEra(be)
 	ct.fetchNewerConfig(be)
 	ct.recordDeputy(be, now)
 	ct.applyQuarantine(be, now)
--- a/internal/entry/join.go
+++ b/internal/entry/join.go
@@ -5,8 +5,6 @@
 	"net"
 	"strings"
 	"time"
-
-	"corianderhub.dev/corianderhub/platform"
 )
 
 const (
@@ -45,7 +43,7 @@
 // joinStore reads the daemons and quarantined requests from the store and registers this
 // daemon if it is not registered yet. A daemon that restarts at its address costs no write.
 func (ct *control) joinStore(ctx context.Context) (known bool, err error) {
-	items, _, err := ct.da.store.Range(ctx, keyPrefix)
+	items, at, err := ct.da.store.Range(ctx, keyPrefix)
 	if err != nil {
 		return false, err
 	}
@@ -60,12 +58,10 @@
 	ct.addDaemons(ips)
 	if known {
 		ct.da.Log.Info("control: daemons known.", "count", len(ips))
-		ct.post(func() { ct.knowsDaemons = true })
+		ct.post(func() { ct.knowsDaemons, ct.registeredEra = true, at.Era })
 		return true, nil
 	}
-	put := platform.Put{Key: daemonPrefix + ct.da.Settings.IP, Value: []byte(ct.da.Settings.Name)}
-	_, err = ct.da.store.Txn(ctx, nil, []platform.Put{put}, nil)
-	return false, err
+	return false, ct.writeRegistration(ctx)
 }
 
 // addDaemons adds discovered daemons to the mesh.
--- a/internal/entry/restore_test.go
+++ b/internal/entry/restore_test.go
@@ -210,3 +210,21 @@
 		}
 	}
 }
+
+// Guards against a daemon that daemons which start later don't find at the store: it registered after
+// the copy that the store was restored from.
+func TestRegistrationAfterRestore(t *testing.T) {
+	sk := newStack(t, 2)
+	sk.de.Store.Copy()
+	ru := sk.start(2)
+	registered := func() bool {
+		_, ok := sk.de.Store.Value(daemonPrefix + ru.ip)
+		return ok
+	}
+	sk.until("the daemon is registered", registered)
+	sk.until("the daemon serves", func() bool { return sk.send(ru, "/draft/", "id") == completeStream("id") })
+	for range 2 {
+		sk.de.Restore()
+		sk.until("the daemon is registered again", registered)
+	}
+}
--- a/internal/mesh/heartbeat.go
+++ b/internal/mesh/heartbeat.go
@@ -52,6 +52,8 @@
 	// releases don't send it.
 	ConfigRevision int64 `cbor:"11,keyasint,omitempty"`
 	ConfigVersion  int64 `cbor:"36,keyasint,omitempty"`
+	// StoreEra is the latest era of the store that the daemon knows.
+	StoreEra int64 `cbor:"37,keyasint,omitempty"`
 	// StateAge is the time since the store last confirmed the daemon's copy of the stored
 	// state.
 	StateAge time.Duration `cbor:"12,keyasint,omitempty"`
