End the steward's lease with a restore of the store

A restore may take the lease away, and another daemon may acquire it at once, so two could act for up to 1.5 s.

On a restore the steward counts its lease as ended until the next renewal (0.45 s) and goes on only while all other daemons' promises hold, as in an outage. The quarantine is compared with the store at once, not after up to 2 s.

TestRestoreEndsLease fails without the change.

--- a/internal/entry/restore.go
+++ b/internal/entry/restore.go
@@ -18,6 +18,10 @@
 // what is theirs, the daemons what is theirs.
 func (ct *control) handleRestore(before, era int64) {
 	ct.da.Log.Warn("store: restored from a copy.", "era", era, "before", before)
+	// The lease may be gone, so that another daemon may acquire it. Until it is renewed, only the
+	// promises of the others prove that none has.
+	ct.lease.until = 0
+	ct.quarantine.nextSync = time.Time{}
 }
 
 // hearEra records the store's era that another daemon names.
--- a/internal/entry/restore_test.go
+++ b/internal/entry/restore_test.go
@@ -10,6 +10,7 @@
 	"corianderhub.dev/corianderhub/internal/core/catalog"
 	"corianderhub.dev/corianderhub/internal/core/dispatch"
 	"corianderhub.dev/corianderhub/internal/core/steward"
+	"corianderhub.dev/corianderhub/internal/mesh"
 	"corianderhub.dev/corianderhub/platform"
 	"corianderhub.dev/corianderhub/platform/emulator"
 )
@@ -228,3 +229,22 @@
 		sk.until("the daemon is registered again", registered)
 	}
 }
+
+// Guards against a steward that goes on by a lease that a restore of the store may have taken away,
+// beside the daemon that acquired the lease since.
+func TestRestoreEndsLease(t *testing.T) {
+	ct, _ := newTestControl(800)
+	ct.lease = stewardship{core: steward.New(7, ct.startedAt), term: 7, promises: make(map[string]promise), until: clock.SinceBoot() + time.Minute}
+	ct.da.mesh.Accept(mesh.Heartbeat{IP: "10.0.0.1", Name: "entry-1", Started: 1, Number: 1})
+	if !ct.holds() {
+		t.Fatal("does not hold a lease that it has renewed")
+	}
+	ct.handleRestore(1, 2)
+	if ct.holds() {
+		t.Error("holds the lease after a restore, although another daemon has promised nothing")
+	}
+	ct.lease.extend(clock.SinceBoot() + time.Minute)
+	if !ct.holds() {
+		t.Error("does not hold the lease that it has renewed after the restore")
+	}
+}
