Accept a daemon that restarts after its machine's clock was set back

After a clock step back and a restart all heartbeats of the new process were older than the last of the one before, so the other daemons ignored it as long as they ran. Callers: not sent to that daemon by the directory of others, and its load unknown to them; the steward lacks its promise in an outage.

An earlier start counts once the process before is no longer alive.

--- a/internal/mesh/heartbeat.go
+++ b/internal/mesh/heartbeat.go
@@ -220,7 +220,8 @@
 
 // Accept records a heartbeat of another daemon and returns true. It ignores a
 // heartbeat with an invalid address or that of this daemon, and one that is not newer
-// than the last from its sender, and returns false.
+// than the last from its sender, and returns false. A process that started earlier than the
+// last one counts as newer once that one is not alive.
 func (me *Mesh) Accept(be Heartbeat) bool {
 	if _, err := netip.ParseAddr(be.IP); err != nil || be.IP == me.IP {
 		return false
@@ -229,10 +230,13 @@
 	defer me.mu.Unlock()
 	now := me.Clock.Now()
 	pe := me.add(be.IP, now)
-	if be.Started < pe.Started || be.Started == pe.Started && be.Number <= pe.Number {
+	pa := me.intervals()
+	alive := pa.isAlive(be.IP, pe, now)
+	// The clock of a machine may be set back before its daemon restarts.
+	if be.Started < pe.Started && alive || be.Started == pe.Started && be.Number <= pe.Number {
 		return false
 	}
-	if pa := me.intervals(); !pa.isAlive(be.IP, pe, now) {
+	if !alive {
 		level := slog.LevelInfo
 		if !pa.direct {
 			// With 195 daemons, each of them would log every start of another one.
