--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -39,8 +39,11 @@
 	{"configuration", true, 3, configure},
 }
 
+// restores is the fault that a run draws besides if Soak.Restores is set.
+var restores = fault{"store restored", false, 6, restoreStore}
+
 // draw returns a random fault, by weight.
-func draw(rnd *rand.Rand) fault {
+func draw(rnd *rand.Rand, faults []fault) fault {
 	sum := 0
 	for _, fa := range faults {
 		sum += fa.weight
@@ -134,6 +137,38 @@
 // revokeLeases ends all leases in the store.
 func revokeLeases(so *Soak, _ *rand.Rand, _ time.Duration) { so.deployment.Store.EndLeases() }
 
+const (
+	// restoreAbsence is how long the store is away before it is restored from a copy.
+	restoreAbsence = 500 * time.Millisecond
+	// lostWrites is the number of writes of others that a restore takes away besides. So the
+	// revisions don't catch up within the run.
+	lostWrites = 1000
+	// maxRewriteDelay bounds the time until the operators write the configuration again.
+	maxRewriteDelay = 2 * time.Second
+)
+
+// restoreStore restores the store from a copy that is dur old. The servers and the operators
+// write again what is theirs, and the operators the next configuration.
+func restoreStore(so *Soak, rnd *rand.Rand, dur time.Duration) {
+	so.deployment.Store.Copy()
+	for num := range lostWrites {
+		so.deployment.Store.Put(fmt.Sprint("elsewhere/", num), nil)
+	}
+	so.configure()
+	so.sleep(dur)
+	for _, sp := range so.storeProxies {
+		sp.SetFault(emulator.Busy)
+	}
+	so.sleep(restoreAbsence)
+	so.deployment.Restore()
+	for _, sp := range so.storeProxies {
+		sp.SetFault(emulator.NoStoreFault)
+	}
+	so.sleep(time.Duration(rnd.Int64N(int64(maxRewriteDelay))))
+	so.deployment.ConfigureAgain()
+	so.configure()
+}
+
 var connFaults = []ConnFault{Delayed, Reset, OneWay, Blackholed}
 
 // injectStoreConnFault injects a fault into the connections of a daemon to the store.
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -35,6 +35,8 @@
 	// FaultInterval is the mean time between two faults. Each lasts up to six times
 	// as long, so that faults overlap.
 	FaultInterval time.Duration
+	// Restores adds restores of the store from copies to the faults.
+	Restores bool
 	// Subnet gives the daemons the addresses 127.0.Subnet.1 and up.
 	Subnet int
 
@@ -154,9 +156,13 @@
 		clients.Go(func() { so.watchConfig(workCtx, ps) })
 	}
 	clients.Go(func() { so.injectBackpressure(workCtx, &running) })
+	drawn := faults
+	if so.Restores {
+		drawn = append(slices.Clone(faults), restores)
+	}
 	rnd := rand.New(rand.NewPCG(so.Seed, 1))
 	for workCtx.Err() == nil {
-		fa, dur := draw(rnd), time.Duration(rnd.Int64N(int64(6*so.FaultInterval)))
+		fa, dur := draw(rnd, drawn), time.Duration(rnd.Int64N(int64(6*so.FaultInterval)))
 		faultRnd := rand.New(rand.NewPCG(rnd.Uint64(), 2))
 		running.Go(func() { so.runFault(fa, faultRnd, dur) })
 		so.pause(workCtx, time.Duration(rnd.ExpFloat64()*float64(so.FaultInterval)))
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -27,19 +27,23 @@
 	if out, err := exec.Command("go", "build", "-o", binary, "corianderhub.dev/corianderhub/cmd/corianderhub").CombinedOutput(); err != nil {
 		t.Fatalf("build of the daemon: %v: %s", err, out)
 	}
-	seeds := []uint64{1}
+	type run struct {
+		seed     uint64
+		restores bool
+	}
+	runs := []run{{1, false}, {1, true}}
 	for _, re := range regressions {
-		seeds = append(seeds, re.seed)
+		runs = append(runs, run{re.seed, false})
 	}
-	for _, seed := range seeds {
-		so := &Soak{Log: slog.New(slog.DiscardHandler), Binary: binary, Dir: t.TempDir(), Seed: seed, Daemons: 4, ModelServers: 9, PlainServers: 3,
+	for _, ru := range runs {
+		so := &Soak{Log: slog.New(slog.DiscardHandler), Binary: binary, Dir: t.TempDir(), Seed: ru.seed, Restores: ru.restores, Daemons: 4, ModelServers: 9, PlainServers: 3,
 			Clients: 16, Duration: 6 * time.Second, FaultInterval: 700 * time.Millisecond, Subnet: 119}
 		violations, err := so.Run(t.Context())
 		if err != nil {
 			t.Fatal(err)
 		}
 		for _, vi := range violations {
-			t.Errorf("seed %d: %s", seed, vi)
+			t.Errorf("seed %d, restores %t: %s", ru.seed, ru.restores, vi)
 		}
 	}
 }
