--- a/internal/explain/request.go
+++ b/internal/explain/request.go
@@ -106,11 +106,14 @@
 }
 
 // daemonMessages are messages about the state of a daemon that decide about all its requests.
-var daemonMessages = []string{"control: configuration in force.", "control: following the store.",
+var daemonMessages = []string{"control: configuration in force.", messageConfigIgnored, "control: following the store.",
 	messageEvacuated, messageEvacuationEnded, "control: cold endpoints."}
 
-// Messages of a daemon that learns of an evacuation or of its end.
+// Messages of a daemon that reads an outdated configuration, calls a restored store, and learns of an
+// evacuation or of its end.
 const (
+	messageConfigIgnored   = "control: configuration ignored, its version is not newer than the one in force."
+	messageRestored        = "store: restored from a copy."
 	messageEvacuated       = "control: data centre evacuated."
 	messageEvacuationEnded = "control: evacuation ended."
 )
@@ -148,6 +151,7 @@
 	{"steward", "steward: lease given up.", ""},
 	{"view", "steward: view published.", ""},
 	{"following", "control: following the store.", ""},
+	{"restore", messageRestored, ""},
 	{"store", "store: lost.", "prefix"},
 	{"store", "store: regained.", "prefix"},
 	{"group", "control: group stands still.", "group"},
@@ -258,6 +262,10 @@
 			text = li.Get("count") + " endpoints were cold and accepted few requests"
 		case li.Message == "store: lost.":
 			text = "the store was lost: " + li.Get("cause")
+		case li.Message == messageRestored:
+			text = "the store was restored from a copy and is in era " + li.Get("era")
+		case li.Message == messageConfigIgnored:
+			text = "version " + li.Get("version") + " of the configuration was ignored, version " + li.Get("in-force") + " was in force"
 		case li.Message == "steward: view published." && !viewNamed:
 			viewNamed = true
 			text = "the steward counted " + li.Get("serving") + " groups that served, " + li.Get("forming") + " that formed, " +
--- a/internal/explain/request_test.go
+++ b/internal/explain/request_test.go
@@ -84,6 +84,27 @@
 	}
 }
 
+// Guards against a refusal after a restore of the store that is explained without it.
+func TestExplainRestore(t *testing.T) {
+	log := `time=2026-05-01T10:00:00Z level=WARN msg="store: restored from a copy." era=5 before=4
+time=2026-05-01T10:00:01Z level=WARN msg="control: configuration ignored, its version is not newer than the one in force." version=88 in-force=96
+time=2026-05-01T10:00:02Z level=INFO msg="front: answered." request=ab outcome=refused status=404 reason=no-route sends=0 ms=0`
+	lines, _, err := Read("one", strings.NewReader(log))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var out bytes.Buffer
+	if err := Print(&out, RequestLines(lines, "ab"), "ab"); err != nil {
+		t.Fatal(err)
+	}
+	got := out.String()
+	for _, want := range []string{"the store was restored from a copy and is in era 5", "version 88 of the configuration was ignored, version 96 was in force"} {
+		if !strings.Contains(got, want) {
+			t.Errorf("%q is missing in:\n%s", want, got)
+		}
+	}
+}
+
 // Guards against outdated or later lines in the state at a time. The state consists
 // of the newest line of each kind before that time; lines about a single group or
 // endpoint expire after recentWindow.
