--- a/internal/core/evacuation/evacuation.go
+++ b/internal/core/evacuation/evacuation.go
@@ -146,6 +146,7 @@
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
 	if !heard.NamesEra {
+		// The sender is of an earlier release and follows the same store.
 		heard.Era = tr.era
 	}
 	return tr.apply(heard, now)
@@ -153,6 +154,10 @@
 
 // apply adds what another order knows. tr.mu must be held.
 func (tr *Tracker) apply(other Order, now time.Time) (begun, ended []string) {
+	if other.position() == tr.order.position() && len(other.Changes) == 0 {
+		// Most heartbeats say nothing new.
+		return nil, nil
+	}
 	next := merge(tr.order, other)
 	for _, dc := range next.DataCenters {
 		if !tr.order.Has(dc) {
--- a/internal/core/evacuation/read.go
+++ b/internal/core/evacuation/read.go
@@ -18,7 +18,7 @@
 func (tr *Tracker) ReadAll(revisions map[string]int64, at catalog.Position, now time.Time) (begun, ended []string) {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
-	tr.noteEra(at.Era, now)
+	tr.recordEra(at.Era, now)
 	tr.shown = Order{Revision: at.Revision, Era: at.Era, DataCenters: slices.Sorted(maps.Keys(revisions))}
 	if !tr.settling(now) {
 		tr.settled = true
@@ -36,7 +36,7 @@
 func (tr *Tracker) Change(dataCenter string, evacuated bool, at catalog.Position, now time.Time) (begun, ended []string) {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
-	tr.noteEra(at.Era, now)
+	tr.recordEra(at.Era, now)
 	tr.shown = tr.shown.With(dataCenter, evacuated, at)
 	if !tr.settling(now) {
 		tr.settled = true
@@ -67,8 +67,8 @@
 	return added
 }
 
-// noteEra records the store's era and when this process first read it.
-func (tr *Tracker) noteEra(era int64, now time.Time) {
+// recordEra records the store's era and when this process first read it.
+func (tr *Tracker) recordEra(era int64, now time.Time) {
 	if era == tr.era && !tr.eraSince.IsZero() {
 		return
 	}
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -77,10 +77,10 @@
 	// joined is set once the daemon knows other daemons, knowsDaemons once it has read the list of
 	// all of them from the store.
 	joined, knowsDaemons bool
-	// registeredEra is the store's era in which this daemon was last found registered, heardEra
+	// registeredEra is the store's era in which this daemon was last found registered, peerEra
 	// the latest that another daemon has named. registering is set during a check.
-	registeredEra, heardEra int64
-	registering             bool
+	registeredEra, peerEra int64
+	registering            bool
 	// haveAll is set once all endpoints have been read since following began.
 	haveAll bool
 	// fetching holds the kinds of fetches from other daemons that are in flight.
--- a/internal/entry/evacuate.go
+++ b/internal/entry/evacuate.go
@@ -57,8 +57,8 @@
 	return dc, ok
 }
 
-// hearEvacuation applies the order in another daemon's heartbeat if it is newer.
-func (ct *control) hearEvacuation(be mesh.Heartbeat) {
+// applyEvacuation applies the order in another daemon's heartbeat if it is newer.
+func (ct *control) applyEvacuation(be mesh.Heartbeat) {
 	begun, ended := ct.evacuation.Apply(be.Evacuation, ct.da.Clock.Now())
 	ct.evacuationChanged(begun, ended, "daemon "+be.Name)
 }
--- a/internal/entry/heartbeats.go
+++ b/internal/entry/heartbeats.go
@@ -75,8 +75,8 @@
 			ct.lease.core.HandleProgressReport(su.Group, su.Epoch, now)
 		}
 	}
-	ct.hearEvacuation(be)
-	ct.hearEra(be)
+	ct.applyEvacuation(be)
+	ct.recordPeerEra(be)
 	ct.fetchNewerConfig(be)
 	ct.recordDeputy(be, now)
 	ct.applyQuarantine(be, now)
--- a/internal/entry/restore.go
+++ b/internal/entry/restore.go
@@ -24,13 +24,13 @@
 	ct.quarantine.nextSync = time.Time{}
 }
 
-// hearEra records the store's era that another daemon names.
-func (ct *control) hearEra(be mesh.Heartbeat) { ct.heardEra = max(ct.heardEra, be.StoreEra) }
+// recordPeerEra records the store's era that another daemon names.
+func (ct *control) recordPeerEra(be mesh.Heartbeat) { ct.peerEra = max(ct.peerEra, be.StoreEra) }
 
 // stepRegistration checks this daemon's registration at the store once for each era. It may have
 // been written after the copy that the store was restored from.
 func (ct *control) stepRegistration() {
-	era := max(ct.heardEra, ct.da.store.Era())
+	era := max(ct.peerEra, ct.da.store.Era())
 	if !ct.knowsDaemons || ct.registering || era <= ct.registeredEra {
 		return
 	}
