--- a/internal/caller/complete.go
+++ b/internal/caller/complete.go
@@ -15,6 +15,7 @@
 	"corianderhub.dev/corianderhub/internal/core/control"
 	"corianderhub.dev/corianderhub/internal/core/route"
 	"corianderhub.dev/corianderhub/internal/endpoint"
+	"corianderhub.dev/corianderhub/pkg/admin"
 	"corianderhub.dev/corianderhub/pkg/hub"
 	"corianderhub.dev/corianderhub/pkg/verdict"
 )
@@ -242,7 +243,7 @@
 		return nil
 	}
 	ve := verdict.As(err)
-	co.ex.record.addAttempt(Attempt{At: se.Clock.Now(), Target: gr.ID, Reason: ve.Error(), Load: gr.Load()})
+	co.ex.record.addAttempt(admin.Attempt{At: se.Clock.Now(), Target: gr.ID, Reason: ve.Error(), Load: gr.Load()})
 	return ve
 }
 
@@ -279,7 +280,7 @@
 	gr.Begin(num)
 	defer gr.End(num)
 	co.pool.router.Remember(co.routing, gr)
-	co.ex.record.addAttempt(Attempt{At: se.Clock.Now(), Target: gr.ID, Reason: "picked", Load: gr.Load()})
+	co.ex.record.addAttempt(admin.Attempt{At: se.Clock.Now(), Target: gr.ID, Reason: "picked", Load: gr.Load()})
 	at := &delivery{se: se, co: co, gr: gr, target: ta, sentAt: se.Clock.Now()}
 	return se.Engines.Complete(ctx, endpoint.CompletionRequest{
 		RequestID:    co.ex.id,
--- a/internal/caller/journal.go
+++ b/internal/caller/journal.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"corianderhub.dev/corianderhub/pkg/admin"
 )
 
 // journalSize is the number of requests that the journal keeps.
@@ -20,36 +22,13 @@
 // Record holds the handling of one request. It is safe for concurrent use.
 type Record struct {
 	mu sync.Mutex
-	RecordData
-}
-
-// RecordData is the content of a Record as the explain API returns it.
-type RecordData struct {
-	ID        string    `json:"id"`
-	Path      string    `json:"path"`
-	Workspace string    `json:"workspace"`
-	Begin     time.Time `json:"begin"`
-	Attempts  []Attempt `json:"attempts"`
-	Outcome   string    `json:"outcome"`
-	Error     string    `json:"error,omitempty"`
-}
-
-// Attempt is one step in the handling of a request: a dispatch to a target, or
-// its result.
-type Attempt struct {
-	At time.Time `json:"at"`
-	// Target is the ID of a group or the address of a service.
-	Target string `json:"target"`
-	// Reason states why the target was chosen, or the result of the attempt.
-	Reason string `json:"reason"`
-	// Load is the estimated load of a group in tokens at that time.
-	Load int64 `json:"load"`
+	admin.Explanation
 }
 
 // newRecord adds a record for a request and evicts the oldest one if there are
 // more than journalSize.
 func (jo *Journal) newRecord(id, path string, now time.Time) *Record {
-	re := &Record{RecordData: RecordData{ID: id, Path: path, Begin: now}}
+	re := &Record{Explanation: admin.Explanation{ID: id, Path: path, Begin: now}}
 	jo.mu.Lock()
 	defer jo.mu.Unlock()
 	if jo.records == nil {
@@ -65,17 +44,17 @@
 }
 
 // Find returns a copy of the record of a request, and false if there is none.
-func (jo *Journal) Find(id string) (RecordData, bool) {
+func (jo *Journal) Find(id string) (admin.Explanation, bool) {
 	jo.mu.Lock()
 	re, ok := jo.records[id]
 	jo.mu.Unlock()
 	if !ok {
-		return RecordData{}, false
+		return admin.Explanation{}, false
 	}
 	re.mu.Lock()
 	defer re.mu.Unlock()
-	data := re.RecordData
-	data.Attempts = append([]Attempt(nil), re.Attempts...)
+	data := re.Explanation
+	data.Attempts = append([]admin.Attempt(nil), re.Attempts...)
 	return data, true
 }
 
@@ -85,7 +64,7 @@
 	re.Workspace = name
 }
 
-func (re *Record) addAttempt(at Attempt) {
+func (re *Record) addAttempt(at admin.Attempt) {
 	re.mu.Lock()
 	defer re.mu.Unlock()
 	re.Attempts = append(re.Attempts, at)
--- a/internal/caller/service.go
+++ b/internal/caller/service.go
@@ -12,6 +12,7 @@
 	"corianderhub.dev/corianderhub/internal/core/claim"
 	"corianderhub.dev/corianderhub/internal/core/intent"
 	"corianderhub.dev/corianderhub/internal/endpoint"
+	"corianderhub.dev/corianderhub/pkg/admin"
 	"corianderhub.dev/corianderhub/pkg/hub"
 	"corianderhub.dev/corianderhub/pkg/verdict"
 )
@@ -112,10 +113,10 @@
 			Timeout:    timeout,
 		})
 		if err == nil {
-			ex.record.addAttempt(Attempt{At: se.Clock.Now(), Target: addr, Reason: "answered"})
+			ex.record.addAttempt(admin.Attempt{At: se.Clock.Now(), Target: addr, Reason: "answered"})
 			return an, nil
 		}
-		ex.record.addAttempt(Attempt{At: se.Clock.Now(), Target: addr, Reason: err.Error()})
+		ex.record.addAttempt(admin.Attempt{At: se.Clock.Now(), Target: addr, Reason: err.Error()})
 		se.picker.markFailed(addr, se.Clock.Now())
 		retryAllowed := on.mayRetry(err, idempotent(ex.req.Method)) && ctx.Err() == nil && len(tried) < maxCallAttempts
 		if !retryAllowed || !se.budget.Spend() {
--- a/internal/entry/lease.go
+++ b/internal/entry/lease.go
@@ -311,19 +311,6 @@
 	}
 }
 
-// adoptTerm continues under a new term with the current state. It reports whether the
-// published view must be applied again under that term.
-func (sh *stewardship) adoptTerm(term int64) bool {
-	sh.term, sh.core.Term = term, term
-	if sh.published == nil {
-		return false
-	}
-	vi := *sh.published
-	vi.Term = term
-	sh.published = &vi
-	return true
-}
-
 // reacquireLease acquires a new lease after the previous one expired. It returns
 // platform.ErrConflict if another daemon holds the lease.
 func (ct *control) reacquireLease(ctx context.Context) (revision, lease int64, err error) {
@@ -342,29 +329,6 @@
 	return revision, lease, err
 }
 
-// nextTerm returns the term of a steward that has acquired the lease at a revision of the store.
-// It is higher than all terms before: that of the revision, unless the store was restored from a
-// copy and its revisions went back.
-func (ct *control) nextTerm(revision int64) int64 {
-	ct.maxTerm = max(revision, ct.maxTerm+1)
-	return ct.maxTerm
-}
-
-// raiseTerm gives this steward a higher term if daemons know of a higher one than its own, which
-// they would obey. That is so if it acquired the lease after a restore of the store and had not
-// heard of its predecessor. A steward that is still heard is left to the lease.
-func (ct *control) raiseTerm(now time.Time) {
-	sh := &ct.lease
-	if ct.maxTerm <= sh.term || clock.SinceBoot() >= sh.until || now.Sub(ct.lastStewardHeartbeat) <= relayedStewardTimeout {
-		return
-	}
-	before := sh.term
-	if sh.adoptTerm(ct.nextTerm(0)) {
-		ct.applyView(sh.published)
-	}
-	ct.da.Log.Warn("steward: term raised.", "term", sh.term, "before", before)
-}
-
 // becomeSteward starts acting as the steward of a new term after it acquired the lease at a
 // revision of the store. The lease is held until the given time since boot.
 func (ct *control) becomeSteward(revision int64, until time.Duration, resign context.CancelFunc) {
