--- a/internal/entry/control_test.go
+++ b/internal/entry/control_test.go
@@ -21,7 +21,7 @@
 func newTestControl(milliCPU int) (*control, *clock.Manual) {
 	cl := clock.NewManual(time.Unix(1000, 0))
 	log := slog.New(slog.DiscardHandler)
-	da := &Daemon{Clock: cl, Log: log, work: context.Background(),
+	da := &Daemon{Clock: cl, Log: log, work: context.Background(), store: platform.NewStore("127.0.0.1:9", time.Second),
 		Settings:   platform.Settings{IP: "10.0.0.200", DataCenter: "dc-0", CPUShare: float64(milliCPU) / 1000},
 		quarantine: &quarantine.Ledger{}, backpressure: &backpressure.Tracker{},
 		mesh: &mesh.Mesh{Clock: cl, Log: log, IP: "10.0.0.200", DataCenter: "dc-0"}}
