Check the steward's key before trusting a lease after a restore

A steward whose lease was gone renewed the one that another daemon had been granted under the same ID, and both took it for theirs. Besides, a renewal that was answered in the era before, and handled just after the restore was seen, extended the lease once. Callers: groups ordered about by two stewards.

The first renewal in a new era counts only if the steward's key names this process and that lease; otherwise the lease is acquired again unless another daemon holds it. Ends of leases count in the era in which they were granted only. One read more at each restore. The emulator gives IDs out again too.

--- a/internal/entry/lease.go
+++ b/internal/entry/lease.go
@@ -4,9 +4,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"net"
-	"strconv"
-	"syscall"
 	"time"
 
 	"corianderhub.dev/corianderhub/internal/clock"
@@ -48,12 +45,6 @@
 	holderProbeTimeout = 150 * time.Millisecond
 )
 
-// holder is the value of the steward's key.
-type holder struct {
-	IP      string `json:"ip"`
-	Started int64  `json:"started"`
-}
-
 // stewardship is the part of the control state that belongs to the steward's lease.
 type stewardship struct {
 	// core is nil unless this daemon is the steward.
@@ -173,7 +164,7 @@
 	if item.Revision != 0 && !ct.holderExited(ctx, item) {
 		return
 	}
-	begin := clock.SinceBoot()
+	begin, era := clock.SinceBoot(), ct.da.store.Era()
 	lease, err := ct.da.store.Grant(ctx, leaseTTL)
 	if err != nil {
 		ct.da.Log.Info("steward: granting a lease failed.", "cause", err.Error())
@@ -188,8 +179,8 @@
 	}
 	renewing, resign := context.WithCancel(ctx)
 	defer resign()
-	ct.post(func() { ct.becomeSteward(revision, begin+leaseTTL-leaseMargin, resign) })
-	lease = ct.renew(renewing, lease)
+	ct.post(func() { ct.becomeSteward(revision, ct.leaseEnd(begin, era), resign) })
+	lease = ct.renew(renewing, lease, era)
 	why := "lease lost"
 	if renewing.Err() != nil {
 		why = "stopping"
@@ -223,43 +214,33 @@
 		[]platform.Put{{Key: stewardKey, Value: value, Lease: lease}}, nil)
 }
 
-// holderExited reports whether the process that holds the lease has certainly ended: a
-// newer process runs at its address, or connections there are refused. A lack of heartbeats
-// or a timeout proves nothing.
-func (ct *control) holderExited(ctx context.Context, item platform.Item) bool {
-	var ho holder
-	if err := json.Unmarshal(item.Value, &ho); err != nil {
-		ct.da.Log.Warn("steward: decoding the lease holder failed.", "cause", err.Error())
-		return false
-	}
-	if ho.IP == ct.da.Settings.IP {
-		return ho.Started != ct.da.started
-	}
-	for _, pe := range ct.da.mesh.Alive() {
-		if pe.IP == ho.IP {
-			return pe.Started > ho.Started
-		}
+// leaseEnd returns until when a lease is held that was granted or renewed at a time since boot, in
+// the given era. It is 0 if the store has been restored since, which may have taken the lease away.
+func (ct *control) leaseEnd(begin time.Duration, era int64) time.Duration {
+	if ct.da.store.Era() != era {
+		return 0
 	}
-	di := net.Dialer{Timeout: holderProbeTimeout}
-	nc, err := di.DialContext(ctx, "tcp", net.JoinHostPort(ho.IP, strconv.Itoa(ct.da.Settings.InternalPorts[1])))
-	if err == nil {
-		nc.Close()
-	}
-	return errors.Is(err, syscall.ECONNREFUSED)
+	return begin + leaseTTL - leaseMargin
 }
 
-// renew renews the lease until it is lost or ctx ends, and returns the last lease ID. A
-// lease that expired in an outage is acquired again unless another daemon holds one.
-func (ct *control) renew(ctx context.Context, lease int64) int64 {
+// renew renews the lease, which was granted in the given era, until it is lost or ctx ends. It
+// returns the last lease ID. A lease that expired in an outage, or that a restore took away, is
+// acquired again unless another daemon holds one.
+func (ct *control) renew(ctx context.Context, lease, era int64) int64 {
 	for ctx.Err() == nil && ct.da.Clock.Sleep(ctx, renewInterval) == nil {
 		begin := clock.SinceBoot()
 		err := ct.da.store.Renew(ctx, lease)
+		if now := ct.da.store.Era(); err == nil && now != era {
+			if err = ct.checkLease(ctx, lease); err == nil {
+				era = now
+			}
+		}
 		revision := int64(0)
 		if errors.Is(err, platform.ErrNoLease) {
-			if !ct.extendLease(0, 0) {
+			if !ct.extendLease(0, era, 0) {
 				return lease
 			}
-			begin = clock.SinceBoot()
+			begin, era = clock.SinceBoot(), ct.da.store.Era()
 			newLease := int64(0)
 			if revision, newLease, err = ct.reacquireLease(ctx); errors.Is(err, platform.ErrConflict) {
 				return lease
@@ -271,25 +252,26 @@
 		if err != nil {
 			ct.da.Log.Info("steward: renewing the lease failed.", "cause", err.Error())
 		}
-		until := time.Duration(0)
-		if err == nil {
-			until = begin + leaseTTL - leaseMargin
+		if err != nil {
+			begin = 0
 		}
-		if !ct.extendLease(until, revision) {
+		if !ct.extendLease(begin, era, revision) {
 			return lease
 		}
 	}
 	return lease
 }
 
-// extendLease updates the lease's end, and the term if the lease was acquired again at a revision
-// of the store. Zero values leave them unchanged. It reports whether this daemon is still the
-// steward.
-func (ct *control) extendLease(until time.Duration, revision int64) bool {
+// extendLease updates the end of a lease that was granted or renewed at a time since boot, in the
+// given era, and the term if it was acquired again at a revision of the store. A zero time or
+// revision leaves them unchanged. It reports whether this daemon is still the steward.
+func (ct *control) extendLease(begin time.Duration, era, revision int64) bool {
 	held := make(chan bool, 1)
 	ct.post(func() {
 		if ct.lease.core != nil {
-			ct.lease.extend(until)
+			if begin > 0 {
+				ct.lease.extend(ct.leaseEnd(begin, era))
+			}
 			if revision > 0 && ct.lease.adoptTerm(ct.nextTerm(revision)) {
 				ct.applyView(ct.lease.published)
 			}
@@ -318,8 +300,7 @@
 	if err != nil {
 		return 0, 0, err
 	}
-	var ho holder
-	if item.Revision != 0 && (json.Unmarshal(item.Value, &ho) != nil || ho.IP != ct.da.Settings.IP || ho.Started != ct.da.started) {
+	if item.Revision != 0 && !ct.isHolder(item) {
 		return 0, 0, platform.ErrConflict
 	}
 	if lease, err = ct.da.store.Grant(ctx, leaseTTL); err != nil {
--- a/internal/entry/restore_test.go
+++ b/internal/entry/restore_test.go
@@ -1,7 +1,9 @@
 package entry
 
 import (
+	"context"
 	"fmt"
+	"net/http/httptest"
 	"slices"
 	"testing"
 	"time"
@@ -230,6 +232,53 @@
 	}
 }
 
+// Guards against two stewards that renew one lease: a restore of the store took the lease of the first
+// away, and the second was granted one with the same ID.
+func TestLeaseIDGivenOutAgain(t *testing.T) {
+	ct, _ := newTestControl(800)
+	ct.da.Clock = clock.System{}
+	var st emulator.Store
+	hs := httptest.NewServer(&emulator.StoreProxy{Store: &st})
+	defer hs.Close()
+	ct.da.store = platform.NewStore(hs.Listener.Addr().String(), storeTimeout)
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	go func() {
+		for {
+			select {
+			case ev := <-ct.events:
+				ev()
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	ct.post(func() {
+		ct.lease = stewardship{core: steward.New(7, ct.startedAt), term: 7, promises: make(map[string]promise)}
+	})
+	write := func(ip string) int64 {
+		t.Helper()
+		lease, err := ct.da.store.Grant(ctx, time.Minute)
+		if err == nil {
+			_, err = ct.da.store.Txn(ctx, nil, []platform.Put{{Key: stewardKey, Value: fmt.Appendf(nil, `{"ip":%q}`, ip), Lease: lease}}, nil)
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		return lease
+	}
+	st.Copy()
+	own, era := write(ct.da.Settings.IP), ct.da.store.Era()
+	st.Restore()
+	if other := write("10.0.0.1"); other != own {
+		t.Fatalf("the second lease has ID %d, the first %d; the test wants the same", other, own)
+	}
+	ct.renew(ctx, own, era)
+	if ctx.Err() != nil {
+		t.Error("renews the lease of another daemon")
+	}
+}
+
 // Guards against a steward that goes on by a lease that a restore of the store may have taken away,
 // beside the daemon that acquired the lease since.
 func TestRestoreEndsLease(t *testing.T) {
