--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -53,6 +53,7 @@
 	revision uint64
 	changed  chan struct{}
 	calls    map[string]int
+	saved    storeCopy
 }
 
 var _ platform.Store = (*Store)(nil)
