--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -128,6 +128,8 @@
 	// evacuation is the operators' order of which data centres are evacuated.
 	evacuation evacuation.Tracker
 	cold       coldEndpoints
+	// unreached is the number of unreached endpoints that was logged last.
+	unreached int
 	// quarantine is the state of the quarantine of requests that crash endpoints.
 	quarantine quarantineControl
 }
@@ -241,6 +243,7 @@
 		ct.nextSweep = now.Add(sweepInterval)
 		ct.da.pool.CloseExpired()
 		ct.crashChecks.sweep(now)
+		ct.logUnreached(now)
 		ct.da.quarantine.Sweep(now)
 		ct.da.backpressure.Sweep(now)
 		ct.shareBudgets()
--- a/internal/entry/control_test.go
+++ b/internal/entry/control_test.go
@@ -11,8 +11,10 @@
 	"corianderhub.dev/corianderhub/internal/core/backpressure"
 	"corianderhub.dev/corianderhub/internal/core/catalog"
 	"corianderhub.dev/corianderhub/internal/core/quarantine"
+	"corianderhub.dev/corianderhub/internal/core/reach"
 	"corianderhub.dev/corianderhub/internal/front"
 	"corianderhub.dev/corianderhub/internal/mesh"
+	"corianderhub.dev/corianderhub/internal/relay"
 	"corianderhub.dev/corianderhub/platform"
 )
 
@@ -23,6 +25,7 @@
 	log := slog.New(slog.DiscardHandler)
 	da := &Daemon{Clock: cl, Log: log, work: context.Background(), store: platform.NewStore("127.0.0.1:9", time.Second),
 		Settings:   platform.Settings{IP: "10.0.0.200", DataCenter: "dc-0", CPUShare: float64(milliCPU) / 1000},
+		dialer:     &relay.Dialer{Clock: cl, Timeout: dialTimeout, Paths: &reach.Tracker{}},
 		quarantine: &quarantine.Ledger{}, backpressure: &backpressure.Tracker{},
 		mesh: &mesh.Mesh{Clock: cl, Log: log, IP: "10.0.0.200", DataCenter: "dc-0"}}
 	da.config.Store(&configuration{Config: &catalog.Config{Revision: 5}})
--- a/internal/entry/crashcheck.go
+++ b/internal/entry/crashcheck.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"syscall"
 	"time"
 
@@ -70,7 +69,7 @@
 	if ct.da.Clock.Sleep(ctx, crashCheckDelay) != nil {
 		return
 	}
-	crashed := refusesConnections(ctx, bo.Address)
+	crashed := ct.da.refusesConnections(ctx, bo.Address)
 	ct.post(func() { ct.finishCrashCheck(bo.Endpoint, ec, crashed) })
 }
 
@@ -80,10 +79,9 @@
 
 // refusesConnections reports whether connections to addr are refused: the machine is up,
 // but the process that listened there has ended.
-func refusesConnections(ctx context.Context, addr string) bool {
-	di := net.Dialer{Timeout: dialTimeout}
+func (da *Daemon) refusesConnections(ctx context.Context, addr string) bool {
 	for range crashCheckAttempts {
-		nc, err := di.DialContext(ctx, "tcp", addr)
+		nc, err := da.dialer.Dial(ctx, addr)
 		if err == nil {
 			nc.Close()
 			return false
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -23,10 +23,12 @@
 	"corianderhub.dev/corianderhub/internal/core/catalog"
 	"corianderhub.dev/corianderhub/internal/core/dispatch"
 	"corianderhub.dev/corianderhub/internal/core/quarantine"
+	"corianderhub.dev/corianderhub/internal/core/reach"
 	"corianderhub.dev/corianderhub/internal/core/steward"
 	"corianderhub.dev/corianderhub/internal/front"
 	"corianderhub.dev/corianderhub/internal/http1"
 	"corianderhub.dev/corianderhub/internal/mesh"
+	"corianderhub.dev/corianderhub/internal/relay"
 	"corianderhub.dev/corianderhub/platform"
 )
 
@@ -77,6 +79,7 @@
 	control *control
 	mesh    *mesh.Mesh
 	peers   *mesh.Client
+	dialer  *relay.Dialer
 	pool    *http1.Pool
 	front   *front.Server
 	table   *dispatch.Table
@@ -93,6 +96,8 @@
 	gauges   *metrics.Set
 	stopping atomic.Bool
 	group    run.Group
+	// dialDirect replaces the opening of connections to endpoints in tests.
+	dialDirect func(ctx context.Context, addr string) (net.Conn, error)
 	// base ends the daemon immediately, without a graceful stop, as a kill does; tests set
 	// it. work is the context of all goroutines of the daemon.
 	base   context.Context
@@ -149,7 +154,8 @@
 	da.store.OnInvalidEra = func(value string) {
 		da.Log.Warn("store: invalid era ignored.", "value", value, "era", da.store.Era())
 	}
-	da.pool = &http1.Pool{Clock: da.Clock, DialTimeout: dialTimeout}
+	da.dialer = &relay.Dialer{Clock: da.Clock, Timeout: dialTimeout, Paths: &reach.Tracker{}, Direct: da.dialDirect}
+	da.pool = &http1.Pool{Clock: da.Clock, Dial: da.dialer.Dial}
 	da.backpressure = &backpressure.Tracker{}
 	da.table = &dispatch.Table{DataCenter: set.DataCenter, Backpressure: da.backpressure}
 	da.plain = &dispatch.PlainTable{DataCenter: set.DataCenter, Backpressure: da.backpressure}
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -43,6 +43,7 @@
 			}
 			return 0
 		}},
+		{"corianderhub_endpoints_unreached", func() float64 { return float64(da.dialer.Paths.Unreached(da.Clock.Now())) }},
 		{"corianderhub_store_era", func() float64 { return float64(da.store.Era()) }},
 		{"corianderhub_view_groups", func() float64 {
 			if vi := da.view.Load(); vi != nil {
--- a/internal/front/harness_test.go
+++ b/internal/front/harness_test.go
@@ -85,7 +85,7 @@
 		Config: func() *catalog.Config { return ri.cfg }, Stale: func() bool { return false }, OnMisrouted: func() {}, OnLeaving: func(catalog.Instance) {},
 		Quarantine: &quarantine.Ledger{}, OnDisconnect: ri.recordDisconnect, OnCompletion: ri.recordCompletion,
 		Backpressure: &backpressure.Tracker{},
-		Pool:         &http1.Pool{Clock: clock.System{}, DialTimeout: longTimeout},
+		Pool:         &http1.Pool{Clock: clock.System{}},
 		Budget:       &dispatch.Budget{Ratio: 0.2, Slack: 100, Window: 10 * time.Second}}
 	ri.hs = httptest.NewServer(ri.front)
 	t.Cleanup(ri.hs.Close)
--- a/internal/http1/exchange_test.go
+++ b/internal/http1/exchange_test.go
@@ -58,7 +58,7 @@
 	return req
 }
 
-func newPool() *Pool { return &Pool{Clock: clock.System{}, DialTimeout: 5 * time.Second} }
+func newPool() *Pool { return &Pool{Clock: clock.System{}} }
 
 func request(id string) *Request {
 	return &Request{Method: http.MethodPost, URI: "/a%2fb?c=1", Host: "some.example", IDHeader: idHeader,
--- a/internal/http1/pool.go
+++ b/internal/http1/pool.go
@@ -37,11 +37,11 @@
 // exported fields before the first use.
 type Pool struct {
 	Clock clock.Clock
-	// DialTimeout bounds the opening of a connection.
-	DialTimeout time.Duration
-	mu          sync.Mutex
-	idle        map[string][]*conn
-	dials       atomic.Int64
+	// Dial opens a connection to an address; nil means net.Dialer.
+	Dial  func(ctx context.Context, addr string) (net.Conn, error)
+	mu    sync.Mutex
+	idle  map[string][]*conn
+	dials atomic.Int64
 }
 
 // conn is one connection. At most one exchange uses it at a time.
@@ -72,14 +72,23 @@
 		cn.nc.Close()
 	}
 	po.dials.Add(1)
-	di := net.Dialer{Timeout: po.DialTimeout, KeepAlive: -1}
-	nc, err := di.DialContext(ctx, "tcp", addr)
+	nc, err := po.dial(ctx, addr)
 	if err != nil {
 		return nil, err
 	}
 	return &conn{nc: nc, br: bufio.NewReaderSize(nc, readBufferSize), addr: addr}, nil
 }
 
+// dial opens a connection without keep-alive probes: one that waits for a response is watched by
+// the request's own timeouts.
+func (po *Pool) dial(ctx context.Context, addr string) (net.Conn, error) {
+	if po.Dial != nil {
+		return po.Dial(ctx, addr)
+	}
+	di := net.Dialer{KeepAlive: -1}
+	return di.DialContext(ctx, "tcp", addr)
+}
+
 func (po *Pool) takeIdle(addr string) *conn {
 	po.mu.Lock()
 	defer po.mu.Unlock()
