--- a/internal/core/steward/loss_test.go
+++ b/internal/core/steward/loss_test.go
@@ -99,6 +99,26 @@
 	}
 }
 
+// The steward's path to all VMs is cut for longer than any timeout, and other daemons that are cut
+// off too report stalls. Guards against dissolving groups that serve the daemons that still reach
+// them.
+func TestCutOffStewardDissolvesNoGroup(t *testing.T) {
+	si := newSimulationWith(t, 4, 3, 9, simModels)
+	si.runInitialLoads(4 * time.Second)
+	before := si.core.Groups()
+	si.lostPollResponses, si.lostOrderResponses = 1, 1
+	for range 12 {
+		for _, gr := range before {
+			si.core.HandleStallReport(gr.Name, gr.Epoch, false, si.now)
+		}
+		si.run(time.Second)
+		si.checkStillServing(before)
+	}
+	si.lostPollResponses, si.lostOrderResponses = 0, 0
+	si.run(time.Second)
+	si.checkStillServing(before)
+}
+
 // checkStillServing checks that all of the given groups still serve.
 func (si *simulation) checkStillServing(want []catalog.Group) {
 	si.t.Helper()
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -59,6 +59,7 @@
 	da         *Daemon
 	ip         string
 	storeProxy *emulator.StoreProxy
+	path       *endpointPath
 	// kill ends the daemon immediately, stop ends it gracefully.
 	kill, stop context.CancelFunc
 	dead       context.Context
@@ -129,8 +130,9 @@
 	}
 	ctx, stop := context.WithCancel(sk.ctx)
 	dead, kill := context.WithCancel(sk.ctx)
-	ru := &testDaemon{ip: ip, storeProxy: proxy, kill: kill, stop: stop, dead: dead, done: make(chan error, 1),
-		da: &Daemon{base: dead, Settings: set, Clock: clock.System{}, Log: slog.New(slog.NewTextHandler(testWriter{sk.t, sk.log}, nil))}}
+	path := &endpointPath{}
+	ru := &testDaemon{ip: ip, storeProxy: proxy, path: path, kill: kill, stop: stop, dead: dead, done: make(chan error, 1),
+		da: &Daemon{base: dead, dialDirect: path.dial, Settings: set, Clock: clock.System{}, Log: slog.New(slog.NewTextHandler(testWriter{sk.t, sk.log}, nil))}}
 	go func() {
 		err := ru.da.Run(ctx)
 		if err != nil && sk.ctx.Err() == nil {
