Confirm no loss while no VM answers the steward

Callers of all daemons were refused (59 of 514 first attempts served at daemons that reached the endpoints): the steward, cut off from all VMs itself, counted its unanswered polls as losses, confirmed by stall reports of daemons cut off with it, and dissolved all groups.

A loss is now confirmed only if some VM has answered a poll sent since the lost one became unresponsive; while none has, one VM in each domain is polled every 100 ms. When the first VM answers again, those that fell silent meanwhile are polled anew.

Weighed: to give the lease back after a time without answers. It moves the work to a daemon that may be cut off as well, and until then the loss has been acted on.

--- a/internal/core/steward/loss.go
+++ b/internal/core/steward/loss.go
@@ -31,9 +31,12 @@
 	localFaultDomains = 3
 )
 
-// lossConfirmed reports whether an unresponsive member of a group counts as lost.
+// lossConfirmed reports whether an unresponsive member of a group counts as lost. A steward that no
+// VM has answered since then may be cut off itself.
 func (co *Core) lossConfirmed(gr *group, vm *vm, now time.Time) bool {
 	switch {
+	case co.lastAnsweredPoll.Before(vm.unresponsiveSince):
+		return false
 	case co.vms[gr.members[0]] == nil || !co.complete(gr):
 		// The group does not serve, so its other members are better used elsewhere.
 		return true
@@ -66,3 +69,54 @@
 	}
 	return num >= localFaultDomains
 }
+
+// recordAnswer records that a VM has answered a poll sent at sentAt. VMs that became unresponsive
+// while none answered are polled anew: their polls may have failed because the steward was cut off.
+func (co *Core) recordAnswer(sentAt, now time.Time) {
+	before := co.lastAnsweredPoll
+	if !sentAt.After(before) {
+		return
+	}
+	co.lastAnsweredPoll = sentAt
+	if !before.Before(co.lastUnresponsive) {
+		return
+	}
+	for _, vm := range co.vms {
+		if vm.down && before.Before(vm.unresponsiveSince) && !vm.unresponsiveSince.After(sentAt) {
+			vm.down, vm.failures, vm.urgent = false, 0, true
+			vm.pollBy(now)
+		}
+	}
+}
+
+// witnessInterval is the time between polls of VMs that are to show whether the steward reaches any.
+const witnessInterval = 100 * time.Millisecond
+
+// pollWitnesses polls one VM in each domain while a VM is unresponsive and none has answered since.
+func (co *Core) pollWitnesses(now time.Time) {
+	if now.Sub(co.witnessesPolledAt) < witnessInterval || !co.needsWitness() {
+		return
+	}
+	co.witnessesPolledAt = now
+	polled := make(map[string]bool)
+	for _, id := range co.ids() {
+		vm := co.vms[id]
+		if !polled[vm.ep.Domain] && !vm.down && vm.failures == 0 {
+			polled[vm.ep.Domain] = true
+			vm.pollBy(now)
+		}
+	}
+}
+
+// needsWitness reports whether a VM is unresponsive and none has answered since.
+func (co *Core) needsWitness() bool {
+	if !co.lastAnsweredPoll.Before(co.lastUnresponsive) {
+		return false
+	}
+	for _, vm := range co.vms {
+		if vm.down && co.lastAnsweredPoll.Before(vm.unresponsiveSince) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/core/steward/reports.go
+++ b/internal/core/steward/reports.go
@@ -14,6 +14,7 @@
 		return
 	}
 	vm.polling = false
+	co.recordAnswer(sentAt, now)
 	co.pollRTT.Add(now.Sub(sentAt))
 	if sentAt.Before(vm.lastAnsweredPoll) {
 		// The response to a later poll arrived first and is more recent.
@@ -79,6 +80,9 @@
 	}
 	if vm.failures == 0 {
 		vm.unresponsiveSince = sentAt
+		if sentAt.After(co.lastUnresponsive) {
+			co.lastUnresponsive = sentAt
+		}
 	}
 	vm.failures++
 	if vm.failures < maxFailures {
--- a/internal/core/steward/steward.go
+++ b/internal/core/steward/steward.go
@@ -234,6 +234,11 @@
 	pollRTT rtt.Estimator
 	// unresponsiveAt is when a VM last became unresponsive, by fabric domain.
 	unresponsiveAt map[string]time.Time
+	// lastAnsweredPoll is the send time of the latest poll that any VM answered, and
+	// lastUnresponsive the latest unresponsiveSince of any VM.
+	lastAnsweredPoll, lastUnresponsive time.Time
+	// witnessesPolledAt is when VMs were last polled to show whether the steward reaches any.
+	witnessesPolledAt time.Time
 	// startedAt is when this steward took over.
 	startedAt time.Time
 	// incompleteGroups are the keys of groups that have lost a restored member.
@@ -316,6 +321,7 @@
 	if co.discoveryDone(now) {
 		calls = append(calls, co.formGroups(now)...)
 	}
+	co.pollWitnesses(now)
 	return co.dispatch(append(calls, co.duePolls(now)...))
 }
 
