Count failed polls from the first answer of another VM on

Polls of a VM that fail count from the first answer of another VM after its first failure; four confirm, as before.

--- a/internal/core/steward/loss.go
+++ b/internal/core/steward/loss.go
@@ -32,10 +32,10 @@
 )
 
 // lossConfirmed reports whether an unresponsive member of a group counts as lost. A steward that no
-// VM has answered since then may be cut off itself.
+// VM answers may be cut off itself.
 func (co *Core) lossConfirmed(gr *group, vm *vm, now time.Time) bool {
 	switch {
-	case co.lastAnsweredPoll.Before(vm.unresponsiveSince):
+	case !vm.witnessed():
 		return false
 	case co.vms[gr.members[0]] == nil || !co.complete(gr):
 		// The group does not serve, so its other members are better used elsewhere.
@@ -70,25 +70,41 @@
 	return num >= localFaultDomains
 }
 
-// recordAnswer records that a VM has answered a poll sent at sentAt. VMs that became unresponsive
-// while none answered are polled anew: their polls may have failed because the steward was cut off.
-func (co *Core) recordAnswer(sentAt, now time.Time) {
-	before := co.lastAnsweredPoll
-	if !sentAt.After(before) {
+// startWitnessing begins the evidence against a VM whose poll sent at sentAt has failed and that
+// answered the one before.
+func (co *Core) startWitnessing(vm *vm, sentAt time.Time) {
+	vm.unresponsiveSince, vm.witnessedAt, vm.witnessedFailures = sentAt, time.Time{}, 0
+	if !co.lastAnsweredPoll.Before(sentAt) {
+		vm.witnessedAt = sentAt
 		return
 	}
-	co.lastAnsweredPoll = sentAt
-	if !before.Before(co.lastUnresponsive) {
+	co.unwitnessed[vm.ep.ID] = true
+}
+
+// recordAnswer records that a VM has answered a poll sent at sentAt: the steward reaches VMs. Those
+// that became unresponsive before are polled again, since only polls that fail from then on count.
+func (co *Core) recordAnswer(sentAt, now time.Time) {
+	if !sentAt.After(co.lastAnsweredPoll) {
 		return
 	}
-	for _, vm := range co.vms {
-		if vm.down && before.Before(vm.unresponsiveSince) && !vm.unresponsiveSince.After(sentAt) {
-			vm.down, vm.failures, vm.urgent = false, 0, true
+	co.lastAnsweredPoll = sentAt
+	for id := range co.unwitnessed {
+		vm := co.vms[id]
+		switch {
+		case vm == nil || vm.failures == 0:
+			delete(co.unwitnessed, id)
+		case !sentAt.Before(vm.unresponsiveSince):
+			delete(co.unwitnessed, id)
+			vm.witnessedAt = sentAt
 			vm.pollBy(now)
 		}
 	}
 }
 
+// witnessed reports whether enough polls of an unresponsive VM have failed since another VM has
+// answered.
+func (vm *vm) witnessed() bool { return vm.witnessedFailures >= maxFailures }
+
 // witnessInterval is the time between polls of VMs that are to show whether the steward reaches any.
 const witnessInterval = 100 * time.Millisecond
 
@@ -110,11 +126,8 @@
 
 // needsWitness reports whether a VM is unresponsive and none has answered since.
 func (co *Core) needsWitness() bool {
-	if !co.lastAnsweredPoll.Before(co.lastUnresponsive) {
-		return false
-	}
-	for _, vm := range co.vms {
-		if vm.down && co.lastAnsweredPoll.Before(vm.unresponsiveSince) {
+	for id := range co.unwitnessed {
+		if vm := co.vms[id]; vm != nil && vm.down {
 			return true
 		}
 	}
--- a/internal/core/steward/loss_test.go
+++ b/internal/core/steward/loss_test.go
@@ -119,6 +119,21 @@
 	si.checkStillServing(before)
 }
 
+// Only the lost member itself is polled, and the other VMs have no reason to be. Guards against a
+// steward that waits for ever for another VM's answer and confirms no loss.
+func TestSingleLossIsConfirmed(t *testing.T) {
+	si := newSimulationWith(t, 6, 3, 9, simModels)
+	si.runInitialLoads(4 * time.Second)
+	lost := si.core.Groups()[0]
+	id := lost.Members[1].ID
+	si.fleet.Update(id, func(vm *emulator.VM) { vm.Dead = true })
+	si.core.vms[id].pollBy(si.now)
+	si.run(unresponsiveTimeout + time.Second)
+	if hasGroup(si.core.Groups(), lost) {
+		t.Errorf("%s still serves %v after the loss of a member", lost.Name, unresponsiveTimeout+time.Second)
+	}
+}
+
 // checkStillServing checks that all of the given groups still serve.
 func (si *simulation) checkStillServing(want []catalog.Group) {
 	si.t.Helper()
--- a/internal/core/steward/reports.go
+++ b/internal/core/steward/reports.go
@@ -79,12 +79,12 @@
 		return
 	}
 	if vm.failures == 0 {
-		vm.unresponsiveSince = sentAt
-		if sentAt.After(co.lastUnresponsive) {
-			co.lastUnresponsive = sentAt
-		}
+		co.startWitnessing(vm, sentAt)
 	}
 	vm.failures++
+	if !vm.witnessedAt.IsZero() && !sentAt.Before(vm.witnessedAt) {
+		vm.witnessedFailures++
+	}
 	if vm.failures < maxFailures {
 		vm.pollBy(now)
 		return
@@ -94,6 +94,10 @@
 		co.unresponsiveAt[vm.ep.Domain] = now
 	}
 	vm.down, vm.urgent = true, false
+	if !vm.witnessedAt.IsZero() && !vm.witnessed() {
+		vm.pollBy(now)
+		return
+	}
 	if co.lossUnconfirmed(vm, now) {
 		vm.pollAt = now.Add(co.unconfirmedPollInterval(vm))
 		return
--- a/internal/core/steward/steward.go
+++ b/internal/core/steward/steward.go
@@ -120,6 +120,10 @@
 	down              bool
 	failures          int
 	unresponsiveSince time.Time
+	// witnessedAt is the send time of a poll that another VM has answered since; zero if there is
+	// none. witnessedFailures counts the polls that have failed from then on.
+	witnessedAt       time.Time
+	witnessedFailures int
 	// inconclusive counts the polls in a row that were inconclusive because this machine was
 	// delayed.
 	inconclusive int
@@ -234,9 +238,10 @@
 	pollRTT rtt.Estimator
 	// unresponsiveAt is when a VM last became unresponsive, by fabric domain.
 	unresponsiveAt map[string]time.Time
-	// lastAnsweredPoll is the send time of the latest poll that any VM answered, and
-	// lastUnresponsive the latest unresponsiveSince of any VM.
-	lastAnsweredPoll, lastUnresponsive time.Time
+	// lastAnsweredPoll is the send time of the latest poll that any VM answered. unwitnessed
+	// holds the unresponsive VMs since whose first failed poll none has answered.
+	lastAnsweredPoll time.Time
+	unwitnessed      map[string]bool
 	// witnessesPolledAt is when VMs were last polled to show whether the steward reaches any.
 	witnessesPolledAt time.Time
 	// startedAt is when this steward took over.
@@ -267,7 +272,7 @@
 // New returns the state of a steward that takes over with the given term.
 func New(term int64, now time.Time) *Core {
 	return &Core{Term: term, services: make(map[string]*catalog.Engine), vms: make(map[string]*vm),
-		groups: make(map[groupKey]*group), incompleteGroups: make(map[groupKey]bool), unresponsiveAt: make(map[string]time.Time),
+		groups: make(map[groupKey]*group), incompleteGroups: make(map[groupKey]bool), unresponsiveAt: make(map[string]time.Time), unwitnessed: make(map[string]bool),
 		startedAt: now, loads: loadLimiter{refilledAt: now}}
 }
 
