Connect to endpoints through another daemon when the own path fails

Callers of daemons that reached no endpoint were refused (5 of 424 first attempts served): such a daemon had no second way to any endpoint. Its refusals and resets also counted as crashes of endpoints, and quarantined sound requests at all daemons.

One dialer opens all connections to endpoints: for requests, polls, orders and checks. If the own path fails, or doesn't answer within 50 ms, another daemon opens the connection and passes the bytes on, one hop at most. An endpoint has crashed only if it refuses connections to another daemon too, and that one reaches a witness. Streams sent before the path was lost that have fallen silent continue elsewhere. A connection whose unread bytes can't be checked is not reused any more.

Weighed: passing whole requests on. Deadline, budget, limits, quarantine and verdict would be decided at two daemons, and the steward's polls and orders would still have no second way. Leaving the directory alone: callers keep addresses, and all daemons of a data centre may be cut off.

TestDaemonsCutOffFromEndpoints failed before (75 to 80 of 80 requests at the two daemons, 1 to 3 of 5 groups left) and passes. TestTruncatedResponseIsNoCrash gets a witness: a refused port alone is no crash any more.

--- a/internal/core/dispatch/stall.go
+++ b/internal/core/dispatch/stall.go
@@ -81,6 +81,30 @@
 	}
 }
 
+// CancelSilent cancels the requests that were sent before the path to their group's leader was lost
+// and that have emitted nothing for the group's stall timeout, so that they continue at another
+// group. lostSince returns since when the path to an address is lost, if it is. The group itself is
+// not stalled: requests sent since then take another path.
+func (ta *Table) CancelSilent(lostSince func(addr string) (time.Time, bool), now time.Time) {
+	ta.mu.Lock()
+	defer ta.mu.Unlock()
+	for _, gr := range ta.groups {
+		lostAt, lost := lostSince(gr.Leader().Address)
+		if !lost {
+			continue
+		}
+		for ti := range gr.streams {
+			active := ti.sent
+			if ti.lastEvent.After(active) {
+				active = ti.lastEvent
+			}
+			if ti.sent.Before(lostAt) && now.Sub(active) >= gr.stallTimeout() {
+				ti.cancel(ErrStalled)
+			}
+		}
+	}
+}
+
 // MarkBroken cancels the requests at a group that has lost a member, so that they continue at
 // another group, and excludes the group from new requests.
 func (ta *Table) MarkBroken(name string, now time.Time) {
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -112,6 +112,8 @@
 	storeUnavailable atomic.Bool
 	// probing counts the groups whose members this daemon is probing.
 	probing int
+	// checkingPaths counts the groups to whose leaders this daemon opens a connection.
+	checkingPaths int
 	// campaigning is set while this daemon tries to acquire the lease.
 	campaigning bool
 
--- a/internal/entry/control_test.go
+++ b/internal/entry/control_test.go
@@ -25,7 +25,7 @@
 	log := slog.New(slog.DiscardHandler)
 	da := &Daemon{Clock: cl, Log: log, work: context.Background(), store: platform.NewStore("127.0.0.1:9", time.Second),
 		Settings:   platform.Settings{IP: "10.0.0.200", DataCenter: "dc-0", CPUShare: float64(milliCPU) / 1000},
-		dialer:     &relay.Dialer{Clock: cl, Timeout: dialTimeout, Paths: &reach.Tracker{}},
+		dialer:     &relay.Dialer{Clock: cl, Timeout: dialTimeout, Paths: &reach.Tracker{}, Others: func(string) []string { return nil }},
 		quarantine: &quarantine.Ledger{}, backpressure: &backpressure.Tracker{},
 		mesh: &mesh.Mesh{Clock: cl, Log: log, IP: "10.0.0.200", DataCenter: "dc-0"}}
 	da.config.Store(&configuration{Config: &catalog.Config{Revision: 5}})
--- a/internal/entry/cut_test.go
+++ b/internal/entry/cut_test.go
@@ -219,7 +219,8 @@
 func (sk *stack) unreached(daemons []*testDaemon) int {
 	num := 0
 	for _, ru := range daemons {
-		num += ru.da.dialer.Paths.Unreached(time.Now())
+		unreached, _ := ru.da.dialer.Paths.Counts(time.Now())
+		num += unreached
 	}
 	return num
 }
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -80,6 +80,7 @@
 	mesh    *mesh.Mesh
 	peers   *mesh.Client
 	dialer  *relay.Dialer
+	relay   *relay.Server
 	pool    *http1.Pool
 	front   *front.Server
 	table   *dispatch.Table
@@ -154,8 +155,11 @@
 	da.store.OnInvalidEra = func(value string) {
 		da.Log.Warn("store: invalid era ignored.", "value", value, "era", da.store.Era())
 	}
-	da.dialer = &relay.Dialer{Clock: da.Clock, Timeout: dialTimeout, Paths: &reach.Tracker{}, Direct: da.dialDirect}
+	da.dialer = &relay.Dialer{Clock: da.Clock, Timeout: dialTimeout, Paths: &reach.Tracker{}, Relays: &reach.Relays{DataCenter: set.DataCenter},
+		Daemons: da.relayCandidates, Others: da.otherEndpoints, IP: set.IP, Port: set.InternalPorts[1], OpenDirect: da.dialDirect,
+		OnLost: func(addr string) { da.pool.CloseIdle(addr) }}
 	da.pool = &http1.Pool{Clock: da.Clock, Dial: da.dialer.Dial}
+	da.relay = &relay.Server{Direct: da.dialer.DirectForOthers, IsDaemon: func(ip string) bool { return da.mesh.Knows(ip) }}
 	da.backpressure = &backpressure.Tracker{}
 	da.table = &dispatch.Table{DataCenter: set.DataCenter, Backpressure: da.backpressure}
 	da.plain = &dispatch.PlainTable{DataCenter: set.DataCenter, Backpressure: da.backpressure}
@@ -311,7 +315,9 @@
 			}
 			return nil, 0
 		}}
-	return sv.Handler()
+	mux := sv.Handler()
+	mux.Handle("GET "+relay.Path, da.relay)
+	return mux
 }
 
 // gracefulStop stops the daemon gracefully once ctx ends. The other daemons are notified
@@ -337,9 +343,19 @@
 	if err := callers.Shutdown(limit); err != nil {
 		da.Log.Warn("daemon: grace period exceeded, requests aborted.", "working", da.front.InFlight(), "cause", err.Error())
 	}
+	// Requests of other daemons' callers pass through this one.
+	for da.relay.Open() > 0 {
+		if da.Clock.Sleep(limit, relayCheckInterval) != nil {
+			da.Log.Warn("daemon: grace period exceeded, relayed connections closed.", "open", da.relay.Open())
+			break
+		}
+	}
 	return nil
 }
 
+// relayCheckInterval is the time between checks whether a stopping daemon still relays connections.
+const relayCheckInterval = 20 * time.Millisecond
+
 // spawn runs fn in a goroutine tracked by wg. Its context ends with the daemon.
 func (da *Daemon) spawn(wg *sync.WaitGroup, fn func(context.Context)) {
 	wg.Go(func() { fn(da.work) })
--- a/internal/entry/heartbeats.go
+++ b/internal/entry/heartbeats.go
@@ -33,6 +33,7 @@
 		be.ConfigRevision, be.ConfigVersion = co.Revision, co.Version
 	}
 	be.StoreEra = ct.da.store.Era()
+	_, be.LostPaths = ct.da.dialer.Paths.Counts(now)
 	be.Leaving = ct.da.stopping.Load()
 	be.Uptime = now.Sub(ct.startedAt)
 	be.Evacuation = ct.evacuation.Announcement()
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -43,7 +43,15 @@
 			}
 			return 0
 		}},
-		{"corianderhub_endpoints_unreached", func() float64 { return float64(da.dialer.Paths.Unreached(da.Clock.Now())) }},
+		{`corianderhub_endpoints_unreached{by="no-daemon"}`, func() float64 {
+			unreached, lost := da.dialer.Paths.Counts(da.Clock.Now())
+			return float64(unreached - lost)
+		}},
+		{`corianderhub_endpoints_unreached{by="this-daemon"}`, func() float64 {
+			_, lost := da.dialer.Paths.Counts(da.Clock.Now())
+			return float64(lost)
+		}},
+		{"corianderhub_relayed_connections_open", func() float64 { return float64(da.relay.Open()) }},
 		{"corianderhub_store_era", func() float64 { return float64(da.store.Era()) }},
 		{"corianderhub_view_groups", func() float64 {
 			if vi := da.view.Load(); vi != nil {
--- a/internal/entry/quarantine_test.go
+++ b/internal/entry/quarantine_test.go
@@ -135,6 +135,7 @@
 		other.Close()
 	}
 	defer ln.Close()
+	ct.da.dialer.Others = func(string) []string { return []string{open} }
 	for i := range crashesUntilQuarantine {
 		for _, at := range []struct{ addr, content string }{{open, "sound"}, {closed, "crash"}} {
 			known := make(chan struct{})
--- a/internal/entry/stall.go
+++ b/internal/entry/stall.go
@@ -21,6 +21,7 @@
 // small machines could not process the responses in time.
 func (ct *control) stepStalls(now time.Time) {
 	ct.reportProgress(now)
+	ct.moveFromLostPaths(now)
 	stalled := ct.da.table.StalledGroups(now)
 	if len(stalled) == 0 {
 		return
@@ -41,6 +42,13 @@
 				ct.post(func() { ct.probing-- })
 			})
 		}
+		if !ownProbe && ct.checkingPaths < maxPathChecks {
+			ct.checkingPaths++
+			ct.da.spawn(&ct.wg, func(ctx context.Context) {
+				ct.checkPath(ctx, gr)
+				ct.post(func() { ct.checkingPaths-- })
+			})
+		}
 	}
 	ct.sendHeartbeat(heartbeatExtra{stallReports: stallReports, to: mesh.ToSteward})
 	if ct.lease.core != nil {
@@ -72,6 +80,9 @@
 	// in 8 s without a steward, 195 daemons sent 65,000 probes to groups of up to 32
 	// members.
 	maxProbes = 2
+	// maxPathChecks bounds the groups to whose leaders a daemon that does not probe opens a
+	// connection concurrently.
+	maxPathChecks = 8
 )
 
 // healthyGroups are groups that the steward found healthy after a stall report, with the
--- a/internal/http1/pool.go
+++ b/internal/http1/pool.go
@@ -107,7 +107,8 @@
 	if maxIdle == 0 {
 		maxIdle = maxIdlePerAddr
 	}
-	if keep <= 0 || maxIdle < 0 {
+	if _, ok := cn.nc.(syscall.Conn); !ok || keep <= 0 || maxIdle < 0 {
+		// Whether a connection has unread bytes must be known before it is reused.
 		cn.nc.Close()
 		return
 	}
@@ -163,7 +164,7 @@
 	}
 	sc, ok := cn.nc.(syscall.Conn)
 	if !ok {
-		return true
+		return false
 	}
 	rc, err := sc.SyscallConn()
 	if err != nil {
--- a/internal/mesh/heartbeat.go
+++ b/internal/mesh/heartbeat.go
@@ -54,6 +54,8 @@
 	ConfigVersion  int64 `cbor:"36,keyasint,omitempty"`
 	// StoreEra is the latest era of the store that the daemon knows.
 	StoreEra int64 `cbor:"37,keyasint,omitempty"`
+	// LostPaths is the number of endpoints that the daemon reaches through other daemons only.
+	LostPaths int `cbor:"38,keyasint,omitempty"`
 	// StateAge is the time since the store last confirmed the daemon's copy of the stored
 	// state.
 	StateAge time.Duration `cbor:"12,keyasint,omitempty"`
@@ -283,6 +285,13 @@
 	return append(slices.Sorted(maps.Keys(me.peers)), me.IP)
 }
 
+// Knows reports whether an IP address is that of this or another daemon.
+func (me *Mesh) Knows(ip string) bool {
+	me.mu.Lock()
+	defer me.mu.Unlock()
+	return ip == me.IP || me.peers[ip] != nil
+}
+
 // Alive returns the other daemons that count as alive, sorted by address: those with a
 // recent heartbeat that the steward does not list as unresponsive.
 func (me *Mesh) Alive() []Peer {
