Bound relayed connections to daemons that vanish, and drop idle connections with the path

A relayed connection held its place and its endpoint for as long as a daemon that has stopped reading, or lost power, stayed connected. Writes to it are bounded by 5 s, keep-alive probes find a machine without power after 5 s; no TCP_USER_TIMEOUT is set by us or the libraries in use, so the probes' count decides. When the paths to two endpoints are lost, all idle connections are closed: on one over a silent path a request waits for twice its objective.

--- a/internal/entry/paths.go
+++ b/internal/entry/paths.go
@@ -19,6 +19,17 @@
 	return candidates
 }
 
+// cutOffPaths is the number of lost paths from which on a daemon expects to have lost the others too.
+const cutOffPaths = 2
+
+// pathLost closes idle connections over a path that was found lost.
+func (da *Daemon) pathLost(addr string) {
+	da.pool.CloseIdle(addr)
+	if _, lost := da.dialer.Paths.Counts(da.Clock.Now()); lost >= cutOffPaths {
+		da.pool.CloseAllIdle()
+	}
+}
+
 // otherEndpoints returns the addresses of the endpoints in the view that are not at addr: those of
 // the same service, or of all services if there are none.
 func (da *Daemon) otherEndpoints(addr string) []string {
--- a/internal/http1/pool.go
+++ b/internal/http1/pool.go
@@ -136,6 +136,19 @@
 	delete(po.idle, addr)
 }
 
+// CloseAllIdle closes all idle connections. It is called when paths to several endpoints are lost:
+// those to others may be silent as well.
+func (po *Pool) CloseAllIdle() {
+	po.mu.Lock()
+	defer po.mu.Unlock()
+	for _, list := range po.idle {
+		for _, cn := range list {
+			cn.nc.Close()
+		}
+	}
+	clear(po.idle)
+}
+
 // CloseExpired closes the idle connections that have expired.
 func (po *Pool) CloseExpired() {
 	now := po.Clock.Now()
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -370,3 +370,35 @@
 }
 
 func (rc *readConn) Read(buf []byte) (int, error) { return rc.Reader.Read(buf) }
+
+// Guards against an endpoint that goes on working, and a place that stays taken, for a daemon that has
+// stopped reading.
+func TestAskingDaemonThatDoesNotRead(t *testing.T) {
+	pr := newPair(t)
+	pr.own.refuses.Store(true)
+	ended := make(chan struct{})
+	addr := serve(t, func(nc *net.TCPConn) {
+		defer close(ended)
+		defer nc.Close()
+		for {
+			if _, err := nc.Write(make([]byte, 64<<10)); err != nil {
+				return
+			}
+		}
+	})
+	nc, err := pr.dialer.Dial(t.Context(), addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer nc.Close()
+	select {
+	case <-ended:
+	case <-time.After(10 * writeTimeout):
+		t.Fatal("the endpoint's connection stays open")
+	}
+	for end := time.Now().Add(writeTimeout); pr.server.Open() != 0 && time.Now().Before(end); time.Sleep(time.Millisecond) {
+	}
+	if got := pr.server.Open(); got != 0 {
+		t.Errorf("%d connections count as open, want none", got)
+	}
+}
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -92,7 +92,7 @@
 		return
 	}
 	defer daemon.Close()
-	if err := daemon.SetDeadline(time.Time{}); err != nil {
+	if err := watchDaemon(daemon); err != nil {
 		relayedCount("aborted").Inc()
 		return
 	}
@@ -105,7 +105,7 @@
 		_, _ = io.CopyBuffer(struct{ io.Writer }{endpoint}, struct{ io.Reader }{buffered}, make([]byte, maxFrame))
 		endpoint.Close()
 	}()
-	if err := copyFrames(daemon, endpoint); err != nil {
+	if err := copyFrames(boundedWriter{daemon}, endpoint); err != nil {
 		relayedCount("aborted").Inc()
 		resetOnClose(daemon)
 		return
@@ -113,6 +113,39 @@
 	relayedCount("ended").Inc()
 }
 
+const (
+	// probeIdle, probeInterval and probeCount are those of the keep-alive probes to an asking
+	// daemon. One that has lost power must not keep an endpoint at work.
+	probeIdle     = 2 * time.Second
+	probeInterval = time.Second
+	probeCount    = 3
+	// writeTimeout bounds a write to an asking daemon that doesn't read.
+	writeTimeout = 5 * time.Second
+)
+
+// watchDaemon replaces the deadlines of the HTTP server on an asking daemon's connection by
+// keep-alive probes.
+func watchDaemon(nc net.Conn) error {
+	if err := nc.SetDeadline(time.Time{}); err != nil {
+		return err
+	}
+	if tc, ok := nc.(*net.TCPConn); ok {
+		return tc.SetKeepAliveConfig(net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount})
+	}
+	return nil
+}
+
+// boundedWriter is a connection whose writes fail after writeTimeout.
+type boundedWriter struct{ net.Conn }
+
+// Write implements io.Writer.
+func (bw boundedWriter) Write(buf []byte) (int, error) {
+	if err := bw.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return 0, err
+	}
+	return bw.Conn.Write(buf)
+}
+
 // resetOnClose makes Close reset a TCP connection, as the endpoint's own was.
 func resetOnClose(nc net.Conn) {
 	if tc, ok := nc.(*net.TCPConn); ok {
