Append to the known configuration when the store was restored from a copy

Own interface: a change that operators applied after a restore was acknowledged and in force at no daemon, since it got a revision that daemons already held under another change.

An apply whose base the copy can't be compared with is a conflict. TestChainAfterRestore failed before and passes. Open: an apply through a daemon that had not yet received the lost change.

--- a/internal/platform/chainstore/chainstore.go
+++ b/internal/platform/chainstore/chainstore.go
@@ -215,6 +215,9 @@
 	if err != nil {
 		return ApplyResult{}, false, err
 	}
+	if hd.Revision < current.Revision && ap.Base > 0 && ap.Base < current.Revision {
+		return ApplyResult{}, false, conflictError("the store was restored from a copy that lacks the changes since")
+	}
 	if problems := current.CheckChange(ap.Change); len(problems) > 0 {
 		return ApplyResult{}, false, &InvalidConfigError{Problems: problems}
 	}
@@ -280,8 +283,13 @@
 }
 
 // prepare stores all values that the next head refers to. Its second result reports
-// whether that includes a new snapshot.
+// whether that includes a new snapshot. If the store is behind the current configuration,
+// because it was restored from a copy, the snapshot holds what the copy lacks.
 func (st Store) prepare(ctx context.Context, hd chain.Head, current *intent.Config, ap ApplyRequest) (Update, bool, error) {
+	behind := hd.Revision < current.Revision
+	if behind {
+		hd.Revision, hd.Entry = current.Revision, ""
+	}
 	en, err := chain.NewEntry(hd, ap.Change, ap.Operation, ap.Operator)
 	if err != nil {
 		return Update{}, false, err
@@ -291,7 +299,7 @@
 		return Update{}, false, err
 	}
 	next := hd.Next(en, digest)
-	snapshot := next.Revision-hd.SnapshotRevision > chain.SnapshotEvery
+	snapshot := behind || next.Revision-hd.SnapshotRevision > chain.SnapshotEvery
 	if snapshot {
 		err = st.putSnapshot(ctx, current, &next)
 	}
