--- a/internal/relay/dialer.go
+++ b/internal/relay/dialer.go
@@ -26,9 +26,9 @@
 )
 
 const (
-	// directHead is how long a connection over the own path may take before another daemon is
+	// directHeadStart is how long a connection over the own path may take before another daemon is
 	// asked as well. A round trip takes up to 9 ms.
-	directHead = 50 * time.Millisecond
+	directHeadStart = 50 * time.Millisecond
 	// relayTimeout bounds the opening of a connection through one daemon.
 	relayTimeout = 60 * time.Millisecond
 	// relayAttempts is the number of daemons that are asked for a connection.
@@ -130,8 +130,8 @@
 // wait returns the first connection, and starts the second way when the first one fails or is slow.
 func (at *attempt) wait(ctx context.Context) (net.Conn, error) {
 	begin := at.di.Clock.Now()
-	head := time.NewTimer(directHead)
-	defer head.Stop()
+	headStart := time.NewTimer(directHeadStart)
+	defer headStart.Stop()
 	defer func() {
 		if at.pending > 0 {
 			go at.discard(at.pending)
@@ -148,11 +148,11 @@
 			if at.failed(ctx, re) {
 				return nil, at.err()
 			}
-		case <-head.C:
-			if late := at.di.Clock.Now().Sub(begin); late > directHead+timerSlack && len(at.results) == 0 && !at.relayStarted {
+		case <-headStart.C:
+			if late := at.di.Clock.Now().Sub(begin); late > directHeadStart+timerSlack && len(at.results) == 0 && !at.relayStarted {
 				// This machine was paused and may not have read the answer yet.
 				begin = at.di.Clock.Now()
-				head.Reset(directHead)
+				headStart.Reset(directHeadStart)
 				continue
 			}
 			if !at.relayStarted {
