--- a/internal/explain/request.go
+++ b/internal/explain/request.go
@@ -107,15 +107,16 @@
 
 // daemonMessages are messages about the state of a daemon that decide about all its requests.
 var daemonMessages = []string{"control: configuration in force.", messageConfigIgnored, "control: following the store.",
-	messageEvacuated, messageEvacuationEnded, "control: cold endpoints."}
+	messageEvacuated, messageEvacuationEnded, "control: cold endpoints.", messageUnreached, "control: endpoints reached again."}
 
-// Messages of a daemon that reads an outdated configuration, calls a restored store, and learns of an
-// evacuation or of its end.
+// Messages of a daemon that reads an outdated configuration, calls a restored store, learns of an
+// evacuation or of its end, and does not reach endpoints.
 const (
 	messageConfigIgnored   = "control: configuration ignored, its version is not newer than the one in force."
 	messageRestored        = "store: restored from a copy."
 	messageEvacuated       = "control: data centre evacuated."
 	messageEvacuationEnded = "control: evacuation ended."
+	messageUnreached       = "control: endpoints not reached."
 )
 
 // evacuations returns the indexes of the lines by which the sources learned of evacuations that
@@ -264,6 +265,8 @@
 			text = "the store was lost: " + li.Get("cause")
 		case li.Message == messageRestored:
 			text = "the store was restored from a copy and is in era " + li.Get("era")
+		case li.Message == messageUnreached:
+			text = li.Source + " did not reach " + li.Get("count") + " endpoints, " + li.Get("through-others") + " of which other daemons reached"
 		case li.Message == messageConfigIgnored:
 			text = "version " + li.Get("version") + " of the configuration was ignored, version " + li.Get("in-force") + " was in force"
 		case li.Message == "steward: view published." && !viewNamed:
--- a/internal/explain/request_test.go
+++ b/internal/explain/request_test.go
@@ -84,24 +84,37 @@
 	}
 }
 
-// Guards against a refusal after a restore of the store that is explained without it.
-func TestExplainRestore(t *testing.T) {
-	log := `time=2026-05-01T10:00:00Z level=WARN msg="store: restored from a copy." era=5 before=4
+// Guards against a refusal whose cause the logs name and its explanation does not.
+func TestExplainCause(t *testing.T) {
+	tests := []struct {
+		name, log string
+		want      []string
+	}{
+		{"store restored", `time=2026-05-01T10:00:00Z level=WARN msg="store: restored from a copy." era=5 before=4
 time=2026-05-01T10:00:01Z level=WARN msg="control: configuration ignored, its version is not newer than the one in force." version=88 in-force=96
-time=2026-05-01T10:00:02Z level=INFO msg="front: answered." request=ab outcome=refused status=404 reason=no-route sends=0 ms=0`
-	lines, _, err := Read("one", strings.NewReader(log))
-	if err != nil {
-		t.Fatal(err)
-	}
-	var out bytes.Buffer
-	if err := Print(&out, RequestLines(lines, "ab"), "ab"); err != nil {
-		t.Fatal(err)
+time=2026-05-01T10:00:02Z level=INFO msg="front: answered." request=ab outcome=refused status=404 reason=no-route sends=0 ms=0`,
+			[]string{"the store was restored from a copy and is in era 5", "version 88 of the configuration was ignored, version 96 was in force"}},
+		{"daemon cut off from endpoints", `time=2026-05-01T10:00:00Z level=INFO msg="control: endpoints not reached." count=53 through-others=50 before=0
+time=2026-05-01T10:00:02Z level=INFO msg="front: answered." request=ab outcome=refused status=503 reason=endpoints-refused sends=0 ms=0`,
+			[]string{"one did not reach 53 endpoints, 50 of which other daemons reached"}},
 	}
-	got := out.String()
-	for _, want := range []string{"the store was restored from a copy and is in era 5", "version 88 of the configuration was ignored, version 96 was in force"} {
-		if !strings.Contains(got, want) {
-			t.Errorf("%q is missing in:\n%s", want, got)
-		}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			lines, _, err := Read("one", strings.NewReader(tt.log))
+			if err != nil {
+				t.Fatal(err)
+			}
+			var out bytes.Buffer
+			if err := Print(&out, RequestLines(lines, "ab"), "ab"); err != nil {
+				t.Fatal(err)
+			}
+			got := out.String()
+			for _, want := range tt.want {
+				if !strings.Contains(got, want) {
+					t.Errorf("%q is missing in:\n%s", want, got)
+				}
+			}
+		})
 	}
 }
 
