--- a/internal/entry/cut_test.go
+++ b/internal/entry/cut_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -123,6 +124,8 @@
 const (
 	// cutWarmUp is the time from the beginning of a cut after which callers must not notice it.
 	cutWarmUp = time.Second
+	// cutPause is the time between two changes of a path.
+	cutPause = 300 * time.Millisecond
 	// cutRequests is the number of requests of each kind that a daemon gets during a cut, and
 	// maxCutFailures how many of all may fail: 0.97 are to be served.
 	cutRequests    = 20
@@ -136,12 +139,8 @@
 		t.Run(string(fault), func(t *testing.T) {
 			sk := newStack(t, 4)
 			st := sk.steward()
-			cut := []*testDaemon{st}
-			for _, ru := range sk.daemons {
-				if ru != st && len(cut) < 2 {
-					cut = append(cut, ru)
-				}
-			}
+			others := slices.DeleteFunc(slices.Clone(sk.daemons), func(ru *testDaemon) bool { return ru == st })
+			cut, sound := []*testDaemon{st, others[0]}, others[1]
 			// Streams in flight are what makes a steward poll their groups.
 			busy, stopBusy := context.WithCancel(sk.ctx)
 			var wg sync.WaitGroup
@@ -162,6 +161,17 @@
 			}
 			sk.until("the paths are used again", func() bool { return sk.unreached(cut) == 0 })
 			sk.checkServed(cut, before)
+
+			// All but one lose their paths, twice within a second.
+			cut = slices.DeleteFunc(slices.Clone(sk.daemons), func(ru *testDaemon) bool { return ru == sound })
+			for _, next := range []pathFault{fault, noPathFault, fault} {
+				for _, ru := range cut {
+					ru.path.setFault(next)
+				}
+				time.Sleep(cutPause)
+			}
+			time.Sleep(cutWarmUp)
+			sk.checkServed(cut, before)
 			sk.checkInvariants()
 		})
 	}
