Count relayed exchanges that have ended as ended

Each connection that the asking daemon closed after its response counted as aborted. TestCloseReachesEndpoint failed before (0 counted as ended, 1 wanted).

--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -213,9 +213,11 @@
 	}
 }
 
-// Guards against an endpoint that goes on working after the caller has left.
+// Guards against an endpoint that goes on working after the caller has left, and against counting
+// each exchange that has ended as aborted.
 func TestCloseReachesEndpoint(t *testing.T) {
 	pr := newPair(t)
+	before := relayedCount("ended").Get()
 	pr.own.refuses.Store(true)
 	ended := make(chan error, 1)
 	addr := serve(t, func(nc *net.TCPConn) {
@@ -231,6 +233,11 @@
 	if err := <-ended; err == nil {
 		t.Error("the endpoint's connection stays open")
 	}
+	for end := time.Now().Add(writeTimeout); pr.server.Open() != 0 && time.Now().Before(end); time.Sleep(time.Millisecond) {
+	}
+	if got := relayedCount("ended").Get() - before; got != 1 {
+		t.Errorf("%d connections count as ended, want 1", got)
+	}
 }
 
 // Guards against callers that reach endpoints, or a daemon's own listeners, without a key.
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -100,12 +100,22 @@
 		relayedCount("aborted").Inc()
 		return
 	}
+	closed := make(chan struct{})
 	go func() {
-		// The asking daemon never closes one direction only: it has given up the exchange.
-		_, _ = io.CopyBuffer(struct{ io.Writer }{endpoint}, struct{ io.Reader }{buffered}, make([]byte, maxFrame))
+		// The asking daemon never closes one direction only: its exchange has ended.
+		_, err := io.CopyBuffer(struct{ io.Writer }{endpoint}, struct{ io.Reader }{buffered}, make([]byte, maxFrame))
+		if err == nil {
+			close(closed)
+		}
 		endpoint.Close()
 	}()
-	if err := copyFrames(boundedWriter{daemon}, endpoint); err != nil {
+	err = copyFrames(boundedWriter{daemon}, endpoint)
+	select {
+	case <-closed:
+		err = nil
+	default:
+	}
+	if err != nil {
 		relayedCount("aborted").Inc()
 		resetOnClose(daemon)
 		return
