Close the mesh's socket before Run returns

A datagram that arrives as the context ends makes Run return before AfterFunc has closed the socket, and stop then keeps it from doing so. TestRunClosesSocket failed before.

--- a/internal/mesh/heartbeat.go
+++ b/internal/mesh/heartbeat.go
@@ -195,6 +195,8 @@
 func (me *Mesh) Run(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, func() { me.Conn.Close() })
 	defer stop()
+	// A datagram may arrive as ctx ends, before AfterFunc has closed the socket.
+	defer me.Conn.Close()
 	buf := make([]byte, maxDatagramBytes)
 	for {
 		num, _, err := me.Conn.ReadFromUDPAddrPort(buf)
