--- a/internal/entry/paths.go
+++ b/internal/entry/paths.go
@@ -80,8 +80,8 @@
 	}
 }
 
-// logUnreached logs when endpoints begin or cease to be unreachable from this daemon. Together
-// with the steward's events it tells whether endpoints are down or a daemon is cut off.
+// logUnreached logs changes of the number of endpoints that are unreachable from this daemon, and how
+// many of them other daemons reach: a network partition, as opposed to endpoints that are down.
 func (ct *control) logUnreached(now time.Time) {
 	num, lost := ct.da.dialer.Paths.Counts(now)
 	switch {
--- a/internal/relay/dialer.go
+++ b/internal/relay/dialer.go
@@ -86,8 +86,8 @@
 	pending                     int
 }
 
-// startDirect begins to connect over the own path. It goes on after the attempt, since its outcome
-// tells whether the path is lost.
+// startDirect begins to connect over the own path. It is not canceled with the attempt: Direct
+// records its outcome in Paths.
 func (at *attempt) startDirect(ctx context.Context) {
 	at.directStarted = true
 	at.pending++
