Revisions of the own interface's store rise over a restore

Callers saw: on the own interface, after a restore of the store from a copy, a compare-and-swap succeeded although another daemon had written the key since: the restored store gives the same numbers out again, and nothing told the revisions of two eras apart. Claims, configuration, assignments and the steward's epoch all rest on them. Change: a revision holds the era of the response above the number. A write at a revision of an earlier era is a conflict; if only its response shows the restore, its outcome is unknown.

--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -23,6 +23,9 @@
 	Address string
 	// Timeout limits the duration of one call. Zero means DefaultTimeout.
 	Timeout time.Duration
+	// OnRestore, if set, is called when a response shows that the service has been restored from a
+	// copy. It must not call the client.
+	OnRestore func(before, era uint64)
 
 	once  sync.Once
 	store *platform.Store
@@ -41,6 +44,11 @@
 			cl.Timeout = DefaultTimeout
 		}
 		cl.store = platform.NewStore(cl.Address, cl.Timeout)
+		cl.store.OnRestore = func(before, era int64) {
+			if cl.OnRestore != nil {
+				cl.OnRestore(uint64(before), uint64(era))
+			}
+		}
 	})
 	return cl.store
 }
@@ -61,7 +69,7 @@
 
 // entryOf converts an item of the store client.
 func entryOf(it platform.Item) Entry {
-	return Entry{Key: it.Key, Value: it.Value, Revision: uint64(it.Revision)}
+	return Entry{Key: it.Key, Value: it.Value, Revision: NewRevision(uint64(it.Era), uint64(it.Revision))}
 }
 
 // Get implements Store.
@@ -92,20 +100,43 @@
 	if err != nil {
 		return 0, err
 	}
-	rev, err := cl.kv().Txn(ctx, []platform.Condition{{Key: key, Revision: int64(ifRev)}}, []platform.Put{{Key: key, Value: value, Lease: id}}, nil)
-	return uint64(rev), mapError(err)
+	return cl.commit(ctx, key, ifRev, []platform.Put{{Key: key, Value: value, Lease: id}}, nil)
 }
 
 // Delete implements Store.
 func (cl *Client) Delete(ctx context.Context, key string, ifRev uint64) error {
-	_, err := cl.kv().Txn(ctx, []platform.Condition{{Key: key, Revision: int64(ifRev)}}, nil, []string{key})
-	return mapError(err)
+	_, err := cl.commit(ctx, key, ifRev, nil, []string{key})
+	return err
+}
+
+// commit writes or deletes key if it is at revision ifRev, and returns the new revision. The
+// service compares numbers only, and numbers are given out again after a restore.
+func (cl *Client) commit(ctx context.Context, key string, ifRev uint64, puts []platform.Put, deletes []string) (uint64, error) {
+	kv := cl.kv()
+	if ifRev > 0 && EraOf(ifRev) < cl.Era() {
+		return 0, eris.Wrapf(ErrConflict, "%s: revision of era %d in era %d", key, EraOf(ifRev), cl.Era())
+	}
+	at, err := kv.Commit(ctx, []platform.Condition{{Key: key, Revision: int64(NumberOf(ifRev))}}, puts, deletes)
+	if err != nil {
+		return 0, mapError(err)
+	}
+	if ifRev > 0 && EraOf(ifRev) != uint64(at.Era) {
+		return 0, eris.Wrapf(ErrUnknown, "%s: written in era %d over a revision of era %d", key, at.Era, EraOf(ifRev))
+	}
+	return NewRevision(uint64(at.Era), uint64(at.Revision)), nil
 }
 
+// Era implements Store.
+func (cl *Client) Era() uint64 { return uint64(cl.kv().Era()) }
+
 // Watch implements Store.
 func (cl *Client) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) error {
 	kv := cl.kv()
-	_, _, err := kv.Watch(ctx, prefix, catalog.Position{Era: kv.Era(), Revision: int64(after)}, wait)
+	era := kv.Era()
+	if after > 0 && EraOf(after) != uint64(era) {
+		return nil
+	}
+	_, _, err := kv.Watch(ctx, prefix, catalog.Position{Era: era, Revision: int64(NumberOf(after))}, wait)
 	if errors.Is(err, platform.ErrCompacted) || errors.Is(err, platform.ErrRestored) {
 		// The history after that revision is gone, so there may have been a change.
 		return nil
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -28,8 +28,9 @@
 // MaxValueBytes is the largest size of a value that the service stores.
 const MaxValueBytes = 1 << 20
 
-// Entry is one key with its value. Revision 0 means that the key is absent. Revisions
-// are global to the service and only increase.
+// Entry is one key with its value. Revision 0 means that the key is absent. Revisions, made by
+// NewRevision, are global to the service and only increase. An entry that is read in a later era
+// than it was written in has a revision of that later era.
 type Entry struct {
 	Key      string `json:"key"`
 	Value    []byte `json:"value"`
@@ -44,7 +45,8 @@
 	List(ctx context.Context, prefix string) ([]Entry, error)
 	// Put writes value if the key is at revision ifRev (0: absent), and returns the new
 	// revision. Unless lease is empty, the key is deleted when the lease ends. It
-	// returns ErrConflict if the key is at another revision.
+	// returns ErrConflict if the key is at another revision, also of an earlier era, and ErrUnknown
+	// if the service turns out to have been restored since ifRev was read.
 	Put(ctx context.Context, key string, value []byte, ifRev uint64, lease string) (uint64, error)
 	// Delete removes the key if it is at revision ifRev. It returns ErrConflict if the
 	// key is at another revision.
@@ -59,6 +61,9 @@
 	Renew(ctx context.Context, lease string) error
 	// Revoke ends a lease and deletes its keys.
 	Revoke(ctx context.Context, lease string) error
+	// Era returns the latest era that a response has named, 0 if none. An era begins when the
+	// service is restored from a copy, without the writes and leases since the copy was made.
+	Era() uint64
 }
 
 // VMState is the state of a VM in the platform's list.
--- a/internal/standin/restore.go
+++ b/internal/standin/restore.go
@@ -19,11 +19,12 @@
 }
 
 // Restore returns the store to its last copy: writes and leases since then are gone, and their
-// revisions are given out again.
+// numbers are given out again, in the next era.
 func (st *Store) Restore() {
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	st.values, st.leases, st.revision = maps.Clone(st.saved.values), maps.Clone(st.saved.leases), st.saved.revision
+	st.era++
 	close(st.changed)
 	st.changed = make(chan struct{})
 }
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -54,6 +54,8 @@
 	changed  chan struct{}
 	calls    map[string]int
 	saved    storeCopy
+	// era counts the restores.
+	era uint64
 }
 
 var _ platform.Store = (*Store)(nil)
@@ -109,7 +111,7 @@
 	}
 }
 
-// bumpRevision increments the store's revision, wakes all watches and returns the
+// bumpRevision increments the store's revision, wakes all watches and returns the number of the
 // new revision. Callers hold mu.
 func (st *Store) bumpRevision() uint64 {
 	st.revision++
@@ -118,6 +120,11 @@
 	return st.revision
 }
 
+// revisionOf returns the revision at which key is read. Callers hold mu.
+func (st *Store) revisionOf(key string) uint64 {
+	return platform.NewRevision(st.era, st.values[key].revision)
+}
+
 // responseError returns platform.ErrUnknown if DropResponses applies to a write that
 // took effect, and counts it. Callers hold mu.
 func (st *Store) responseError() error {
@@ -135,8 +142,7 @@
 	if err := st.beginCall("get"); err != nil {
 		return platform.Entry{}, err
 	}
-	sv := st.values[key]
-	return platform.Entry{Key: key, Value: sv.value, Revision: sv.revision}, nil
+	return platform.Entry{Key: key, Value: st.values[key].value, Revision: st.revisionOf(key)}, nil
 }
 
 // List implements platform.Store.
@@ -154,8 +160,8 @@
 func (st *Store) entries(prefix string, after uint64) []platform.Entry {
 	entries := []platform.Entry{}
 	for key, sv := range st.values {
-		if strings.HasPrefix(key, prefix) && sv.revision > after {
-			entries = append(entries, platform.Entry{Key: key, Value: sv.value, Revision: sv.revision})
+		if rev := st.revisionOf(key); strings.HasPrefix(key, prefix) && rev > after {
+			entries = append(entries, platform.Entry{Key: key, Value: sv.value, Revision: rev})
 		}
 	}
 	sort.Slice(entries, func(i, j int) bool { return entries[i].Key < entries[j].Key })
@@ -177,12 +183,11 @@
 		return 0, platform.ErrUnknown
 	}
 	_, leased := st.leases[leaseID]
-	if st.values[key].revision != ifRev || leaseID != "" && !leased {
+	if st.revisionOf(key) != ifRev || leaseID != "" && !leased {
 		return 0, platform.ErrConflict
 	}
-	rev := st.bumpRevision()
-	st.values[key] = storedValue{value: append([]byte(nil), value...), revision: rev, lease: leaseID}
-	return rev, st.responseError()
+	st.values[key] = storedValue{value: append([]byte(nil), value...), revision: st.bumpRevision(), lease: leaseID}
+	return st.revisionOf(key), st.responseError()
 }
 
 // Delete implements platform.Store.
@@ -192,7 +197,7 @@
 	if err := st.beginCall("delete"); err != nil {
 		return err
 	}
-	if st.values[key].revision != ifRev {
+	if st.revisionOf(key) != ifRev {
 		return platform.ErrConflict
 	}
 	delete(st.values, key)
@@ -262,3 +267,10 @@
 	st.dropLease(id)
 	return nil
 }
+
+// Era implements platform.Store.
+func (st *Store) Era() uint64 {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return st.era
+}
