Leave room for the era in the revisions of the steward's documents

The epoch is the store's revision of the lease's key, which now holds the era too. Shifted by 20 bits it would lose the eras from 16 on. Documents of one epoch count on from the known one, so 10 bits are left for them.

--- a/internal/core/control/steward.go
+++ b/internal/core/control/steward.go
@@ -26,8 +26,9 @@
 	// acquireInterval is the interval between attempts to acquire the lease.
 	acquireInterval = time.Second
 	// revisionBits is the width of the part of a document revision that counts
-	// within an epoch; the epoch is shifted left by it.
-	revisionBits = 20
+	// within an epoch; the epoch is shifted left by it. An epoch, the store's revision of the
+	// lease's key, needs the rest of the 64 bits.
+	revisionBits = 10
 	// loadBurst is the maximum number of weight loads started at once.
 	loadBurst = 64
 )
@@ -62,11 +63,10 @@
 	domainsRead bool
 	// stored holds the assignments as last read or written, by domain name.
 	stored map[string]StoredDomain
-	// vms is the last list read from the platform, vmsRead whether there was
-	// one, and vmsRevision the number of changes to it in this epoch.
-	vms         []fleet.VM
-	vmsRead     bool
-	vmsRevision uint64
+	// vms is the last list read from the platform, and vmsRead whether there was
+	// one.
+	vms     []fleet.VM
+	vmsRead bool
 	// lastOrder holds the time of the last order by VM name, and probers the
 	// received observations by daemon name.
 	lastOrder map[string]time.Time
@@ -143,7 +143,13 @@
 }
 
 func (co *Core) publishSteward(sd stewardDoc) {
-	co.publish(co.stewardDocName(), co.docs.Get(co.stewardDocName()).Revision+1, sd)
+	co.publishInEpoch(co.stewardDocName(), sd.Epoch, sd)
+}
+
+// publishInEpoch publishes a document of the steward of an epoch. Its revision is above those of
+// earlier epochs and of the document that is known.
+func (co *Core) publishInEpoch(name string, epoch uint64, val any) {
+	co.publish(name, max(co.docs.Get(name).Revision+1, epoch<<revisionBits), val)
 }
 
 // stewardRound does the steward's periodic work, or tries to become steward.
@@ -246,7 +252,7 @@
 	st.loadBudget = loadBurst
 	st.budgetAt = co.now
 	co.steward = st
-	co.publish(co.stewardDocName(), ev.Epoch<<revisionBits, stewardDoc{Name: co.set.Name, Epoch: ev.Epoch})
+	co.publishSteward(stewardDoc{Name: co.set.Name, Epoch: ev.Epoch})
 	co.emitOnce(keyDomains, ReadDomains{})
 	co.emitOnce(keyVMs, ReadVMs{})
 	co.emitOnce(SourcePlatformConfig, ReadConfig{After: co.cfg.Revision, Wait: true})
@@ -277,8 +283,7 @@
 	}
 	st.vms = ev.VMs
 	st.vmsRead = true
-	st.vmsRevision++
-	co.publish("vms/"+co.set.DataCenter, st.epoch<<revisionBits+st.vmsRevision, vmsDoc{co.set.DataCenter, ev.VMs})
+	co.publishInEpoch("vms/"+co.set.DataCenter, st.epoch, vmsDoc{co.set.DataCenter, ev.VMs})
 }
 
 // StewardStatus describes the stewardship of this data centre for status pages
