Keep idempotency keys over a restore of the store

Callers saw, on the own interface: a booking repeated after the store was restored from a copy ran twice. Cause: a claim was held by the store alone; its acknowledgement was trusted to outlast the store's own loss of it. Change: slices are numbered anew in each era, and a claim counts if its write was made in the slice's era. The merging and the asking daemon, or a second one, remember claims for a minute and write them again. For 30 s after a restore unknown keys are refused as may-have-run.

--- a/internal/caller/atmostonce.go
+++ b/internal/caller/atmostonce.go
@@ -50,6 +50,9 @@
 	case claim.Duplicate:
 		return atMostOnce{}, nil, &verdict.Error{Code: verdict.CodeDuplicate, Verdict: verdict.MayHaveRun, RetryAfter: time.Second,
 			Message: "a request with this key was dispatched before and may have run"}
+	case claim.Unproven:
+		return atMostOnce{}, nil, &verdict.Error{Code: verdict.CodeNoClaim, Verdict: verdict.MayHaveRun, RetryAfter: res.RetryAfter,
+			Message: "the platform's key-value service was restored from a copy; a request with this key may have run before and was not dispatched again"}
 	case claim.Mismatch:
 		return atMostOnce{}, nil, &verdict.Error{Code: verdict.CodeKeyReused, Verdict: verdict.NotRun,
 			Message: "the key was used for another request"}
--- a/internal/core/claim/claim.go
+++ b/internal/core/claim/claim.go
@@ -9,6 +9,11 @@
 // sequence of slices. A full slice is sealed by compare-and-swap before the
 // next one is created. At most one slice of a shard therefore accepts claims at
 // any time, independent of clocks.
+//
+// The service may be restored from a copy, without the claims since the copy was
+// made. Slices are therefore numbered anew in each era, and a write counts only if it
+// is made in the slice's own era. The daemons write the claims that they remember
+// again; until HoldTime has passed, a key that is not known is not granted.
 package claim
 
 import (
@@ -42,6 +47,11 @@
 // that repeats the key later is treated as new.
 const Retention = 7 * 24 * time.Hour
 
+// HoldTime is how long the keys that a shard does not hold are not granted after a restore. The
+// daemons need a few seconds of it to write their claims again. All of it covers the time limit that
+// calls have by default, so that a repeat whose claim no daemon remembers is not dispatched either.
+const HoldTime = 30 * time.Second
+
 // State is the state of a claimed request.
 type State string
 
@@ -109,6 +119,24 @@
 // SliceKey returns the key of a slice in the platform's key-value service.
 func SliceKey(shard, slice int) string { return fmt.Sprintf("claims/%02d/%08d", shard, slice) }
 
+// eraBits is the part of a slice's number that counts within an era.
+const eraBits = 32
+
+// FirstSlice returns the number of the first slice of an era of the key-value service.
+func FirstSlice(era uint64) int { return int(era << eraBits) }
+
+// SliceEra returns the era of a slice. Claims are made in slices of the service's current era only.
+func SliceEra(slice int) uint64 { return uint64(slice) >> eraBits }
+
+// Era is the value stored under EraKey.
+type Era struct {
+	// Since is when a daemon first found the service in the era. HoldTime runs from it.
+	Since time.Time `json:"since"`
+}
+
+// EraKey returns the key of an era's record in the platform's key-value service.
+func EraKey(era uint64) string { return fmt.Sprintf("claims/eras/%08d", era) }
+
 // ShardPrefix returns the common prefix of the platform keys of a shard's
 // slices.
 func ShardPrefix(shard int) string { return fmt.Sprintf("claims/%02d/", shard) }
@@ -124,6 +152,11 @@
 	Release
 	// Record stores the outcome of a request that ran.
 	Record
+	// Reclaim stores a granted claim, with its outcome if there is one, unless the
+	// key is claimed.
+	Reclaim
+	// Remember keeps a granted claim in memory, for Reclaim.
+	Remember
 )
 
 // Op is one operation on a claim.
@@ -159,12 +192,17 @@
 	// Unavailable means that the operation is not stored, or that its result is
 	// unknown.
 	Unavailable
+	// Unproven means that the key-value service was restored from a copy, and that
+	// a claim of the key may have been lost. The request may have run.
+	Unproven
 )
 
-// Result holds the result code of an operation. Outcome is set if Code is Finished.
+// Result holds the result code of an operation. Outcome is set if Code is Finished, and
+// RetryAfter if Code is Unproven.
 type Result struct {
-	Code    ResultCode `cbor:"1,keyasint"`
-	Outcome *Outcome   `cbor:"2,keyasint,omitempty"`
+	Code       ResultCode    `cbor:"1,keyasint"`
+	Outcome    *Outcome      `cbor:"2,keyasint,omitempty"`
+	RetryAfter time.Duration `cbor:"3,keyasint,omitempty"`
 }
 
 // Lookup returns the result of an Acquire if the slice already holds the key.
@@ -187,9 +225,9 @@
 
 // Apply executes a batch of operations on the slice in place. It returns one
 // result for each operation and whether the slice changed. The caller must
-// already have looked up each Acquire in the older slices. An Acquire on a
-// sealed slice that does not hold the key returns the zero Result: it belongs
-// in the next slice.
+// already have looked up each Acquire and Reclaim in the older slices. An Acquire on a
+// sealed slice that does not hold the key returns the zero Result, and so does a
+// Reclaim: it belongs in the next slice.
 func (sl *Slice) Apply(ops []Op) ([]Result, bool) {
 	if sl.Claims == nil {
 		sl.Claims = make(map[string]Claim)
@@ -204,6 +242,23 @@
 	return results, changed
 }
 
+// ApplyHeld is Apply until HoldTime has passed: an Acquire of a key that the slice does not
+// hold returns Unproven, and wait as RetryAfter.
+func (sl *Slice) ApplyHeld(ops []Op, wait time.Duration) ([]Result, bool) {
+	results := make([]Result, len(ops))
+	changed := false
+	for i, op := range ops {
+		if _, known := sl.Lookup(op); op.Kind == Acquire && !known {
+			results[i] = Result{Code: Unproven, RetryAfter: wait}
+			continue
+		}
+		one, did := sl.Apply([]Op{op})
+		results[i] = one[0]
+		changed = changed || did
+	}
+	return results, changed
+}
+
 // apply executes one operation. It returns the result and whether the slice
 // changed.
 func (sl *Slice) apply(op Op) (Result, bool) {
@@ -226,10 +281,27 @@
 		cl.Outcome = op.Outcome
 		sl.Claims[op.Hash] = cl
 		return Result{Code: Applied}, true
+	case Reclaim:
+		return sl.reclaim(op)
 	}
 	return Result{Code: Unavailable}, false
 }
 
+func (sl *Slice) reclaim(op Op) (Result, bool) {
+	if _, ok := sl.Claims[op.Hash]; ok {
+		return Result{Code: Applied}, false
+	}
+	if sl.Sealed {
+		return Result{}, false
+	}
+	cl := Claim{Holder: op.Holder, Fingerprint: op.Fingerprint, State: Claimed, Outcome: op.Outcome}
+	if op.Outcome != nil {
+		cl.State = Done
+	}
+	sl.Claims[op.Hash] = cl
+	return Result{Code: Applied}, true
+}
+
 func (sl *Slice) acquire(op Op) (Result, bool) {
 	if res, ok := sl.Lookup(op); ok {
 		return res, false
--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -26,10 +26,12 @@
 	if da.RoutePolicy == nil {
 		da.RoutePolicy = route.TokenAffinity{}
 	}
-	da.platform = &platform.Client{Address: da.Settings.Platform}
+	da.platform = &platform.Client{Address: da.Settings.Platform, OnRestore: func(before, era uint64) {
+		da.Log.Warn("Store: restored from a copy.", "era", era, "before", before)
+	}}
 	da.chain = chainstore.Store{KV: da.platform, Clock: da.Clock}
 	da.memberClient = endpoint.MemberClient{Transport: endpoint.NewTransport(memberIdleConns)}
-	da.claims = &claims.Registry{Store: da.platform, Clock: da.Clock, Owner: da.claimOwner, Forward: da.forwardClaim}
+	da.claims = &claims.Registry{Store: da.platform, Clock: da.Clock, Owner: da.claimOwner, Forward: da.forwardClaim, Witness: da.claimWitness}
 	da.journal = &caller.Journal{}
 	da.buildCallerServer()
 	set := da.Settings.controlSettings()
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -107,6 +108,7 @@
 	add(func(actorCtx context.Context) error { return da.drainOnRequest(ctx, actorCtx) })
 	add(da.loop.run)
 	add(da.node.Run)
+	add(da.claims.Run)
 	add(da.serveHTTP(ls.caller, otelhttp.NewHandler(da.callerServer.Handler(), "caller")))
 	add(da.serveHTTP(ls.operator, otelhttp.NewHandler(da.operatorServer().Handler(), "operator")))
 	add(da.serveHTTP(ls.metrics, metricsHandler()))
@@ -242,8 +244,28 @@
 }
 
 // claimOwner returns the peer address of the daemon that merges the claims of a
-// shard, or "" if it is this daemon.
+// shard, or "" if this one does.
 func (da *Daemon) claimOwner(shard int) string {
+	ranked := da.claimRanking(shard)
+	if len(ranked) == 0 || ranked[0].Name == da.Settings.Name {
+		return ""
+	}
+	return ranked[0].Peer
+}
+
+// claimWitness returns the peer address of the daemon that remembers the claims of a
+// shard which this daemon merges, or "" if there is no other daemon.
+func (da *Daemon) claimWitness(shard int) string {
+	for _, dm := range slices.Backward(da.claimRanking(shard)) {
+		if dm.Name != da.Settings.Name {
+			return dm.Peer
+		}
+	}
+	return ""
+}
+
+// claimRanking returns the two serving daemons that rank first for a shard.
+func (da *Daemon) claimRanking(shard int) []gossip.Daemon {
 	vi := da.View()
 	var serving []gossip.Daemon
 	for _, dm := range vi.Daemons {
@@ -251,12 +273,7 @@
 			serving = append(serving, dm)
 		}
 	}
-	for _, dm := range gossip.Ranked(serving, claim.ShardPrefix(shard), 1) {
-		if dm.Name != da.Settings.Name {
-			return dm.Peer
-		}
-	}
-	return ""
+	return gossip.Ranked(serving, claim.ShardPrefix(shard), 2)
 }
 
 func (da *Daemon) forwardClaim(ctx context.Context, addr string, op claim.Op) (claim.Result, error) {
--- /dev/null
+++ b/internal/platform/claims/memory.go
@@ -0,0 +1,139 @@
+package claims
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"corianderhub.dev/corianderhub/internal/core/claim"
+)
+
+const (
+	// memoryTime is how long a granted claim is remembered. Copies that the key-value service is
+	// restored from are some seconds old.
+	memoryTime = time.Minute
+	// eraCheckInterval is the time between two looks at the service's era, while claims are
+	// remembered.
+	eraCheckInterval = time.Second
+)
+
+// reclaimed counts the remembered claims that were written again.
+var reclaimed = metrics.NewCounter("corianderhub_claims_reclaimed_total")
+
+// memory holds the claims that were granted through this daemon in the last memoryTime. Its zero
+// value is ready for use.
+type memory struct {
+	mu sync.Mutex
+	// claims maps the hash of a key to its claim, and order holds the hashes by time.
+	claims map[string]remembered
+	order  []remembered
+}
+
+// remembered is a claim, as the operation that writes it again, and when it was granted.
+type remembered struct {
+	op        claim.Op
+	grantedAt time.Time
+}
+
+// note updates the memory with an operation and its result.
+func (me *memory) note(now time.Time, op claim.Op, code claim.ResultCode) {
+	me.mu.Lock()
+	defer me.mu.Unlock()
+	me.forgetBefore(now.Add(-memoryTime))
+	known, ok := me.claims[op.Hash]
+	mine := ok && known.op.Holder == op.Holder
+	switch {
+	case op.Kind == claim.Acquire && code == claim.Granted, op.Kind == claim.Remember:
+		me.add(remembered{op, now})
+	case op.Kind == claim.Record && mine:
+		known.op.Outcome = op.Outcome
+		me.claims[op.Hash] = known
+	case op.Kind == claim.Release && mine:
+		delete(me.claims, op.Hash)
+	}
+}
+
+func (me *memory) add(re remembered) {
+	if me.claims == nil {
+		me.claims = make(map[string]remembered)
+	}
+	re.op.Kind = claim.Reclaim
+	me.claims[re.op.Hash] = re
+	me.order = append(me.order, re)
+}
+
+// forgetBefore drops the claims that were granted before a time.
+func (me *memory) forgetBefore(limit time.Time) {
+	for len(me.order) > 0 && me.order[0].grantedAt.Before(limit) {
+		old := me.order[0]
+		me.order = me.order[1:]
+		if me.claims[old.op.Hash].grantedAt.Equal(old.grantedAt) {
+			delete(me.claims, old.op.Hash)
+		}
+	}
+}
+
+// operations returns the operations that write the remembered claims again.
+func (me *memory) operations() []claim.Op {
+	me.mu.Lock()
+	defer me.mu.Unlock()
+	var batchOps []claim.Op
+	for _, re := range me.claims {
+		batchOps = append(batchOps, re.op)
+	}
+	return batchOps
+}
+
+// Run writes the remembered claims again after each restore of the key-value service, until ctx
+// ends.
+func (bo *Registry) Run(ctx context.Context) error {
+	var writing sync.WaitGroup
+	defer writing.Wait()
+	era, known := uint64(0), false
+	for bo.Clock.Sleep(ctx, eraCheckInterval) == nil {
+		batchOps := bo.memory.operations()
+		if len(batchOps) == 0 && known && bo.Store.Era() == era {
+			continue
+		}
+		// Any response names the era.
+		if _, err := bo.Store.Get(ctx, claim.ShardPrefix(0)); err != nil {
+			continue
+		}
+		now := bo.Store.Era()
+		if known && now == era {
+			continue
+		}
+		if known {
+			writing.Go(func() { bo.notice(ctx, now) })
+		}
+		era, known = now, true
+		for _, op := range batchOps {
+			writing.Go(func() { bo.reclaim(ctx, op) })
+		}
+	}
+	return ctx.Err()
+}
+
+// reclaim writes a claim again, with retries.
+func (bo *Registry) reclaim(ctx context.Context, op claim.Op) {
+	reclaimed.Inc()
+	bo.retry(ctx, func(ctx context.Context) bool { return bo.Do(ctx, op).Code != claim.Unavailable })
+}
+
+// shareClaim lets another daemon remember a claim that was granted by this one alone. The claim
+// counts whether or not that daemon answers.
+func (bo *Registry) shareClaim(ctx context.Context, op claim.Op) {
+	if bo.Witness == nil {
+		return
+	}
+	addr := bo.Witness(op.Shard)
+	if addr == "" {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, witnessTimeout)
+	defer cancel()
+	op.Kind = claim.Remember
+	_, _ = bo.Forward(ctx, addr, op)
+}
--- a/internal/platform/claims/registry.go
+++ b/internal/platform/claims/registry.go
@@ -24,6 +24,9 @@
 // not run.
 var retryPauses = []time.Duration{time.Second, 5 * time.Second, 30 * time.Second, 2 * time.Minute}
 
+// witnessTimeout limits the time that a request waits until another daemon remembers its claim.
+const witnessTimeout = 250 * time.Millisecond
+
 // Forward passes an operation to the daemon at a peer address.
 type Forward func(ctx context.Context, peer string, op claim.Op) (claim.Result, error)
 
@@ -35,7 +38,12 @@
 	// shard. It returns "" if this daemon does.
 	Owner   func(shard int) string
 	Forward Forward
+	// Witness returns the peer address of a daemon that remembers the claims which this daemon
+	// merges and grants by itself, or "". It may be nil.
+	Witness func(shard int) string
 
+	memory memory
+	eras   eraLog
 	mu     sync.Mutex
 	shards [claim.Shards]*shard
 	// pending counts background operations that outlast their request.
@@ -47,15 +55,30 @@
 func (bo *Registry) Do(ctx context.Context, op claim.Op) claim.Result {
 	if addr := bo.Owner(op.Shard); addr != "" {
 		if res, err := bo.Forward(ctx, addr, op); err == nil && res.Code != claim.Unavailable {
+			bo.memory.note(bo.Clock.Now(), op, res.Code)
 			return res
 		}
 	}
-	return bo.DoLocal(ctx, op)
+	res := bo.DoLocal(ctx, op)
+	if op.Kind == claim.Acquire && res.Code == claim.Granted {
+		bo.shareClaim(ctx, op)
+	}
+	return res
 }
 
 // DoLocal executes the operation on this daemon. If ctx ends first, it returns
 // claim.Unavailable, and the operation may still be stored.
 func (bo *Registry) DoLocal(ctx context.Context, op claim.Op) claim.Result {
+	res := claim.Result{Code: claim.Applied}
+	if op.Kind != claim.Remember {
+		res = bo.store(ctx, op)
+	}
+	bo.memory.note(bo.Clock.Now(), op, res.Code)
+	return res
+}
+
+// store executes the operation on the key-value service.
+func (bo *Registry) store(ctx context.Context, op claim.Op) claim.Result {
 	sh := bo.shard(op.Shard)
 	wa := &pendingOp{op: op, done: make(chan claim.Result, 1)}
 	sh.add(wa)
@@ -95,24 +118,28 @@
 // backgroundTimeout limits one attempt of a background operation.
 const backgroundTimeout = 5 * time.Second
 
-// retryInBackground calls try until it returns true, at most once per entry of
-// retryPauses, and pauses after each failure.
+// retryInBackground is retry on a goroutine that Wait waits for.
 func (bo *Registry) retryInBackground(try func(ctx context.Context) bool) {
 	bo.pending.Add(1)
 	go func() {
 		defer bo.pending.Done()
-		for _, pause := range retryPauses {
-			ctx, cancel := context.WithTimeout(context.Background(), backgroundTimeout)
-			ok := try(ctx)
-			cancel()
-			if ok {
-				return
-			}
-			bo.Clock.Sleep(context.Background(), pause)
-		}
+		bo.retry(context.Background(), try)
 	}()
 }
 
+// retry calls try until it returns true or ctx ends, at most once per entry of
+// retryPauses, and pauses after each failure.
+func (bo *Registry) retry(ctx context.Context, try func(ctx context.Context) bool) {
+	for _, pause := range retryPauses {
+		tryCtx, cancel := context.WithTimeout(ctx, backgroundTimeout)
+		ok := try(tryCtx)
+		cancel()
+		if ok || bo.Clock.Sleep(ctx, pause) != nil {
+			return
+		}
+	}
+}
+
 // Wait returns when all background operations have finished or ctx ends.
 func (bo *Registry) Wait(ctx context.Context) {
 	done := make(chan struct{})
@@ -131,7 +158,7 @@
 	bo.mu.Lock()
 	defer bo.mu.Unlock()
 	if bo.shards[num] == nil {
-		bo.shards[num] = &shard{num: num, store: bo.Store, clock: bo.Clock, index: make(map[string]int)}
+		bo.shards[num] = &shard{num: num, store: bo.Store, clock: bo.Clock, index: make(map[string]int), holdEnd: bo.holdEnd}
 	}
 	return bo.shards[num]
 }
--- a/internal/platform/claims/shard.go
+++ b/internal/platform/claims/shard.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"errors"
-	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -59,8 +57,14 @@
 	openNum   int
 	openSlice claim.Slice
 	openRev   uint64
-	// index maps the hash of each key in a sealed slice to the number of that slice.
+	// index maps the hash of each key in a slice other than the open one to the number of that
+	// slice.
 	index map[string]int
+	// era is the era of the key-value service that the cached slices were read in, and
+	// heldUntil the end of claim.HoldTime in it. holdEnd returns the latter.
+	era       uint64
+	heldUntil time.Time
+	holdEnd   func(ctx context.Context, era uint64) (time.Time, error)
 	// wroteAt is the time of the last write.
 	wroteAt time.Time
 }
@@ -103,7 +107,7 @@
 // not known to be, gets the result claim.Unavailable.
 func (sh *shard) process(ctx context.Context, batch []*pendingOp) {
 	err := errSealed
-	for try := 0; errors.Is(err, errSealed) && try < maxTries; try++ {
+	for try := 0; (errors.Is(err, errSealed) || errors.Is(err, errRestored)) && try < maxTries; try++ {
 		batch, err = sh.processSealed(ctx, batch)
 		if err == nil {
 			err = sh.processOpen(ctx, batch)
@@ -130,52 +134,55 @@
 	}
 }
 
-// load reads the slices of the shard unless they are cached. Only the newest slice may
-// accept claims. An older one without a seal is a stale read; load fails then, and the
-// next batch reads again.
+// load reads the slices of the shard unless they are cached.
 func (sh *shard) load(ctx context.Context) error {
-	if sh.loaded {
+	if sh.loaded && sh.store.Era() == sh.era {
 		return nil
 	}
-	entries, err := sh.store.List(ctx, claim.ShardPrefix(sh.num))
+	entries, era, err := sh.list(ctx)
+	if err != nil {
+		return err
+	}
+	slices, err := decodeSlices(entries)
+	if err != nil {
+		return err
+	}
+	heldUntil, err := sh.holdEnd(ctx, era)
 	if err != nil {
 		return err
 	}
 	clear(sh.index)
-	sh.openNum, sh.openSlice, sh.openRev = 0, claim.Slice{}, 0
-	for i, en := range entries {
-		num, err := strconv.Atoi(en.Key[strings.LastIndexByte(en.Key, '/')+1:])
-		if err != nil {
-			return eris.Wrap(err, "claims "+en.Key)
+	sh.era, sh.heldUntil = era, heldUntil
+	sh.openNum, sh.openSlice, sh.openRev = claim.FirstSlice(era), claim.Slice{}, 0
+	for i, st := range slices {
+		newest := i == len(slices)-1
+		if !newest && !st.slice.Sealed && claim.SliceEra(st.num) == era {
+			return eris.Errorf("claims %s: stale read: unsealed slice is not the newest one", st.key)
 		}
-		sl, err := claim.Decode(en.Value)
-		if err != nil {
-			return eris.Wrap(err, "claims "+en.Key)
-		}
-		if i < len(entries)-1 && !sl.Sealed {
-			return eris.Errorf("claims %s: stale read: unsealed slice is not the newest one", en.Key)
-		}
-		if sl.Expired(sh.clock.Now()) {
+		if st.slice.Expired(sh.clock.Now()) {
 			// If this fails, a later load deletes the slice.
-			_ = sh.store.Delete(ctx, en.Key, en.Revision)
+			_ = sh.store.Delete(ctx, st.key, st.revision)
 		}
-		sh.installSlice(num, sl, en.Revision)
+		sh.installSlice(st.num, st.slice, st.revision)
 	}
 	sh.loaded = true
 	return nil
 }
 
-// installSlice caches a slice as the open one. If the slice is sealed, its keys go
-// into the index, and the next slice becomes the open one.
+// installSlice caches a slice as the open one. If the slice is sealed, or of an earlier era, its
+// keys go into the index, and the next slice becomes the open one.
 func (sh *shard) installSlice(num int, sl claim.Slice, rev uint64) {
-	sh.openNum, sh.openSlice, sh.openRev = num, sl, rev
-	if !sl.Sealed {
+	current := claim.SliceEra(num) == sh.era
+	if current && !sl.Sealed {
+		sh.openNum, sh.openSlice, sh.openRev = num, sl, rev
 		return
 	}
 	for hash := range sl.Claims {
 		sh.index[hash] = num
 	}
-	sh.openNum, sh.openSlice, sh.openRev = num+1, claim.Slice{}, 0
+	if current {
+		sh.openNum, sh.openSlice, sh.openRev = num+1, claim.Slice{}, 0
+	}
 }
 
 // refresh reads the open slice again, and the following slices if it was sealed.
@@ -186,6 +193,9 @@
 		if err != nil {
 			return err
 		}
+		if sh.store.Era() != sh.era {
+			return errRestored
+		}
 		sl := claim.Slice{}
 		if en.Revision > 0 {
 			if sl, err = claim.Decode(en.Value); err != nil {
@@ -221,7 +231,7 @@
 	return rest, nil
 }
 
-// completeSealed executes operations on one sealed slice. It returns the acquires
+// completeSealed executes operations on one sealed slice. It returns the acquires and reclaims
 // whose key was released there, which may be claimed again in the open slice.
 func (sh *shard) completeSealed(ctx context.Context, num int, pending []*pendingOp) []*pendingOp {
 	results, err := sh.applySealed(ctx, num, operations(pending))
@@ -232,6 +242,9 @@
 			wa.complete(claim.Result{Code: claim.Unavailable})
 		case results[i].Code == 0:
 			rest = append(rest, wa)
+		case results[i].Code == claim.Granted && claim.SliceEra(num) != sh.era:
+			// The write may have been made after the restore, when the slice no longer counted.
+			wa.complete(claim.Result{Code: claim.Duplicate})
 		default:
 			wa.complete(results[i])
 		}
@@ -297,7 +310,7 @@
 			}
 			return nil
 		}
-		if errors.Is(err, platform.ErrUnavailable) || errors.Is(err, errSealed) {
+		if errors.Is(err, platform.ErrUnavailable) || errors.Is(err, errSealed) || errors.Is(err, errRestored) {
 			return err
 		}
 	}
@@ -318,7 +331,7 @@
 	if err != nil {
 		return nil, err
 	}
-	results, changed := sl.Apply(batchOps)
+	results, changed := sh.applyTo(&sl, batchOps)
 	if !fresh && !allGranted(results) {
 		return nil, errStale
 	}
@@ -371,7 +384,8 @@
 	return claim.Decode(raw)
 }
 
-// put writes a slice if it is at revision rev, and returns the new revision.
+// put writes a slice if it is at revision rev, and returns the new revision. It returns errRestored
+// if the write may have been made in another era than the slices were read in.
 func (sh *shard) put(ctx context.Context, num int, sl claim.Slice, rev uint64) (uint64, error) {
 	raw, err := sl.Encode()
 	if err != nil {
@@ -379,5 +393,9 @@
 	}
 	writes.Inc()
 	sh.wroteAt = sh.clock.Now()
-	return sh.store.Put(ctx, claim.SliceKey(sh.num, num), raw, rev, "")
+	rev, err = sh.store.Put(ctx, claim.SliceKey(sh.num, num), raw, rev, "")
+	if sh.store.Era() != sh.era || err == nil && platform.EraOf(rev) != sh.era {
+		return 0, errRestored
+	}
+	return rev, err
 }
