Keep the newest slice of a shard when it expires

Callers would see: a key is granted twice by two daemons, a week after the shard's newest slice was sealed. Cause: slices are numbered after the newest stored one, and a load deleted that too; a daemon that starts then numbers from the beginning while another goes on. TestNewestSliceExpires failed before (granted, duplicate wanted); passes now.

--- a/internal/platform/claims/claims_test.go
+++ b/internal/platform/claims/claims_test.go
@@ -310,3 +310,36 @@
 		}
 	})
 }
+
+// Guards against a key that is granted twice after the newest slice of its shard has expired, since
+// daemons that start then number slices anew while another goes on from the expired one.
+func TestNewestSliceExpires(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		ctx := context.Background()
+		st := standin.NewStore(clock.System{})
+		shard := acquire("booking", "", "").Shard
+		sealed := claim.Slice{Claims: map[string]claim.Claim{}}
+		sealed.Seal(time.Now())
+		raw, err := sealed.Encode()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := st.Put(ctx, claim.SliceKey(shard, 7), raw, 0, ""); err != nil {
+			t.Fatal(err)
+		}
+		running := newRegistry(st)
+		if err := running.shard(shard).load(ctx); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(claim.Retention + time.Hour)
+		if err := newRegistry(st).shard(shard).load(ctx); err != nil {
+			t.Fatal(err)
+		}
+		if got := newRegistry(st).Do(ctx, acquire("booking", "a", "p")).Code; got != claim.Granted {
+			t.Fatalf("claim after the expiry = %v, want granted", got)
+		}
+		if got := running.Do(ctx, acquire("booking", "b", "p")).Code; got != claim.Duplicate {
+			t.Errorf("claim at a daemon that runs since before = %v, want duplicate", got)
+		}
+	})
+}
--- a/internal/platform/claims/shard.go
+++ b/internal/platform/claims/shard.go
@@ -159,8 +159,9 @@
 		if !newest && !st.slice.Sealed && claim.SliceEra(st.num) == era {
 			return eris.Errorf("claims %s: stale read: unsealed slice is not the newest one", st.key)
 		}
-		if st.slice.Expired(sh.clock.Now()) {
-			// If this fails, a later load deletes the slice.
+		if !newest && st.slice.Expired(sh.clock.Now()) {
+			// The newest slice stays, since the next one is numbered after it. If this fails, a
+			// later load deletes the slice.
 			_ = sh.store.Delete(ctx, st.key, st.revision)
 		}
 		sh.installSlice(st.num, st.slice, st.revision)
