Apply changes again that a restore of the store has taken back

Callers and operators saw, on the own interface: after a restore of the store, daemons kept different configurations at one revision for good, and an acknowledged change was in force at some daemons or at none. Evidence: at six of the seven orders of TestChangesOverRestores fail, TestLaterChangeTakesPrecedence too; daemons at revision 3 with different content. TestApplyOverRestore over loopback fails there. Change: each era's revisions begin above all earlier ones, with the newest configuration that the applying daemon knows; daemons apply changes that the new era lacks again before they adopt it; a steward rewrites a head that is behind.

--- a/internal/core/chain/chain.go
+++ b/internal/core/chain/chain.go
@@ -3,6 +3,10 @@
 // content, then updates the head by compare-and-swap. The head alone decides
 // which of several concurrent operators succeeds, and its revision only grows.
 //
+// The service may be restored from a copy, which lacks the changes since. The first apply of an era
+// goes on from the newest configuration that its daemon knows, at a revision above all of earlier
+// eras. A daemon that knows changes which the new era lacks applies them again.
+//
 // An entry holds only the objects that changed, so the cost of a change depends
 // on its own size and not on that of the configuration. Every SnapshotEvery
 // revisions a snapshot of the whole configuration is written, in pieces below
@@ -32,6 +36,12 @@
 // MaxEntryBytes is the largest size of one change.
 const MaxEntryBytes = 900 << 10
 
+// eraBits is the part of a revision that counts within an era.
+const eraBits = 32
+
+// Base returns the first revision of an era, for a chain that was begun in era first.
+func Base(first, era uint64) uint64 { return (era - first) << eraBits }
+
 // Head identifies the newest entry. It is the only value of the configuration
 // that is ever overwritten.
 type Head struct {
@@ -46,6 +56,10 @@
 	Snapshot []string `json:"snapshot,omitempty"`
 	// SnapshotRevision is the revision that the snapshot holds.
 	SnapshotRevision uint64 `json:"snapshot-revision"`
+	// Era is the era of the key-value service in which the head was written, and FirstEra the
+	// one in which the chain was begun.
+	Era      uint64 `json:"era,omitempty"`
+	FirstEra uint64 `json:"first-era,omitempty"`
 }
 
 // RecentOperations is the maximum number of operations in Head.Recent.
@@ -92,8 +106,11 @@
 
 // Piece is a part of a snapshot.
 type Piece struct {
-	Revision uint64                     `json:"revision"`
-	Puts     map[string]json.RawMessage `json:"puts"`
+	Revision uint64 `json:"revision"`
+	// Base and Continues are those of the configuration.
+	Base      uint64                     `json:"base,omitempty"`
+	Continues uint64                     `json:"continues,omitempty"`
+	Puts      map[string]json.RawMessage `json:"puts"`
 }
 
 // Digest returns the content address of an encoded entry or piece.
@@ -161,7 +178,10 @@
 // Pieces splits cfg into the pieces of a snapshot.
 func Pieces(cfg *intent.Config) ([]Piece, error) {
 	var pieces []Piece
-	pc, size := Piece{Revision: cfg.Revision, Puts: map[string]json.RawMessage{}}, 0
+	newPiece := func() Piece {
+		return Piece{Revision: cfg.Revision, Base: cfg.Base, Continues: cfg.Continues, Puts: map[string]json.RawMessage{}}
+	}
+	pc, size := newPiece(), 0
 	for _, ob := range cfg.Objects() {
 		raw, err := intent.Encode(ob)
 		if err != nil {
@@ -169,7 +189,7 @@
 		}
 		if size+len(raw) > PieceBytes && size > 0 {
 			pieces = append(pieces, pc)
-			pc, size = Piece{Revision: cfg.Revision, Puts: map[string]json.RawMessage{}}, 0
+			pc, size = newPiece(), 0
 		}
 		pc.Puts[ob.ID()] = raw
 		size += len(raw)
@@ -187,6 +207,7 @@
 			return nil, err
 		}
 		cfg = cfg.With(intent.Change{Puts: obs}, pc.Revision)
+		cfg.Base, cfg.Continues = pc.Base, pc.Continues
 	}
 	for _, pc := range pieces {
 		if pc.Revision != cfg.Revision {
--- a/internal/core/control/action.go
+++ b/internal/core/control/action.go
@@ -86,6 +86,7 @@
 func (FetchDocs) isAction()           {}
 func (FetchConfig) isAction()         {}
 func (ReadConfig) isAction()          {}
+func (Reapply) isAction()             {}
 func (BroadcastRevocation) isAction() {}
 func (PullObservations) isAction()    {}
 func (AcquireLease) isAction()        {}
@@ -107,6 +108,7 @@
 	keyLease        = "lease"
 	keyDomains      = "domains"
 	keyVMs          = "vms"
+	keyReapply      = "reapply"
 	// SourcePeerConfig and SourcePlatformConfig are also the values of
 	// ConfigArrived.Source.
 	SourcePeerConfig     = "config-peer"
--- a/internal/core/control/config.go
+++ b/internal/core/control/config.go
@@ -24,6 +24,9 @@
 	if ev.Known {
 		co.cfgKnown = true
 	}
+	if co.deferForLost(ev) {
+		return
+	}
 	if ev.Snapshot != nil && ev.Snapshot.Revision > co.cfg.Revision {
 		co.cfg = ev.Snapshot
 		co.cfgKnown = true
--- a/internal/core/control/control.go
+++ b/internal/core/control/control.go
@@ -116,6 +116,11 @@
 	// recentEntries are the newest configuration entries, without gaps and up
 	// to the revision of cfg.
 	recentEntries []chain.Entry
+	// lost holds the changes that have to be applied again, triedBase the Reapply.Base of the
+	// last attempt to, and reappliedAt the revision that they got by it, if any.
+	lost        *Reapply
+	triedBase   uint64
+	reappliedAt uint64
 
 	// domains holds the assignments of all data centres by document name, vms
 	// the VM list of this data centre by name, and groups the groups in domains
@@ -194,6 +199,8 @@
 		co.docsArrived(ev)
 	case ConfigArrived:
 		co.configArrived(ev)
+	case Reapplied:
+		co.reapplied(ev)
 	case Revoked:
 		co.revoked(ev)
 	case ObservationsArrived:
@@ -232,6 +239,7 @@
 }
 
 func (co *Core) tick() {
+	co.retryReapply()
 	co.pullRound()
 	co.probeRound()
 	co.fetchInitialConfig()
--- a/internal/core/control/event.go
+++ b/internal/core/control/event.go
@@ -66,6 +66,19 @@
 	Known    bool
 	Snapshot *intent.Config
 	Entries  []chain.Entry
+	// StoredRevision is the revision of the stored head, 0 if there is none. It is set if Known is
+	// and Source is SourcePlatformConfig.
+	StoredRevision uint64
+}
+
+// Reapplied answers a Reapply.
+type Reapplied struct {
+	// Base is that of the Reapply.
+	Base uint64
+	// Revision is the highest revision that the entries got.
+	Revision uint64
+	// Failed is set if not all entries were stored or refused for good.
+	Failed bool
 }
 
 // PullReceived reports that a peer has pulled from this daemon.
@@ -145,6 +158,7 @@
 func (PullFailed) isEvent()             {}
 func (DocsArrived) isEvent()            {}
 func (ConfigArrived) isEvent()          {}
+func (Reapplied) isEvent()              {}
 func (PullReceived) isEvent()           {}
 func (Revoked) isEvent()                {}
 func (ObservationsArrived) isEvent()    {}
--- a/internal/core/control/platform_test.go
+++ b/internal/core/control/platform_test.go
@@ -28,7 +28,17 @@
 		if err != nil {
 			return
 		}
-		answer(control.ConfigArrived{Source: control.SourcePlatformConfig, Known: true, Snapshot: up.Snapshot, Entries: up.Entries})
+		answer(control.ConfigArrived{Source: control.SourcePlatformConfig, Known: true, Snapshot: up.Snapshot, Entries: up.Entries,
+			StoredRevision: hd.Revision})
+	})
+}
+
+// reapply performs a Reapply action against the simulated platform.
+func (w *simulation) reapply(no *node, ac control.Reapply) {
+	w.call(no, platformID, control.Reapplied{Base: ac.Base, Failed: true}, func(answer func(control.Event)) {
+		st := chainstore.Store{KV: w.store, Clock: clock.NewManual(w.clock.Now())}
+		res, err := st.Reapply(context.Background(), ac.Config, ac.Entries, ac.Base)
+		answer(control.Reapplied{Base: ac.Base, Revision: res.Revision, Failed: err != nil})
 	})
 }
 
--- a/internal/core/control/simulation_test.go
+++ b/internal/core/control/simulation_test.go
@@ -319,6 +319,8 @@
 		w.order(no, ac)
 	case control.ReadConfig:
 		w.readConfig(no, ac)
+	case control.Reapply:
+		w.reapply(no, ac)
 	default:
 		w.performStore(no, ac, now)
 	}
--- a/internal/core/intent/intent.go
+++ b/internal/core/intent/intent.go
@@ -158,12 +158,15 @@
 // Config is the whole configuration at one revision. It is immutable once
 // built.
 type Config struct {
-	Revision   uint64
-	Policy     Policy
-	Models     map[string]Model
-	Groups     map[string]Group
-	Workspaces map[string]Workspace
-	Endpoints  map[string]Endpoint
+	Revision uint64
+	// Base is the first revision in the era of the key-value service that Revision is of. In a
+	// later era than the first, the configuration at Base is that of revision Continues.
+	Base, Continues uint64
+	Policy          Policy
+	Models          map[string]Model
+	Groups          map[string]Group
+	Workspaces      map[string]Workspace
+	Endpoints       map[string]Endpoint
 }
 
 // DefaultPolicy applies until an operator declares another policy.
@@ -185,6 +188,8 @@
 func (cfg *Config) With(ch Change, revision uint64) *Config {
 	next := &Config{
 		Revision:   revision,
+		Base:       cfg.Base,
+		Continues:  cfg.Continues,
 		Policy:     cfg.Policy,
 		Models:     maps.Clone(cfg.Models),
 		Groups:     maps.Clone(cfg.Groups),
@@ -200,6 +205,13 @@
 	return next
 }
 
+// InEra returns a copy of cfg as the first configuration of a later era, at revision base.
+func (cfg *Config) InEra(base uint64) *Config {
+	next := cfg.With(Change{}, base)
+	next.Base, next.Continues = base, cfg.Revision
+	return next
+}
+
 func (cfg *Config) put(ob Object) {
 	switch ob := ob.(type) {
 	case Policy:
--- a/internal/daemon/actions.go
+++ b/internal/daemon/actions.go
@@ -50,6 +50,8 @@
 		return da.fetchConfig(ctx, ac)
 	case control.ReadConfig:
 		return da.readConfig(ctx, ac)
+	case control.Reapply:
+		return da.reapply(ctx, ac)
 	case control.BroadcastRevocation:
 		da.broadcastRevocation(ctx, ac)
 	case control.PullObservations:
@@ -129,7 +131,7 @@
 	ev := control.ConfigArrived{Source: control.SourcePlatformConfig}
 	hd, rev, err := da.chain.Head(ctx)
 	if err == nil && ac.Wait && hd.Revision <= ac.After {
-		err = da.platform.Watch(ctx, "config/head", rev, watchTimeout)
+		err = da.watchHead(ctx, rev)
 		if err == nil {
 			hd, _, err = da.chain.Head(ctx)
 		}
@@ -146,10 +148,35 @@
 		_ = da.Clock.Sleep(ctx, watchRetryDelay)
 		return ev
 	}
-	ev.Known, ev.Snapshot, ev.Entries = true, up.Snapshot, up.Entries
+	ev.Known, ev.Snapshot, ev.Entries, ev.StoredRevision = true, up.Snapshot, up.Entries, hd.Revision
 	return ev
 }
 
+// watchHead waits for a change of the configuration's head, or a restore of the store.
+func (da *Daemon) watchHead(ctx context.Context, rev uint64) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stop := context.AfterFunc(da.era.current(), cancel)
+	defer stop()
+	err := da.platform.Watch(ctx, "config/head", rev, watchTimeout)
+	if !stop() {
+		return nil
+	}
+	return err
+}
+
+// reapplyTimeout bounds one attempt to apply lost changes again.
+const reapplyTimeout = 5 * time.Second
+
+func (da *Daemon) reapply(ctx context.Context, ac control.Reapply) control.Event {
+	ctx, cancel := context.WithTimeout(ctx, reapplyTimeout)
+	defer cancel()
+	res, err := da.chain.Reapply(ctx, ac.Config, ac.Entries, ac.Base)
+	da.Log.Warn("Config: changes applied again that a restore of the store took back.", "changes", len(ac.Entries),
+		"refused", res.Refused, "error", err)
+	return control.Reapplied{Base: ac.Base, Revision: res.Revision, Failed: err != nil}
+}
+
 // broadcastRevocation sends a revoked permit to the peers.
 func (da *Daemon) broadcastRevocation(ctx context.Context, ac control.BroadcastRevocation) {
 	for _, addr := range ac.Peers {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -70,6 +70,7 @@
 	platform     *platform.Client
 	chain        chainstore.Store
 	claims       *claims.Registry
+	era          era
 	memberClient endpoint.MemberClient
 	callerServer *caller.Server
 	journal      *caller.Journal
--- a/internal/daemon/restore_test.go
+++ b/internal/daemon/restore_test.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
@@ -32,3 +33,28 @@
 	})
 	sk.checkRuns(t, "booking", 1)
 }
+
+// Guards against acknowledged changes of the configuration that are not in force at all daemons after
+// the store was restored from a copy without one of them.
+func TestApplyOverRestore(t *testing.T) {
+	sk := newTestSystem(t, smallSystem)
+	declare := func(daemon int, name string) {
+		sk.apply(daemon, fmt.Sprintf("[[workspace]]\nname = %q\nshare = 1\nkey-sha256 = %q\n", name, digest(name)))
+	}
+	time.Sleep(2 * time.Second) // Each daemon has seen the era.
+	sk.platform.Store.Copy()
+	declare(0, "lost")
+	sk.platform.Store.Restore()
+	declare(1, "next")
+	sk.waitUntil("both changes are in force at all daemons, at one revision", func() bool {
+		revisions := make(map[uint64]bool)
+		for _, dh := range sk.daemons {
+			cfg := dh.daemon.View().Config
+			revisions[cfg.Revision] = true
+			if cfg.Workspaces["lost"].Name == "" || cfg.Workspaces["next"].Name == "" {
+				return false
+			}
+		}
+		return len(revisions) == 1
+	})
+}
--- a/internal/platform/chainstore/chainstore.go
+++ b/internal/platform/chainstore/chainstore.go
@@ -192,6 +192,38 @@
 	return ApplyResult{}, platformError(err, maybeWritten)
 }
 
+// ReapplyResult is the result of applying entries again.
+type ReapplyResult struct {
+	// Revision is the highest revision that the entries got, 0 if none was applied.
+	Revision uint64
+	// Refused holds the operations that are refused for good, because an object that they change
+	// was changed later or they are not valid any more.
+	Refused []string
+}
+
+// Reapply applies entries of an earlier era again, under their operations, unless one of their
+// objects was changed after base. cfg is as in Apply.
+func (st Store) Reapply(ctx context.Context, cfg *intent.Config, entries []chain.Entry, base uint64) (ReapplyResult, error) {
+	var res ReapplyResult
+	for _, en := range entries {
+		ch, err := en.Change()
+		if err != nil {
+			return res, err
+		}
+		done, err := st.Apply(ctx, cfg, ApplyRequest{Change: ch, Operation: en.Operation, Operator: en.Operator, Base: base})
+		var ve *verdict.Error
+		var fe *InvalidConfigError
+		switch {
+		case errors.As(err, &fe), errors.As(err, &ve) && ve.Code == verdict.CodeConflict:
+			res.Refused = append(res.Refused, en.Operation)
+		case err != nil:
+			return res, err
+		}
+		res.Revision = max(res.Revision, done.Revision)
+	}
+	return res, nil
+}
+
 // tryApply makes one attempt. Its second result reports whether the head may have been
 // written although an error is returned.
 func (st Store) tryApply(ctx context.Context, cfg *intent.Config, ap ApplyRequest) (ApplyResult, bool, error) {
@@ -221,15 +253,17 @@
 	if problems := current.CheckChange(ap.Change); len(problems) > 0 {
 		return ApplyResult{}, false, &InvalidConfigError{Problems: problems}
 	}
-	next, snapshot, err := st.prepare(ctx, hd, current, ap)
+	next, snapshot, err := st.prepare(ctx, st.headInEra(hd, rev, current.Revision), current, ap)
 	if err != nil {
 		return ApplyResult{}, false, err
 	}
 	if err := st.swapHead(ctx, next.Head, rev); err != nil {
 		return ApplyResult{}, errors.Is(err, platform.ErrUnknown), err
 	}
-	next.Snapshot = up.Snapshot
-	next.Entries = append(up.Entries, next.Entries...)
+	if next.Snapshot == nil {
+		next.Snapshot = up.Snapshot
+		next.Entries = append(up.Entries, next.Entries...)
+	}
 	return ApplyResult{Revision: next.Head.Revision, Update: next, Snapshotted: snapshot}, false, nil
 }
 
@@ -282,12 +316,34 @@
 	return ve
 }
 
+// headInEra returns the head, read at revision rev, as the one to go on from. In a later era than
+// the head's it is before the first revision of that era. Without a head the chain begins, unless
+// a configuration is known.
+func (st Store) headInEra(hd chain.Head, rev, known uint64) chain.Head {
+	era := platform.EraOf(rev)
+	if rev == 0 {
+		era = st.KV.Era()
+	}
+	if rev == 0 && known == 0 {
+		hd.Era, hd.FirstEra = era, era
+	}
+	if hd.Era != era {
+		hd.Era = era
+		hd.Revision, hd.Entry = chain.Base(hd.FirstEra, era), ""
+	}
+	return hd
+}
+
 // prepare stores all values that the next head refers to. Its second result reports
-// whether that includes a new snapshot. If the store is behind the current configuration,
-// because it was restored from a copy, the snapshot holds what the copy lacks.
+// whether that includes a new snapshot. The first one of an era holds what the copy lacks that
+// the key-value service was restored from.
 func (st Store) prepare(ctx context.Context, hd chain.Head, current *intent.Config, ap ApplyRequest) (Update, bool, error) {
+	begins := hd.Revision > current.Revision
 	behind := hd.Revision < current.Revision
-	if behind {
+	switch {
+	case begins:
+		current = current.InEra(hd.Revision)
+	case behind:
 		hd.Revision, hd.Entry = current.Revision, ""
 	}
 	en, err := chain.NewEntry(hd, ap.Change, ap.Operation, ap.Operator)
@@ -299,11 +355,15 @@
 		return Update{}, false, err
 	}
 	next := hd.Next(en, digest)
-	snapshot := behind || next.Revision-hd.SnapshotRevision > chain.SnapshotEvery
+	snapshot := begins || behind || next.Revision-hd.SnapshotRevision > chain.SnapshotEvery
 	if snapshot {
 		err = st.putSnapshot(ctx, current, &next)
 	}
-	return Update{Head: next, Entries: []chain.Entry{en}}, snapshot, err
+	up := Update{Head: next, Entries: []chain.Entry{en}}
+	if begins {
+		up.Snapshot = current
+	}
+	return up, snapshot, err
 }
 
 // swapHead writes the head if the stored one is at revision rev.
