Write assignments again that a restore of the store has taken back

Callers would see, on the own interface: what operators declare after a restore is not carried out in a domain whose assignment the copy holds in an older form; a new steward forms a serving group anew. Cause: assignments are ordered by the store's revision, which goes back. Change: the steward reads again in a new era, and writes the known assignment where the stored one is older or missing.

--- a/internal/core/control/control.go
+++ b/internal/core/control/control.go
@@ -199,6 +199,8 @@
 		co.docsArrived(ev)
 	case ConfigArrived:
 		co.configArrived(ev)
+	case StoreRestored:
+		co.steward.domainsRead = false
 	case Reapplied:
 		co.reapplied(ev)
 	case Revoked:
--- a/internal/core/control/domains.go
+++ b/internal/core/control/domains.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"slices"
 	"strings"
 
 	"corianderhub.dev/corianderhub/internal/core/fleet"
@@ -17,6 +18,9 @@
 		for _, sd := range ev.Domains {
 			co.adoptDomain(sd)
 		}
+		if ev.Only == "" {
+			co.rewriteMissing(ev.Domains)
+		}
 		st.domainsRead = true
 	case DomainWritten:
 		delete(co.inFlight, keyWrite+ev.Domain.Name)
@@ -45,6 +49,10 @@
 	if sd.Revision < st.stored[sd.Domain.Name].Revision {
 		return
 	}
+	if known := co.domains[DomainKey(co.set.DataCenter, sd.Domain.Name)]; known.Sequence > sd.Domain.Sequence {
+		co.rewriteDomain(known, sd.Revision)
+		return
+	}
 	st.stored[sd.Domain.Name] = sd
 	co.publish(DomainKey(co.set.DataCenter, sd.Domain.Name), sd.Revision, sd.Domain)
 	if sd.Domain.Epoch < st.epoch {
@@ -55,6 +63,27 @@
 	}
 }
 
+// rewriteMissing writes the known assignments of this data centre that are not stored. None is ever
+// deleted, so the store was restored from a copy without them.
+func (co *Core) rewriteMissing(stored []StoredDomain) {
+	for key, known := range co.domains {
+		isStored := func(sd StoredDomain) bool { return sd.Domain.Name == known.Name }
+		if key == DomainKey(co.set.DataCenter, known.Name) && !slices.ContainsFunc(stored, isStored) {
+			co.rewriteDomain(known, 0)
+		}
+	}
+}
+
+// rewriteDomain writes an assignment to a store that was restored from a copy with an older one.
+func (co *Core) rewriteDomain(known fleet.Domain, revision uint64) {
+	st := &co.steward
+	st.stored[known.Name] = StoredDomain{Domain: known, Revision: revision}
+	dom := known.Clone()
+	dom.Epoch = st.epoch
+	dom.Sequence++
+	co.writeDomain(dom)
+}
+
 // DomainKey returns the platform key, and document name, of a fabric domain's
 // assignment. With an empty domain it returns the prefix for the data centre.
 func DomainKey(dataCenter, domain string) string { return "domains/" + dataCenter + "/" + domain }
--- a/internal/core/control/event.go
+++ b/internal/core/control/event.go
@@ -71,6 +71,10 @@
 	StoredRevision uint64
 }
 
+// StoreRestored reports that the key-value service has been restored from a copy, without the writes
+// since.
+type StoreRestored struct{}
+
 // Reapplied answers a Reapply.
 type Reapplied struct {
 	// Base is that of the Reapply.
@@ -158,6 +162,7 @@
 func (PullFailed) isEvent()             {}
 func (DocsArrived) isEvent()            {}
 func (ConfigArrived) isEvent()          {}
+func (StoreRestored) isEvent()          {}
 func (Reapplied) isEvent()              {}
 func (PullReceived) isEvent()           {}
 func (Revoked) isEvent()                {}
--- a/internal/core/control/simulation_test.go
+++ b/internal/core/control/simulation_test.go
@@ -69,6 +69,8 @@
 	inbox []func()
 	// revision is the highest configuration revision observed by check.
 	revision uint64
+	// era is the store's era that the process has been told of.
+	era uint64
 	// incarnation changes with each process, so that responses to a former
 	// process of the same daemon are dropped.
 	incarnation int
@@ -176,7 +178,7 @@
 // start starts a new process of the daemon.
 func (w *simulation) start(no *node) {
 	no.incarnation++
-	no.suspended, no.inbox, no.revision = false, nil, 0
+	no.suspended, no.inbox, no.revision, no.era = false, nil, 0, w.store.Era()
 	no.core = control.New(no.set, w.clock.Now())
 	w.tick(no, no.incarnation)
 }
@@ -253,6 +255,7 @@
 		handle(func(ev control.Event) {
 			w.after(delay, func() {
 				if !w.partitioned(no.name, to) {
+					w.tellEra(no, to, incarnation)
 					finish(ev)
 				}
 			})
@@ -260,6 +263,15 @@
 	})
 }
 
+// tellEra delivers StoreRestored with the first response of the platform in a new era.
+func (w *simulation) tellEra(no *node, from string, incarnation int) {
+	if from != platformID || no.incarnation != incarnation || no.era == w.store.Era() {
+		return
+	}
+	no.era = w.store.Era()
+	w.deliver(no, incarnation, control.StoreRestored{})
+}
+
 // callDaemon calls another daemon. A daemon that is not running answers with
 // failed.
 func (w *simulation) callDaemon(no *node, to string, failed control.Event, handle func(co *control.Core) control.Event) {
--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -29,6 +29,7 @@
 	da.platform = &platform.Client{Address: da.Settings.Platform, OnRestore: func(before, era uint64) {
 		da.Log.Warn("Store: restored from a copy.", "era", era, "before", before)
 		da.era.end()
+		go da.loop.Post(control.StoreRestored{})
 	}}
 	da.chain = chainstore.Store{KV: da.platform, Clock: da.Clock}
 	da.memberClient = endpoint.MemberClient{Transport: endpoint.NewTransport(memberIdleConns)}
