--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -95,8 +95,9 @@
 	so.restart(ps, dur/4, func(ps *process) {
 		end := so.check.BeginStop(ps.num)
 		defer end()
+		sentAt := time.Now()
 		if !ps.stop() {
-			so.check.ReportViolation("%s did not exit within %v of SIGTERM", ps.name(), graceTime)
+			so.check.ReportViolation("%s did not exit within %v of SIGTERM, sent at %s", ps.name(), graceTime, sentAt.Format(time.StampMilli))
 		}
 	})
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -80,6 +80,7 @@
 		return nil, err
 	}
 	defer so.stopAll()
+	go logPauses(ctx, so.Log)
 	if !so.waitReady() {
 		so.check.ReportViolation("not all daemons serve every route within %v of the start", readyTimeout)
 		return so.check.Violations(), nil
