Keep groups while no endpoint at all responds to a daemon's probes

Cause: a daemon's own probes of a stalled group took two unanswered ones for a lost member although nothing else answered either; the steward's polls have had a witness since, these had none. Change: a group is broken on own probes only if another endpoint answers.

--- a/internal/entry/cut_test.go
+++ b/internal/entry/cut_test.go
@@ -25,6 +25,8 @@
 	reset pathFault = "reset"
 	// newRefused refuses new connections; open ones live on.
 	newRefused pathFault = "new-refused"
+	// silent delivers nothing until the fault ends, and then all.
+	silent pathFault = "silent"
 )
 
 // endpointPath is a daemon's path to the endpoints. Its connections fail as its fault says.
@@ -32,6 +34,8 @@
 	mu    sync.Mutex
 	fault pathFault
 	conns map[*pathConn]bool
+	// resumed is closed when the path is not silent any more.
+	resumed chan struct{}
 }
 
 // pathConn is a connection over an endpointPath.
@@ -55,7 +59,7 @@
 		return nil, ctx.Err()
 	case reset, newRefused:
 		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: syscall.ECONNREFUSED}
-	case noPathFault:
+	case noPathFault, silent:
 	}
 	nc, err := new(net.Dialer).DialContext(ctx, "tcp", addr)
 	if err != nil {
@@ -76,6 +80,12 @@
 	ep.mu.Lock()
 	defer ep.mu.Unlock()
 	ep.fault = fault
+	if fault == silent {
+		ep.resumed = make(chan struct{})
+	} else if ep.resumed != nil {
+		close(ep.resumed)
+		ep.resumed = nil
+	}
 	for pc := range ep.conns {
 		switch fault {
 		case packetsLost:
@@ -83,7 +93,7 @@
 		case reset:
 			pc.reset.Store(true)
 			pc.TCPConn.Close()
-		case newRefused, noPathFault:
+		case newRefused, noPathFault, silent:
 		}
 	}
 }
@@ -98,6 +108,16 @@
 		<-pc.closed
 		return 0, net.ErrClosed
 	}
+	pc.ep.mu.Lock()
+	resumed := pc.ep.resumed
+	pc.ep.mu.Unlock()
+	if resumed != nil {
+		select {
+		case <-resumed:
+		case <-pc.closed:
+			return 0, net.ErrClosed
+		}
+	}
 	return num, err
 }
 
@@ -177,6 +197,37 @@
 	}
 }
 
+// Guards against streams that are taken from groups which are sound, since a daemon that hears from no
+// endpoint for a second takes its unanswered probes for the loss of their members.
+func TestSilenceOfAllEndpoints(t *testing.T) {
+	sk := newStack(t, 3)
+	before := len(sk.steward().da.view.Load().Groups)
+	var wg sync.WaitGroup
+	for num, ru := range sk.daemons {
+		for i := range 4 {
+			id := fmt.Sprint("silence-", num, "-", i)
+			wg.Go(func() {
+				if got := sk.send(ru, "/draft/", id); got != completeStream(id) {
+					t.Errorf("stream at %s: got %q", ru.da.Settings.Name, got)
+				}
+				if runs := sk.de.Runs(id); runs != 1 {
+					t.Errorf("stream at %s ran %d times, want once", ru.da.Settings.Name, runs)
+				}
+			})
+		}
+	}
+	sk.until("streams run", func() bool { return sk.streams() == 4*len(sk.daemons) })
+	for _, ru := range sk.daemons {
+		ru.path.setFault(silent)
+	}
+	time.Sleep(time.Second)
+	for _, ru := range sk.daemons {
+		ru.path.setFault(noPathFault)
+	}
+	wg.Wait()
+	sk.checkServed(sk.daemons, before)
+}
+
 // checkServed fails the test if requests at the daemons fail, or if any daemon uses another number
 // of groups than before or has quarantined a request.
 func (sk *stack) checkServed(daemons []*testDaemon, groups int) {
--- a/internal/entry/stall.go
+++ b/internal/entry/stall.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"corianderhub.dev/corianderhub/internal/core/catalog"
@@ -110,40 +111,86 @@
 	return recent
 }
 
-// probe probes all members of a group. If one does not respond, the group is marked as
-// broken and its requests are retried elsewhere.
+// probeResult is the result of probing a member. answered is set if it responded at all, lost if it
+// does not serve in the group any more or did not respond.
+type probeResult struct {
+	member         string
+	answered, lost bool
+}
+
+// probe probes all members of a group. If one does not respond while other endpoints do, the group is
+// marked as broken and its requests are retried elsewhere. If none responds, nothing is known: this
+// daemon may be cut off, or all of them silent for a moment. The group is probed again if it stays
+// stalled.
 func (ct *control) probe(ctx context.Context, gr catalog.Group) {
-	lost := make(chan string, len(gr.Members))
+	results := make(chan probeResult, len(gr.Members))
 	for _, me := range gr.Members {
-		go func() {
-			if ct.memberResponds(ctx, gr, me) {
-				lost <- ""
-				return
-			}
-			lost <- me.ID
-		}()
+		go func() { results <- ct.probeMember(ctx, gr, me) }()
 	}
+	lost, answered := "", false
 	for range gr.Members {
-		if id := <-lost; id != "" {
-			ct.da.Log.Info("control: group lost a member.", "group", gr.Name, "member", id)
-			ct.da.table.MarkBroken(gr.Name, ct.da.Clock.Now())
-			return
+		re := <-results
+		answered = answered || re.answered
+		if re.lost {
+			lost = re.member
 		}
 	}
-	ct.da.table.MarkHealthy(gr.Name)
+	switch {
+	case lost == "":
+		ct.da.table.MarkHealthy(gr.Name)
+	case answered || ct.anyResponds(ctx, gr):
+		ct.da.Log.Info("control: group lost a member.", "group", gr.Name, "member", lost)
+		ct.da.table.MarkBroken(gr.Name, ct.da.Clock.Now())
+	default:
+		ct.da.Log.Info("control: no endpoint responds, group kept.", "group", gr.Name, "member", lost)
+	}
 }
 
-// memberResponds reports whether a member is alive and still belongs to the group.
-func (ct *control) memberResponds(ctx context.Context, gr catalog.Group, me catalog.Member) bool {
+// probeMember probes a member of a group.
+func (ct *control) probeMember(ctx context.Context, gr catalog.Group, me catalog.Member) probeResult {
 	for tries := 0; tries < probeAttempts; tries++ {
 		sentAt := ct.da.Clock.Now()
 		re, err := ct.da.report(ctx, me.ID, me.Address, probeTimeout, true)
 		if err == nil {
-			return re.Member != nil && re.Member.Group == gr.Name && re.Member.Epoch == gr.Epoch && re.Member.State != catalog.Broken
+			serves := re.Member != nil && re.Member.Group == gr.Name && re.Member.Epoch == gr.Epoch && re.Member.State != catalog.Broken
+			return probeResult{member: me.ID, answered: true, lost: !serves}
 		}
 		if ct.lateSince(sentAt) {
 			// The timeout proves nothing if this machine ran late. The group is probed
 			// again if it stays stalled.
+			return probeResult{member: me.ID}
+		}
+	}
+	return probeResult{member: me.ID, lost: true}
+}
+
+// maxWitnesses is the number of endpoints of other groups that are probed when no member of a group
+// responds.
+const maxWitnesses = 4
+
+// anyResponds reports whether one of a few endpoints outside a group responds.
+func (ct *control) anyResponds(ctx context.Context, gr catalog.Group) bool {
+	vi := ct.da.view.Load()
+	if vi == nil {
+		return false
+	}
+	var others []catalog.Member
+	for _, other := range vi.Groups {
+		if other.Name != gr.Name {
+			others = append(others, other.Members...)
+		}
+	}
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	others = others[:min(len(others), maxWitnesses)]
+	responds := make(chan bool, len(others))
+	for _, me := range others {
+		go func() {
+			_, err := ct.da.report(ctx, me.ID, me.Address, probeTimeout, true)
+			responds <- err == nil
+		}()
+	}
+	for range others {
+		if <-responds {
 			return true
 		}
 	}
