Begin the hold of an installation's first era when its first daemon starts

Callers would see, on the own interface: at a store that names an era above 0 from the beginning, the first keyed request is refused for 30 s, however long after the start. Cause: the era's beginning was stored with the first claim or a restore only. TestHoldRunsFromFirstStart failed before.

--- a/internal/platform/claims/era.go
+++ b/internal/platform/claims/era.go
@@ -123,12 +123,16 @@
 	return record.Since, eris.Wrap(err, "claims "+en.Key)
 }
 
-// notice notes that an era has begun. It stores that, with retries, so that the hold begins now also
-// for shards that are used later.
-func (bo *Registry) notice(ctx context.Context, era uint64) {
-	bo.eras.mu.Lock()
-	bo.eras.noticed = map[uint64]time.Time{era: bo.Clock.Now()}
-	bo.eras.mu.Unlock()
+// notice notes when this daemon saw an era begin.
+func (el *eraLog) notice(era uint64, at time.Time) {
+	el.mu.Lock()
+	defer el.mu.Unlock()
+	el.noticed = map[uint64]time.Time{era: at}
+}
+
+// storeEra stores the beginning of an era, with retries, so that the hold runs from now also for shards
+// that are used later.
+func (bo *Registry) storeEra(ctx context.Context, era uint64) {
 	bo.retry(ctx, func(ctx context.Context) bool {
 		_, err := bo.holdEnd(ctx, era)
 		return err == nil || bo.Store.Era() != era
--- a/internal/platform/claims/era_test.go
+++ b/internal/platform/claims/era_test.go
@@ -237,6 +237,22 @@
 	})
 }
 
+// Guards against requests that are refused long after the first daemon of an installation has started,
+// at a store that names a later era than 0 from the beginning.
+func TestHoldRunsFromFirstStart(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		st := standin.NewStore(clock.System{})
+		st.Copy()
+		st.Restore()
+		cs := newCluster(st)
+		defer cs.close()
+		time.Sleep(claim.HoldTime + 5*time.Second)
+		if got := cs.node("a").Do(context.Background(), acquire("first", "x", "p")).Code; got != claim.Granted {
+			t.Errorf("claim = %v, want granted", got)
+		}
+	})
+}
+
 // Guards against keyed requests that are refused for longer than the hold, or again for each shard
 // that is first used after it, or by a daemon that starts after it.
 func TestHoldEnds(t *testing.T) {
--- a/internal/platform/claims/memory.go
+++ b/internal/platform/claims/memory.go
@@ -106,8 +106,9 @@
 			continue
 		}
 		if known {
-			writing.Go(func() { bo.notice(ctx, now) })
+			bo.eras.notice(now, bo.Clock.Now())
 		}
+		writing.Go(func() { bo.storeEra(ctx, now) })
 		era, known = now, true
 		for _, op := range batchOps {
 			writing.Go(func() { bo.reclaim(ctx, op) })
