--- a/internal/core/control/simulation_test.go
+++ b/internal/core/control/simulation_test.go
@@ -69,7 +69,7 @@
 	inbox []func()
 	// revision is the highest configuration revision observed by check.
 	revision uint64
-	// era is the store's era that the process has been told of.
+	// era is the latest era that the store's responses have named to the process.
 	era uint64
 	// incarnation changes with each process, so that responses to a former
 	// process of the same daemon are dropped.
@@ -255,7 +255,7 @@
 		handle(func(ev control.Event) {
 			w.after(delay, func() {
 				if !w.partitioned(no.name, to) {
-					w.tellEra(no, to, incarnation)
+					w.reportEra(no, to, incarnation)
 					finish(ev)
 				}
 			})
@@ -263,8 +263,8 @@
 	})
 }
 
-// tellEra delivers StoreRestored with the first response of the platform in a new era.
-func (w *simulation) tellEra(no *node, from string, incarnation int) {
+// reportEra delivers StoreRestored with the first response of the platform in a new era.
+func (w *simulation) reportEra(no *node, from string, incarnation int) {
 	if from != platformID || no.incarnation != incarnation || no.era == w.store.Era() {
 		return
 	}
--- a/internal/entry/cut_test.go
+++ b/internal/entry/cut_test.go
@@ -197,8 +197,8 @@
 	}
 }
 
-// Guards against streams that are taken from groups which are sound, since a daemon that hears from no
-// endpoint for a second takes its unanswered probes for the loss of their members.
+// Guards against streams of healthy groups that are canceled and run twice, because a daemon counts
+// members as lost while no endpoint at all responds to it.
 func TestSilenceOfAllEndpoints(t *testing.T) {
 	sk := newStack(t, 3)
 	before := len(sk.steward().da.view.Load().Groups)
--- a/internal/platform/claims/era.go
+++ b/internal/platform/claims/era.go
@@ -79,7 +79,7 @@
 }
 
 // holdEnd returns the end of claim.HoldTime in an era. In era 0 nothing has been restored. The first
-// daemon that asks stores the beginning of the era, so that daemons which start later need not wait.
+// daemon that needs it stores the beginning of the era, so that daemons which start later need not wait.
 func (bo *Registry) holdEnd(ctx context.Context, era uint64) (time.Time, error) {
 	if era == 0 {
 		return time.Time{}, nil
--- a/internal/platform/claims/era_test.go
+++ b/internal/platform/claims/era_test.go
@@ -77,7 +77,7 @@
 func TestKeyOverRestore(t *testing.T) {
 	tests := []struct {
 		name string
-		// first grants the key before the restore, and again is asked for it after change.
+		// first receives the request before the restore, and again its repeat after change.
 		first, again string
 		change       func(cs *cluster)
 	}{
@@ -156,49 +156,49 @@
 	})
 }
 
-// toldStore is a store whose era a daemon learns from responses alone, as over the network. Its
+// remoteStore is a store whose era is known from its responses alone, as over the network. Its
 // compare-and-swap compares numbers only.
-type toldStore struct {
+type remoteStore struct {
 	*standin.Store
-	told uint64
+	seen uint64
 }
 
-func (st *toldStore) Era() uint64 { return st.told }
+func (st *remoteStore) Era() uint64 { return st.seen }
 
-func (st *toldStore) Get(ctx context.Context, key string) (platform.Entry, error) {
+func (st *remoteStore) Get(ctx context.Context, key string) (platform.Entry, error) {
 	en, err := st.Store.Get(ctx, key)
-	st.told = st.Store.Era()
+	st.seen = st.Store.Era()
 	return en, err
 }
 
-func (st *toldStore) List(ctx context.Context, prefix string) ([]platform.Entry, error) {
+func (st *remoteStore) List(ctx context.Context, prefix string) ([]platform.Entry, error) {
 	entries, err := st.Store.List(ctx, prefix)
-	st.told = st.Store.Era()
+	st.seen = st.Store.Era()
 	return entries, err
 }
 
-func (st *toldStore) Put(ctx context.Context, key string, value []byte, ifRev uint64, lease string) (uint64, error) {
-	if platform.EraOf(ifRev) != st.told && ifRev > 0 {
+func (st *remoteStore) Put(ctx context.Context, key string, value []byte, ifRev uint64, lease string) (uint64, error) {
+	if platform.EraOf(ifRev) != st.seen && ifRev > 0 {
 		return 0, platform.ErrConflict
 	}
 	rev, err := st.Store.Put(ctx, key, value, platform.NewRevision(st.Store.Era(), platform.NumberOf(ifRev)), lease)
-	st.told = st.Store.Era()
-	if ifRev > 0 && platform.EraOf(ifRev) != st.told {
+	st.seen = st.Store.Era()
+	if ifRev > 0 && platform.EraOf(ifRev) != st.seen {
 		return 0, platform.ErrUnknown
 	}
 	return rev, err
 }
 
-// Guards against a key that is granted in a slice of an earlier era, by a daemon that is told of the
-// restore by the response to its write only, while others count on the slices of the new era.
-func TestDaemonNotToldOfRestore(t *testing.T) {
+// Guards against a key that is granted in a slice of an earlier era because the daemon sees the restore
+// only in the response to its write, while others use the slices of the new era.
+func TestRestoreNotSeenBeforeWrite(t *testing.T) {
 	for name, warmUp := range map[string]bool{"slice cached": true, "no slice yet": false} {
 		t.Run(name, func(t *testing.T) {
 			bubble(t, func(t *testing.T) {
 				ctx := context.Background()
 				st := standin.NewStore(clock.System{})
 				late, other := newRegistry(st), newRegistry(st)
-				late.Store = &toldStore{Store: st}
+				late.Store = &remoteStore{Store: st}
 				if warmUp {
 					late.Do(ctx, acquire("warm-up", "x", "p"))
 				} else if err := late.shard(acquire("booking", "x", "p").Shard).load(ctx); err != nil {
@@ -212,7 +212,7 @@
 					t.Fatalf("claim after the hold = %v, want granted", got)
 				}
 				if got := late.Do(ctx, acquire("booking", "y", "p")).Code; got == claim.Granted {
-					t.Error("the key is granted a second time, by a daemon that was not told of the restore")
+					t.Error("the key is granted a second time, by a daemon that had not seen the restore")
 				}
 			})
 		})
--- a/internal/platform/restore_test.go
+++ b/internal/platform/restore_test.go
@@ -25,12 +25,12 @@
 func TestCompareAndSwapOverRestore(t *testing.T) {
 	tests := []struct {
 		name string
-		// told is set if the first daemon has seen the new era before it writes.
-		told bool
+		// seen is set if the first daemon has received a response of the new era before it writes.
+		seen bool
 		want error
 	}{
-		{"told of the restore", true, platform.ErrConflict},
-		{"not told", false, platform.ErrUnknown},
+		{"restore seen", true, platform.ErrConflict},
+		{"restore not seen", false, platform.ErrUnknown},
 	}
 	for _, tc := range tests {
 		t.Run(tc.name, func(t *testing.T) {
@@ -49,7 +49,7 @@
 			if again <= rev || platform.NumberOf(again) != platform.NumberOf(rev) {
 				t.Errorf("revision %d after %d, want a higher one with the same number", again, rev)
 			}
-			if tc.told {
+			if tc.seen {
 				if _, err := first.Get(ctx, "another"); err != nil {
 					t.Fatal(err)
 				}
@@ -61,7 +61,7 @@
 	}
 }
 
-// Guards against a daemon that isn't told of a restore which it could have seen.
+// Guards against a restore that OnRestore does not report although responses name the new era.
 func TestRestoreIsReported(t *testing.T) {
 	ctx := context.Background()
 	st, cl, _ := newClients(t)
--- a/internal/soak/pause.go
+++ b/internal/soak/pause.go
@@ -14,15 +14,15 @@
 	minLoggedPause = 200 * time.Millisecond
 )
 
-// logPauses logs when this process, which also runs the emulated platform and its servers, stands
-// still, until ctx ends. Daemons then find all of them unresponsive at once.
+// logPauses logs when this process, which also runs the emulated platform and its servers, is not
+// scheduled, until ctx ends. Daemons then find all of them unresponsive at once.
 func logPauses(ctx context.Context, log *slog.Logger) {
 	last := time.Now()
 	for ctx.Err() == nil {
 		time.Sleep(pauseInterval)
 		now := time.Now()
 		if pause := now.Sub(last) - pauseInterval; pause >= minLoggedPause {
-			log.Warn("soak: this process stood still.", "for", pause.Round(time.Millisecond), "until", now.Format(time.StampMilli))
+			log.Warn("soak: own process was not scheduled.", "for", pause.Round(time.Millisecond), "until", now.Format(time.StampMilli))
 		}
 		last = now
 	}
