Keep the recorded answer of a keyed request over a restore of the store

Cause: each daemon writes a remembered claim again by itself, and a claim that is there already was left as it is. A witness remembers the claim without the answer; if it writes first, the answer of the other daemon is dropped. The same where the record came between the restore and the rewrite: it found no claim and was not tried again.

Change: Reclaim adds the answer to a claim of the same holder, a record that finds no claim becomes a reclaim, and a witness is sent the answer too.

--- a/internal/core/claim/claim.go
+++ b/internal/core/claim/claim.go
@@ -152,10 +152,11 @@
 	Release
 	// Record stores the outcome of a request that ran.
 	Record
-	// Reclaim stores a granted claim, with its outcome if there is one, unless the
-	// key is claimed.
+	// Reclaim stores a granted claim, with its outcome if there is one. If the key is
+	// claimed by the same holder, it stores the outcome only; if by another, nothing.
 	Reclaim
-	// Remember keeps a granted claim in memory, for Reclaim.
+	// Remember keeps a granted claim in memory, with its outcome if there is one, for
+	// Reclaim.
 	Remember
 )
 
@@ -273,23 +274,31 @@
 		delete(sl.Claims, op.Hash)
 		return Result{Code: Applied}, true
 	case Record:
-		cl, ok := sl.Claims[op.Hash]
-		if !ok || cl.Holder != op.Holder || cl.State != Claimed {
-			return Result{Code: NotFound}, false
-		}
-		cl.State = Done
-		cl.Outcome = op.Outcome
-		sl.Claims[op.Hash] = cl
-		return Result{Code: Applied}, true
+		return sl.record(op)
 	case Reclaim:
 		return sl.reclaim(op)
 	}
 	return Result{Code: Unavailable}, false
 }
 
+func (sl *Slice) record(op Op) (Result, bool) {
+	cl, ok := sl.Claims[op.Hash]
+	if !ok || cl.Holder != op.Holder || cl.State != Claimed {
+		return Result{Code: NotFound}, false
+	}
+	cl.State = Done
+	cl.Outcome = op.Outcome
+	sl.Claims[op.Hash] = cl
+	return Result{Code: Applied}, true
+}
+
 func (sl *Slice) reclaim(op Op) (Result, bool) {
 	if _, ok := sl.Claims[op.Hash]; ok {
-		return Result{Code: Applied}, false
+		changed := false
+		if op.Outcome != nil {
+			_, changed = sl.record(op)
+		}
+		return Result{Code: Applied}, changed
 	}
 	if sl.Sealed {
 		return Result{}, false
--- a/internal/platform/claims/memory.go
+++ b/internal/platform/claims/memory.go
@@ -19,22 +19,22 @@
 	eraCheckInterval = time.Second
 )
 
-// reclaimed counts the remembered claims that were written again.
-var reclaimed = metrics.NewCounter("corianderhub_claims_reclaimed_total")
+// rewritten counts the writes of remembered claims after a restore.
+var rewritten = metrics.NewCounter("corianderhub_claims_reclaimed_total")
 
 // memory holds the claims that were granted through this daemon in the last memoryTime. Its zero
 // value is ready for use.
 type memory struct {
 	mu sync.Mutex
-	// claims maps the hash of a key to its claim, and order holds the hashes by time.
+	// claims maps the hash of a key to its claim, and order holds the claims by time.
 	claims map[string]remembered
 	order  []remembered
 }
 
-// remembered is a claim, as the operation that writes it again, and when it was granted.
+// remembered is a claim, as the operation that writes it again, and when it was noted.
 type remembered struct {
-	op        claim.Op
-	grantedAt time.Time
+	op      claim.Op
+	notedAt time.Time
 }
 
 // note updates the memory with an operation and its result.
@@ -46,6 +46,7 @@
 	mine := ok && known.op.Holder == op.Holder
 	switch {
 	case op.Kind == claim.Acquire && code == claim.Granted, op.Kind == claim.Remember:
+		op.Kind = claim.Reclaim
 		me.add(remembered{op, now})
 	case op.Kind == claim.Record && mine:
 		known.op.Outcome = op.Outcome
@@ -59,17 +60,16 @@
 	if me.claims == nil {
 		me.claims = make(map[string]remembered)
 	}
-	re.op.Kind = claim.Reclaim
 	me.claims[re.op.Hash] = re
 	me.order = append(me.order, re)
 }
 
-// forgetBefore drops the claims that were granted before a time.
+// forgetBefore drops the claims that were noted before a time.
 func (me *memory) forgetBefore(limit time.Time) {
-	for len(me.order) > 0 && me.order[0].grantedAt.Before(limit) {
+	for len(me.order) > 0 && me.order[0].notedAt.Before(limit) {
 		old := me.order[0]
 		me.order = me.order[1:]
-		if me.claims[old.op.Hash].grantedAt.Equal(old.grantedAt) {
+		if me.claims[old.op.Hash].notedAt.Equal(old.notedAt) {
 			delete(me.claims, old.op.Hash)
 		}
 	}
@@ -111,21 +111,27 @@
 		writing.Go(func() { bo.storeEra(ctx, now) })
 		era, known = now, true
 		for _, op := range batchOps {
-			writing.Go(func() { bo.reclaim(ctx, op) })
+			writing.Go(func() { bo.retry(ctx, func(ctx context.Context) bool { return bo.write(ctx, op) }) })
 		}
 	}
 	return ctx.Err()
 }
 
-// reclaim writes a claim again, with retries.
-func (bo *Registry) reclaim(ctx context.Context, op claim.Op) {
-	reclaimed.Inc()
-	bo.retry(ctx, func(ctx context.Context) bool { return bo.Do(ctx, op).Code != claim.Unavailable })
+// write writes a remembered claim again. It returns false if it must be tried again.
+func (bo *Registry) write(ctx context.Context, op claim.Op) bool {
+	rewritten.Inc()
+	return bo.Do(ctx, op).Code != claim.Unavailable
 }
 
-// shareClaim lets another daemon remember a claim that was granted by this one alone. The claim
-// counts whether or not that daemon answers.
-func (bo *Registry) shareClaim(ctx context.Context, op claim.Op) {
+// share lets another daemon remember what this one alone has stored. The operation counts whether
+// or not that daemon answers.
+func (bo *Registry) share(ctx context.Context, op claim.Op, code claim.ResultCode) {
+	switch {
+	case op.Kind == claim.Acquire && code == claim.Granted, op.Kind == claim.Record && code == claim.Applied:
+		op.Kind = claim.Remember
+	default:
+		return
+	}
 	if bo.Witness == nil {
 		return
 	}
@@ -135,6 +141,5 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, witnessTimeout)
 	defer cancel()
-	op.Kind = claim.Remember
 	_, _ = bo.Forward(ctx, addr, op)
 }
--- /dev/null
+++ b/internal/platform/claims/outcome_test.go
@@ -0,0 +1,57 @@
+package claims
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"corianderhub.dev/corianderhub/internal/clock"
+	"corianderhub.dev/corianderhub/internal/core/claim"
+	"corianderhub.dev/corianderhub/internal/standin"
+)
+
+// Guards against a repeat that is refused for good, because the recorded answer of a request that ran
+// was lost when the store was restored.
+func TestOutcomeOverRestore(t *testing.T) {
+	const step = 50 * time.Millisecond
+	for _, daemon := range []string{"a", "b"} {
+		// beforeRecord is the time from the restore to the record, or, if negative, from the record to
+		// the restore.
+		for beforeRecord := -6 * step; beforeRecord <= 2*eraCheckInterval; beforeRecord += step {
+			t.Run(fmt.Sprint(daemon, " ", beforeRecord), func(t *testing.T) {
+				bubble(t, func(t *testing.T) { testOutcome(t, daemon, beforeRecord) })
+			})
+		}
+	}
+}
+
+func testOutcome(t *testing.T, daemon string, beforeRecord time.Duration) {
+	ctx := context.Background()
+	cs := newCluster(standin.NewStore(clock.System{}))
+	defer cs.close()
+	time.Sleep(5 * eraCheckInterval / 2)
+	cs.node("b").Do(ctx, acquire("warm-up", "x", "p"))
+	cs.st.Copy()
+	op := acquire("booking", "x", "p")
+	if got := cs.node(daemon).Do(ctx, op).Code; got != claim.Granted {
+		t.Fatalf("claim = %v, want granted", got)
+	}
+	op.Outcome = &claim.Outcome{Status: http.StatusOK}
+	if beforeRecord < 0 {
+		cs.node(daemon).RecordInBackground(op)
+		time.Sleep(-beforeRecord)
+	}
+	cs.st.Restore()
+	if beforeRecord >= 0 {
+		time.Sleep(beforeRecord)
+		cs.node(daemon).RecordInBackground(op)
+	}
+	time.Sleep(5 * eraCheckInterval)
+	for _, name := range []string{"a", "b"} {
+		if got := cs.node(name).Do(ctx, acquire("booking", "y", "p")).Code; got != claim.Finished {
+			t.Errorf("daemon %s: repeat = %v, want finished", name, got)
+		}
+	}
+}
--- a/internal/platform/claims/registry.go
+++ b/internal/platform/claims/registry.go
@@ -60,9 +60,7 @@
 		}
 	}
 	res := bo.DoLocal(ctx, op)
-	if op.Kind == claim.Acquire && res.Code == claim.Granted {
-		bo.shareClaim(ctx, op)
-	}
+	bo.share(ctx, op, res.Code)
 	return res
 }
 
@@ -111,8 +109,16 @@
 // RecordInBackground stores an outcome in the background, with retries like
 // ReleaseInBackground.
 func (bo *Registry) RecordInBackground(op claim.Op) {
-	op.Kind = claim.Record
-	bo.retryInBackground(func(ctx context.Context) bool { return bo.Do(ctx, op).Code != claim.Unavailable })
+	bo.retryInBackground(func(ctx context.Context) bool {
+		op.Kind = claim.Record
+		code := bo.Do(ctx, op).Code
+		if code == claim.NotFound {
+			// The claim may have been lost when the service was restored.
+			op.Kind = claim.Reclaim
+			code = bo.Do(ctx, op).Code
+		}
+		return code != claim.Unavailable
+	})
 }
 
 // backgroundTimeout limits one attempt of a background operation.
