Write a claim again whose grant was noted after the restore was handled

A key could be granted twice: the grant reaches the daemon that dispatches only after that daemon has written its claims in the new era, and the daemon that granted it ends. The claim is then in no slice and in no other memory.

Cause: Run took the claims before it looked at the era, and nothing compared the era of the grant with the one at the time of the note.

Change: Run takes the claims once it has seen the era, and a note in another era than its operation began in writes the claim again. Either one or the other sees each claim, whatever the order.

--- a/internal/platform/claims/memory.go
+++ b/internal/platform/claims/memory.go
@@ -75,6 +75,14 @@
 	}
 }
 
+// operation returns the operation that writes a claim again, if it is remembered.
+func (me *memory) operation(hash string) (claim.Op, bool) {
+	me.mu.Lock()
+	defer me.mu.Unlock()
+	re, ok := me.claims[hash]
+	return re.op, ok
+}
+
 // operations returns the operations that write the remembered claims again.
 func (me *memory) operations() []claim.Op {
 	me.mu.Lock()
@@ -86,6 +94,24 @@
 	return batchOps
 }
 
+func (me *memory) empty() bool {
+	me.mu.Lock()
+	defer me.mu.Unlock()
+	return len(me.claims) == 0
+}
+
+// remember notes an operation that began in an era. If the service has been restored since, Run may
+// have written the claims before the note, so the claim is written again.
+func (bo *Registry) remember(era uint64, op claim.Op, code claim.ResultCode) {
+	bo.memory.note(bo.Clock.Now(), op, code)
+	if bo.Store.Era() == era {
+		return
+	}
+	if again, ok := bo.memory.operation(op.Hash); ok {
+		bo.retryInBackground(func(ctx context.Context) bool { return bo.write(ctx, again) })
+	}
+}
+
 // Run writes the remembered claims again after each restore of the key-value service, until ctx
 // ends.
 func (bo *Registry) Run(ctx context.Context) error {
@@ -93,8 +119,7 @@
 	defer writing.Wait()
 	era, known := uint64(0), false
 	for bo.Clock.Sleep(ctx, eraCheckInterval) == nil {
-		batchOps := bo.memory.operations()
-		if len(batchOps) == 0 && known && bo.Store.Era() == era {
+		if bo.memory.empty() && known && bo.Store.Era() == era {
 			continue
 		}
 		// Any response names the era.
@@ -110,7 +135,7 @@
 		}
 		writing.Go(func() { bo.storeEra(ctx, now) })
 		era, known = now, true
-		for _, op := range batchOps {
+		for _, op := range bo.memory.operations() {
 			writing.Go(func() { bo.retry(ctx, func(ctx context.Context) bool { return bo.write(ctx, op) }) })
 		}
 	}
--- a/internal/platform/claims/outcome_test.go
+++ b/internal/platform/claims/outcome_test.go
@@ -55,3 +55,35 @@
 		}
 	}
 }
+
+// Guards against a key that is granted twice because the first grant reached its daemon only after
+// that had written its claims again, and the daemon that granted it ended.
+func TestGrantReceivedAfterRestore(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		ctx := context.Background()
+		cs := newCluster(standin.NewStore(clock.System{}))
+		defer cs.close()
+		time.Sleep(5 * eraCheckInterval / 2)
+		cs.node("b").Do(ctx, acquire("warm-up", "x", "p"))
+		cs.st.Copy()
+		asking := cs.node("b")
+		forward := asking.Forward
+		asking.Forward = func(ctx context.Context, peer string, op claim.Op) (claim.Result, error) {
+			res, err := forward(ctx, peer, op)
+			if op.Kind != claim.Acquire {
+				return res, err
+			}
+			cs.restart("a")
+			cs.st.Restore()
+			time.Sleep(5 * eraCheckInterval / 2)
+			return res, err
+		}
+		if got := asking.Do(ctx, acquire("booking", "x", "p")).Code; got != claim.Granted {
+			t.Fatalf("claim = %v, want granted", got)
+		}
+		time.Sleep(claim.HoldTime + 5*time.Second)
+		if got := cs.node("a").Do(ctx, acquire("booking", "y", "p")).Code; got != claim.Duplicate {
+			t.Errorf("repeat = %v, want duplicate", got)
+		}
+	})
+}
--- a/internal/platform/claims/registry.go
+++ b/internal/platform/claims/registry.go
@@ -53,9 +53,10 @@
 // Do executes the operation through the shard's owner, or directly if the owner does
 // not answer or answers claim.Unavailable.
 func (bo *Registry) Do(ctx context.Context, op claim.Op) claim.Result {
+	era := bo.Store.Era()
 	if addr := bo.Owner(op.Shard); addr != "" {
 		if res, err := bo.Forward(ctx, addr, op); err == nil && res.Code != claim.Unavailable {
-			bo.memory.note(bo.Clock.Now(), op, res.Code)
+			bo.remember(era, op, res.Code)
 			return res
 		}
 	}
@@ -67,11 +68,12 @@
 // DoLocal executes the operation on this daemon. If ctx ends first, it returns
 // claim.Unavailable, and the operation may still be stored.
 func (bo *Registry) DoLocal(ctx context.Context, op claim.Op) claim.Result {
+	era := bo.Store.Era()
 	res := claim.Result{Code: claim.Applied}
 	if op.Kind != claim.Remember {
 		res = bo.store(ctx, op)
 	}
-	bo.memory.note(bo.Clock.Now(), op, res.Code)
+	bo.remember(era, op, res.Code)
 	return res
 }
 
