Release a claim again that came back with a restore

Callers whose request certainly had not run, and whose key was therefore released, were refused as duplicate for good if the store was restored soon after.

Cause: a copy from before the release has the claim; a witness that was not told of the release wrote it again; and a key released in a slice of an earlier era was claimed there, where no claim counts, and thus refused.

Change: releases are remembered and written again like claims, a witness forgets a released claim, and a slice of an earlier era is sealed by the next write to it.

--- a/internal/core/claim/claim.go
+++ b/internal/core/claim/claim.go
@@ -158,6 +158,8 @@
 	// Remember keeps a granted claim in memory, with its outcome if there is one, for
 	// Reclaim.
 	Remember
+	// Forget removes a released claim from memory.
+	Forget
 )
 
 // Op is one operation on a claim.
--- a/internal/platform/claims/memory.go
+++ b/internal/platform/claims/memory.go
@@ -19,11 +19,11 @@
 	eraCheckInterval = time.Second
 )
 
-// rewritten counts the writes of remembered claims after a restore.
+// rewritten counts the writes of remembered claims and releases after a restore.
 var rewritten = metrics.NewCounter("corianderhub_claims_reclaimed_total")
 
-// memory holds the claims that were granted through this daemon in the last memoryTime. Its zero
-// value is ready for use.
+// memory holds the claims that were granted or released through this daemon in the last
+// memoryTime. Its zero value is ready for use.
 type memory struct {
 	mu sync.Mutex
 	// claims maps the hash of a key to its claim, and order holds the claims by time.
@@ -31,7 +31,8 @@
 	order  []remembered
 }
 
-// remembered is a claim, as the operation that writes it again, and when it was noted.
+// remembered is a claim, as the operation that writes it or its release again, and when it was
+// noted.
 type remembered struct {
 	op      claim.Op
 	notedAt time.Time
@@ -52,6 +53,8 @@
 		known.op.Outcome = op.Outcome
 		me.claims[op.Hash] = known
 	case op.Kind == claim.Release && mine:
+		me.add(remembered{op, now})
+	case op.Kind == claim.Forget && mine:
 		delete(me.claims, op.Hash)
 	}
 }
@@ -75,7 +78,7 @@
 	}
 }
 
-// operation returns the operation that writes a claim again, if it is remembered.
+// operation returns the operation that writes a claim or its release again, if it is remembered.
 func (me *memory) operation(hash string) (claim.Op, bool) {
 	me.mu.Lock()
 	defer me.mu.Unlock()
@@ -83,7 +86,7 @@
 	return re.op, ok
 }
 
-// operations returns the operations that write the remembered claims again.
+// operations returns the operations that write the remembered claims and releases again.
 func (me *memory) operations() []claim.Op {
 	me.mu.Lock()
 	defer me.mu.Unlock()
@@ -112,8 +115,8 @@
 	}
 }
 
-// Run writes the remembered claims again after each restore of the key-value service, until ctx
-// ends.
+// Run writes the remembered claims and releases again after each restore of the key-value service,
+// until ctx ends.
 func (bo *Registry) Run(ctx context.Context) error {
 	var writing sync.WaitGroup
 	defer writing.Wait()
@@ -142,7 +145,7 @@
 	return ctx.Err()
 }
 
-// write writes a remembered claim again. It returns false if it must be tried again.
+// write writes a remembered claim or release again. It returns false if it must be tried again.
 func (bo *Registry) write(ctx context.Context, op claim.Op) bool {
 	rewritten.Inc()
 	return bo.Do(ctx, op).Code != claim.Unavailable
@@ -154,6 +157,8 @@
 	switch {
 	case op.Kind == claim.Acquire && code == claim.Granted, op.Kind == claim.Record && code == claim.Applied:
 		op.Kind = claim.Remember
+	case op.Kind == claim.Release:
+		op.Kind = claim.Forget
 	default:
 		return
 	}
--- a/internal/platform/claims/outcome_test.go
+++ b/internal/platform/claims/outcome_test.go
@@ -87,3 +87,44 @@
 		}
 	})
 }
+
+// Guards against a key that stays claimed although its request certainly did not run, because the
+// released claim came back when the store was restored.
+func TestReleaseOverRestore(t *testing.T) {
+	tests := []struct {
+		name   string
+		daemon string
+		// inCopy is whether the copy that is restored holds the claim.
+		inCopy bool
+	}{
+		{"merging daemon, claim not in the copy", "a", false},
+		{"merging daemon, claim in the copy", "a", true},
+		{"another daemon, claim not in the copy", "b", false},
+		{"another daemon, claim in the copy", "b", true},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			bubble(t, func(t *testing.T) {
+				ctx := context.Background()
+				cs := newCluster(standin.NewStore(clock.System{}))
+				defer cs.close()
+				time.Sleep(5 * eraCheckInterval / 2)
+				cs.st.Copy()
+				op := acquire("booking", "x", "p")
+				cs.node(tc.daemon).Do(ctx, op)
+				if tc.inCopy {
+					cs.st.Copy()
+				}
+				op.Kind = claim.Release
+				if got := cs.node(tc.daemon).Do(ctx, op).Code; got != claim.Applied {
+					t.Fatalf("release = %v, want applied", got)
+				}
+				cs.st.Restore()
+				time.Sleep(claim.HoldTime + 5*time.Second)
+				if got := cs.node("b").Do(ctx, acquire("booking", "y", "p")).Code; got != claim.Granted {
+					t.Errorf("repeat = %v, want granted", got)
+				}
+			})
+		})
+	}
+}
--- a/internal/platform/claims/registry.go
+++ b/internal/platform/claims/registry.go
@@ -70,7 +70,7 @@
 func (bo *Registry) DoLocal(ctx context.Context, op claim.Op) claim.Result {
 	era := bo.Store.Era()
 	res := claim.Result{Code: claim.Applied}
-	if op.Kind != claim.Remember {
+	if op.Kind != claim.Remember && op.Kind != claim.Forget {
 		res = bo.store(ctx, op)
 	}
 	bo.remember(era, op, res.Code)
--- a/internal/platform/claims/sealed.go
+++ b/internal/platform/claims/sealed.go
@@ -59,8 +59,8 @@
 	return batchOps
 }
 
-// applySealed writes the result of the operations to a sealed slice, with retries
-// after a conflict or an unknown outcome.
+// applySealed writes the result of the operations to a sealed slice, or one of an earlier era, with
+// retries after a conflict or an unknown outcome.
 func (sh *shard) applySealed(ctx context.Context, num int, batchOps []claim.Op) ([]claim.Result, error) {
 	for range maxTries {
 		en, err := sh.store.Get(ctx, claim.SliceKey(sh.num, num))
@@ -73,6 +73,9 @@
 				return nil, err
 			}
 		}
+		if !sl.Sealed && claim.SliceEra(num) != sh.era {
+			sl.Seal(sh.clock.Now())
+		}
 		results, changed := sl.Apply(batchOps)
 		if !changed {
 			return results, nil
