Don't call the deployment with the soak's mutex held

Cause, from the goroutines in that log: configure held the mutex of the soak and waited for the deployment's; the deployment, which starts a server under its own, called proxyServer, which waited for the soak's. Change: the versions of the configuration have a mutex of their own, and the other one is never held over a call.

--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -48,13 +48,16 @@
 	// storeTCPProxies into the connections to it. Both are indexed by daemon.
 	storeProxies    []*emulator.StoreProxy
 	storeTCPProxies []*Proxy
-	mu              sync.Mutex
+	// mu guards serverTCPProxies and reserved. The deployment locks it while it starts a server, so
+	// no call of the deployment is made with it held.
+	mu sync.Mutex
 	// serverTCPProxies are the proxies in front of the servers, by server ID.
 	serverTCPProxies map[string]*Proxy
 	// reserved has the IDs of the model servers that a fault has ended or will end.
 	reserved map[string]bool
-	// versions are the routes that configure has added, one per version.
-	versions []emulator.Route
+	// versionsMu guards versions, the routes that configure has added, one per version.
+	versionsMu sync.Mutex
+	versions   []emulator.Route
 }
 
 const (
@@ -259,14 +262,14 @@
 
 // configure publishes a version of the configuration that adds a route.
 func (so *Soak) configure() {
-	so.mu.Lock()
+	so.versionsMu.Lock()
+	defer so.versionsMu.Unlock()
 	num := len(so.versions) + 1
 	so.versions = append(so.versions, emulator.Route{Name: fmt.Sprint("version-", num), Host: emulator.Host, Prefix: versionPrefix(num),
 		Kind: "safe", Timeout: 30000, Target: 10000, Attempts: 2, Service: "desk"})
 	// Called with the lock held, so that an older list of routes is not published as a
 	// newer version.
 	so.deployment.Configure(slices.Clone(so.versions))
-	so.mu.Unlock()
 }
 
 // versionPrefix returns the path prefix of the route that a version adds.
@@ -274,8 +277,8 @@
 
 // newestVersion returns the number of the newest configuration version.
 func (so *Soak) newestVersion() int {
-	so.mu.Lock()
-	defer so.mu.Unlock()
+	so.versionsMu.Lock()
+	defer so.versionsMu.Unlock()
 	return len(so.versions)
 }
 
