Don't take a refused connection alone as the end of the steward

Two daemons could act as the steward for as long as a part of the network refused connections: a daemon that reaches the store takes the lease of a steward whose port is refused, and the old one, whose lease still exists, renews it and never reads the key again. Daemons of a cut data centre took the lease of a steward that served the others.

Evidence: TestStewardBehindRefusedPath: two stewards until the test's limit of 60 s; TestStewardBehindPartition: daemon 2 takes the lease after 3.4 s. Both pass now, with the tests of stewards and leases.

Way not taken: a read of the key at each renewal, two reads a second for good.

--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -99,6 +99,8 @@
 	group    run.Group
 	// dialDirect replaces the opening of connections to endpoints in tests.
 	dialDirect func(ctx context.Context, addr string) (net.Conn, error)
+	// dialDaemon replaces the opening of connections that show whether a daemon runs, in tests.
+	dialDaemon func(ctx context.Context, addr string) (net.Conn, error)
 	// base ends the daemon immediately, without a graceful stop, as a kill does; tests set
 	// it. work is the context of all goroutines of the daemon.
 	base   context.Context
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -6,10 +6,12 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"net"
 	"net/http"
 	"slices"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -33,6 +35,11 @@
 	subnet  int
 	// log holds the log of all daemons.
 	log *logBuffer
+	// dataCenters overrides the data centres of daemons, by number.
+	dataCenters map[int]string
+	// sides maps the daemons' IP addresses to the sides of a partition. Connections for control
+	// between daemons of different sides are refused.
+	sides sync.Map
 }
 
 // logBuffer collects log lines for tests that read them.
@@ -81,10 +88,16 @@
 // newStack starts an emulated deployment with the given number of daemons and waits until
 // all of them serve.
 func newStack(t *testing.T, daemons int) *stack {
+	t.Helper()
+	return newStackIn(t, daemons, nil)
+}
+
+// newStackIn is newStack with the data centres of daemons, by number.
+func newStackIn(t *testing.T, daemons int, dataCenters map[int]string) *stack {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
-	sk := &stack{t: t, ctx: ctx, subnet: <-subnets, log: &logBuffer{}, client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
+	sk := &stack{t: t, ctx: ctx, dataCenters: dataCenters, subnet: <-subnets, log: &logBuffer{}, client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
 		de: &emulator.Deployment{ModelServers: 7, PlainServers: 2, PlainDataCenters: []string{emulator.DataCenter, otherDataCenter}, EventInterval: 20 * time.Millisecond}}
 	if err := sk.de.Start(ctx); err != nil {
 		t.Fatal(err)
@@ -101,6 +114,22 @@
 	return sk
 }
 
+// dialFrom returns the function that a daemon at an IP address opens connections for control with.
+func (sk *stack) dialFrom(ip string) func(ctx context.Context, addr string) (net.Conn, error) {
+	return func(ctx context.Context, addr string) (net.Conn, error) {
+		host, _, err := net.SplitHostPort(addr)
+		if err != nil {
+			return nil, err
+		}
+		from, _ := sk.sides.Load(ip)
+		to, _ := sk.sides.Load(host)
+		if from != to {
+			return nil, &net.OpError{Op: "dial", Net: "tcp", Err: syscall.ECONNREFUSED}
+		}
+		return new(net.Dialer).DialContext(ctx, "tcp", addr)
+	}
+}
+
 // members returns the number of VMs in the groups that a daemon uses.
 func (sk *stack) members(ru *testDaemon) int {
 	vi := ru.da.view.Load()
@@ -128,11 +157,14 @@
 	if err != nil {
 		sk.t.Fatal(err)
 	}
+	if dc := sk.dataCenters[num]; dc != "" {
+		set.DataCenter = dc
+	}
 	ctx, stop := context.WithCancel(sk.ctx)
 	dead, kill := context.WithCancel(sk.ctx)
 	path := &endpointPath{}
 	ru := &testDaemon{ip: ip, storeProxy: proxy, path: path, kill: kill, stop: stop, dead: dead, done: make(chan error, 1),
-		da: &Daemon{base: dead, dialDirect: path.dial, Settings: set, Clock: clock.System{}, Log: slog.New(slog.NewTextHandler(testWriter{sk.t, sk.log}, nil))}}
+		da: &Daemon{base: dead, dialDirect: path.dial, dialDaemon: sk.dialFrom(ip), Settings: set, Clock: clock.System{}, Log: slog.New(slog.NewTextHandler(testWriter{sk.t, sk.log}, nil))}}
 	go func() {
 		err := ru.da.Run(ctx)
 		if err != nil && sk.ctx.Err() == nil {
--- a/internal/entry/lease.go
+++ b/internal/entry/lease.go
@@ -161,8 +161,20 @@
 		ct.da.Log.Info("steward: reading the lease failed.", "cause", err.Error())
 		return
 	}
-	if item.Revision != 0 && !ct.holderExited(ctx, item) {
-		return
+	if item.Revision != 0 {
+		if !ct.holderExited(ctx, item) {
+			return
+		}
+		// Ends the lease too, so that a holder which still runs behind a broken path stops at its next
+		// renewal.
+		err := ct.da.store.Revoke(ctx, item.Lease)
+		if err != nil && !errors.Is(err, platform.ErrNoLease) {
+			ct.da.Log.Info("steward: ending the previous lease failed.", "cause", err.Error())
+			return
+		}
+		if err == nil {
+			item.Revision = 0
+		}
 	}
 	begin, era := clock.SinceBoot(), ct.da.store.Era()
 	lease, err := ct.da.store.Grant(ctx, leaseTTL)
@@ -206,7 +218,7 @@
 // writeLeaseKey writes the steward's key if its revision is unchanged, and returns the new
 // revision.
 func (ct *control) writeLeaseKey(ctx context.Context, revision, lease int64) (int64, error) {
-	value, err := json.Marshal(holder{ct.da.Settings.IP, ct.da.started})
+	value, err := json.Marshal(holder{ct.da.Settings.IP, ct.da.started, ct.da.Settings.DataCenter})
 	if err != nil {
 		return 0, err
 	}
