Return an error for a response above the client's limit

Callers of pkg/hub received a response of more than 64 MiB cut at that size, as complete and without an error; a client with negative Attempts sent nothing and returned an empty answer without an error.

--- a/pkg/hub/hub.go
+++ b/pkg/hub/hub.go
@@ -11,6 +11,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -94,7 +95,7 @@
 	Seeds []string
 	// Key is the workspace's secret key.
 	Key string
-	// Attempts bounds how many times one call is sent; zero means 6.
+	// Attempts bounds how many times one call is sent; zero or less means 6.
 	Attempts int
 	// HTTP is the HTTP client; nil means one with a connection timeout of 1 s.
 	HTTP *http.Client
@@ -133,10 +134,13 @@
 func (cl *Client) Do(ctx context.Context, ca Call) (Answer, error) {
 	var an Answer
 	err := cl.retry(ctx, ca, func(rsp *http.Response) error {
-		body, err := io.ReadAll(io.LimitReader(rsp.Body, maxResponseBytes))
+		body, err := io.ReadAll(io.LimitReader(rsp.Body, maxResponseBytes+1))
 		if err != nil {
 			return brokenAnswer(err)
 		}
+		if len(body) > maxResponseBytes {
+			return &verdict.Error{Code: verdict.CodeTooLarge, Verdict: verdict.Ran, Message: "the answer is larger than " + strconv.Itoa(maxResponseBytes) + " bytes"}
+		}
 		an = Answer{Status: rsp.StatusCode, Header: rsp.Header, Body: body, Recorded: rsp.Header.Get(HeaderRecorded) == "true"}
 		return nil
 	}, func() bool { return false })
@@ -153,7 +157,7 @@
 // a part of a response has reached the caller.
 func (cl *Client) retry(ctx context.Context, ca Call, handle func(*http.Response) error, delivered func() bool) error {
 	attempts := cl.Attempts
-	if attempts == 0 {
+	if attempts <= 0 {
 		attempts = defaultAttempts
 	}
 	var err error
--- a/pkg/verdict/verdict.go
+++ b/pkg/verdict/verdict.go
@@ -32,7 +32,8 @@
 	CodeUnauthorized Code = "unauthorized"
 	// CodeNoRoute means that no endpoint, model or record of a request matches.
 	CodeNoRoute Code = "no-route"
-	// CodeTooLarge means that the request body exceeds the limit or could not be read.
+	// CodeTooLarge means that the request body exceeds the limit or could not be read or, with
+	// the verdict Ran, that the response exceeds the client's limit.
 	CodeTooLarge Code = "too-large"
 	// CodeOverloaded means that a daemon or endpoint refused the request because of its
 	// load.
