Report an apply whose response was lost as unknown

An operator whose connection broke after an apply got exit code 1, failed, though the change may be in force, instead of 4, unknown, after which the operation is repeated. TestApplyWithoutResponse, without a response and with one cut off, failed before and passes now; an apply that couldn't connect stays an error without a verdict.

--- a/pkg/admin/admin.go
+++ b/pkg/admin/admin.go
@@ -6,8 +6,10 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"time"
@@ -184,9 +186,25 @@
 // Apply applies a file as a whole or not at all. If it returns a *Refusal with the
 // verdict may-have-run, the outcome is unknown: repeat the call with the same operation.
 func (cl *Client) Apply(ctx context.Context, ap Apply) (Applied, error) {
-	return cl.apply(ctx, "apply", ap)
+	done, err := cl.apply(ctx, "apply", ap)
+	var lost *responseError
+	if errors.As(err, &lost) {
+		return done, &Refusal{Code: verdict.CodeEndpointFailed, Verdict: verdict.MayHaveRun, Message: lost.Error()}
+	}
+	return done, err
+}
+
+// responseError means that a request may have arrived, and that its response was lost.
+type responseError struct {
+	cause error
 }
 
+// Error implements the error interface.
+func (re *responseError) Error() string { return "the daemon's response was lost: " + re.cause.Error() }
+
+// Unwrap returns the cause.
+func (re *responseError) Unwrap() error { return re.cause }
+
 func (cl *Client) apply(ctx context.Context, verb string, ap Apply) (Applied, error) {
 	var done Applied
 	return done, cl.do(ctx, http.MethodPost, verb, ap, &done)
@@ -223,13 +241,17 @@
 	}
 	req.Header.Set("Authorization", "Bearer "+cl.Token)
 	rsp, err := http.DefaultClient.Do(req)
-	if err != nil {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
 		return eris.Wrap(err, "administration")
 	}
+	if err != nil {
+		return &responseError{err}
+	}
 	defer rsp.Body.Close()
 	respBody, err := io.ReadAll(io.LimitReader(rsp.Body, maxResponseBytes))
 	if err != nil {
-		return eris.Wrap(err, "administration")
+		return &responseError{err}
 	}
 	if rsp.StatusCode != http.StatusOK {
 		re := &Refusal{}
