--- a/internal/endpoint/complete.go
+++ b/internal/endpoint/complete.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -128,6 +129,10 @@
 			return nil
 		}
 		ch, err := parseChunk(data)
+		var ve *verdict.Error
+		if errors.As(err, &ve) {
+			return ve
+		}
 		if err != nil {
 			return at.newError(verdict.CodeBrokenAnswer, "the engine sent a broken chunk", err)
 		}
@@ -138,6 +143,7 @@
 	return at.newError(verdict.CodeBrokenAnswer, "the stream ended without its terminator", sc.Err())
 }
 
+// parseChunk decodes an event. It returns a *verdict.Error if the engine reports an error in it.
 func parseChunk(data string) (Chunk, error) {
 	var cb chunkBody
 	if err := json.Unmarshal([]byte(data), &cb); err != nil {
