Refuse infinite shares and weights, and signed ports

A share of inf passed the check and can't be stored as JSON, so that the apply failed later without file, key or reason; an address with the port +80 passed too.

--- a/internal/core/intent/check.go
+++ b/internal/core/intent/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/hex"
+	"math"
 	"net"
 	"regexp"
 	"slices"
@@ -63,6 +64,8 @@
 	ck.require(po.DowntimeWeight >= 0, "downtime-weight", "must not be negative")
 	ck.require(po.StrandedWeight >= 0, "stranded-weight", "must not be negative")
 	ck.require(po.DowntimeWeight+po.StrandedWeight > 0, "downtime-weight", "one of the two weights must be above zero")
+	ck.require(!math.IsInf(po.DowntimeWeight, 1), "downtime-weight", "must be finite")
+	ck.require(!math.IsInf(po.StrandedWeight, 1), "stranded-weight", "must be finite")
 	ck.require(po.LoadsPerMinute >= 0, "loads-per-minute", "must not be negative")
 	return ck.problems
 }
@@ -99,6 +102,7 @@
 	ck := checker{id: wo.ID()}
 	ck.name(wo.Name)
 	ck.require(wo.Share > 0, "share", "must be above zero")
+	ck.require(!math.IsInf(wo.Share, 1), "share", "must be finite")
 	digest, err := hex.DecodeString(wo.KeySHA256)
 	ck.require(err == nil && len(digest) == sha256Bytes, "key-sha256", "must be the 64 hex digits of a SHA-256 digest")
 	for _, other := range cfg.Workspaces {
@@ -145,6 +149,6 @@
 	if err != nil || net.ParseIP(host) == nil {
 		return false
 	}
-	num, err := strconv.Atoi(port)
-	return err == nil && num > 0 && num < 1<<16
+	num, err := strconv.ParseUint(port, 10, 16)
+	return err == nil && num > 0
 }
