Refuse a limit of no tokens

max_tokens 0 was taken as no limit, though its error says that it must be above zero. The case in TestUnmodifiedOpenAIClient failed before and passes now.

--- a/internal/caller/complete.go
+++ b/internal/caller/complete.go
@@ -118,9 +118,13 @@
 		return nil, badRequest(`"stream" must be true or false`)
 	}
 	for _, key := range []string{"max_tokens", "max_completion_tokens"} {
-		if err := co.decodeField(key, &co.maxTokens); err != nil || co.maxTokens < 0 {
+		var limit *int
+		if err := co.decodeField(key, &limit); err != nil || limit != nil && *limit < 1 {
 			return nil, badRequest(strconv.Quote(key) + " must be a whole number above zero")
 		}
+		if limit != nil {
+			co.maxTokens = *limit
+		}
 	}
 	content := "prompt"
 	if co.chat {
--- a/internal/daemon/client_test.go
+++ b/internal/daemon/client_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"net/http"
 	"strings"
 	"testing"
 
@@ -59,4 +61,16 @@
 			t.Errorf("models = %+v, %v; want linden", page, err)
 		}
 	})
+	t.Run("a limit of no tokens", func(t *testing.T) {
+		for _, key := range []string{"max_tokens", "max_completion_tokens"} {
+			body := fmt.Sprintf(`{"model":"linden","messages":[{"role":"user","content":"hello"}],%q:0}`, key)
+			rsp, raw, err := sk.post(0, "/v1/chat/completions", body, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if rsp.StatusCode != http.StatusBadRequest {
+				t.Errorf("%s 0: status = %d, want %d: %s", key, rsp.StatusCode, http.StatusBadRequest, raw)
+			}
+		}
+	})
 }
