--- a/internal/platform/claims/era_test.go
+++ b/internal/platform/claims/era_test.go
@@ -33,6 +33,16 @@
 	return cs
 }
 
+// inCluster runs fn in a synctest bubble, with a cluster whose daemons have seen the store's era.
+func inCluster(t *testing.T, fn func(t *testing.T, cs *cluster)) {
+	bubble(t, func(t *testing.T) {
+		cs := newCluster(standin.NewStore(clock.System{}))
+		defer cs.close()
+		time.Sleep(5 * eraCheckInterval / 2)
+		fn(t, cs)
+	})
+}
+
 // restart replaces a daemon by one that remembers nothing.
 func (cs *cluster) restart(name string) {
 	cs.mu.Lock()
@@ -105,11 +115,8 @@
 	}
 	for _, tc := range tests {
 		t.Run(tc.name, func(t *testing.T) {
-			bubble(t, func(t *testing.T) {
+			inCluster(t, func(t *testing.T, cs *cluster) {
 				ctx := context.Background()
-				cs := newCluster(standin.NewStore(clock.System{}))
-				defer cs.close()
-				time.Sleep(5 * eraCheckInterval / 2)
 				if got := cs.node("b").Do(ctx, acquire("warm-up", "x", "p")).Code; got != claim.Granted {
 					t.Fatalf("claim before the copy = %v, want granted", got)
 				}
@@ -221,10 +228,7 @@
 
 // Guards against a hold that begins when a shard is first used, long after the restore.
 func TestHoldRunsFromRestore(t *testing.T) {
-	bubble(t, func(t *testing.T) {
-		cs := newCluster(standin.NewStore(clock.System{}))
-		defer cs.close()
-		time.Sleep(5 * eraCheckInterval / 2)
+	inCluster(t, func(t *testing.T, cs *cluster) {
 		cs.st.Copy()
 		cs.st.Restore()
 		time.Sleep(claim.HoldTime + 5*time.Second)
@@ -256,11 +260,8 @@
 // Guards against keyed requests that are refused for longer than the hold, or again for each shard
 // that is first used after it, or by a daemon that starts after it.
 func TestHoldEnds(t *testing.T) {
-	bubble(t, func(t *testing.T) {
+	inCluster(t, func(t *testing.T, cs *cluster) {
 		ctx := context.Background()
-		cs := newCluster(standin.NewStore(clock.System{}))
-		defer cs.close()
-		time.Sleep(5 * eraCheckInterval / 2)
 		cs.st.Copy()
 		cs.st.Restore()
 		time.Sleep(5 * eraCheckInterval / 2)
--- a/internal/platform/claims/outcome_test.go
+++ b/internal/platform/claims/outcome_test.go
@@ -7,9 +7,7 @@
 	"testing"
 	"time"
 
-	"corianderhub.dev/corianderhub/internal/clock"
 	"corianderhub.dev/corianderhub/internal/core/claim"
-	"corianderhub.dev/corianderhub/internal/standin"
 )
 
 // Guards against a repeat that is refused for good, because the recorded answer of a request that ran
@@ -21,17 +19,17 @@
 		// the restore.
 		for beforeRecord := -6 * step; beforeRecord <= 2*eraCheckInterval; beforeRecord += step {
 			t.Run(fmt.Sprint(daemon, " ", beforeRecord), func(t *testing.T) {
-				bubble(t, func(t *testing.T) { testOutcome(t, daemon, beforeRecord) })
+				inCluster(t, func(t *testing.T, cs *cluster) { testOutcome(t, cs, daemon, beforeRecord) })
 			})
 		}
 	}
 }
 
-func testOutcome(t *testing.T, daemon string, beforeRecord time.Duration) {
+// testOutcome checks that a repeat gets the answer of a request through daemon, whose record is
+// made beforeRecord after the restore.
+func testOutcome(t *testing.T, cs *cluster, daemon string, beforeRecord time.Duration) {
+	t.Helper()
 	ctx := context.Background()
-	cs := newCluster(standin.NewStore(clock.System{}))
-	defer cs.close()
-	time.Sleep(5 * eraCheckInterval / 2)
 	cs.node("b").Do(ctx, acquire("warm-up", "x", "p"))
 	cs.st.Copy()
 	op := acquire("booking", "x", "p")
@@ -59,11 +57,8 @@
 // Guards against a key that is granted twice because the first grant reached its daemon only after
 // that had written its claims again, and the daemon that granted it ended.
 func TestGrantReceivedAfterRestore(t *testing.T) {
-	bubble(t, func(t *testing.T) {
+	inCluster(t, func(t *testing.T, cs *cluster) {
 		ctx := context.Background()
-		cs := newCluster(standin.NewStore(clock.System{}))
-		defer cs.close()
-		time.Sleep(5 * eraCheckInterval / 2)
 		cs.node("b").Do(ctx, acquire("warm-up", "x", "p"))
 		cs.st.Copy()
 		asking := cs.node("b")
@@ -104,11 +99,8 @@
 	}
 	for _, tc := range tests {
 		t.Run(tc.name, func(t *testing.T) {
-			bubble(t, func(t *testing.T) {
+			inCluster(t, func(t *testing.T, cs *cluster) {
 				ctx := context.Background()
-				cs := newCluster(standin.NewStore(clock.System{}))
-				defer cs.close()
-				time.Sleep(5 * eraCheckInterval / 2)
 				cs.st.Copy()
 				op := acquire("booking", "x", "p")
 				cs.node(tc.daemon).Do(ctx, op)
