Find a release that was stored before its claim was written again

A key whose request certainly had not run was refused for good, if the release was stored between the moments when a daemon read its remembered claim and when it wrote it, after a restore.

Cause: a release was noted once it was stored, so a rewrite in between neither saw it nor was undone.

Change: a release is noted, and sent to the witness, before it is stored; a rewrite compares afterwards. A witness keeps the release instead of dropping the claim, since a claim that is only forgotten by its age must stay.

--- a/internal/core/claim/claim.go
+++ b/internal/core/claim/claim.go
@@ -158,7 +158,7 @@
 	// Remember keeps a granted claim in memory, with its outcome if there is one, for
 	// Reclaim.
 	Remember
-	// Forget removes a released claim from memory.
+	// Forget keeps the release of a remembered claim in memory instead.
 	Forget
 )
 
--- a/internal/platform/claims/memory.go
+++ b/internal/platform/claims/memory.go
@@ -38,6 +38,17 @@
 	notedAt time.Time
 }
 
+// begin updates the memory with a release before it is stored. A rewrite that stores the claim after
+// the release finds it here.
+func (me *memory) begin(now time.Time, op claim.Op) {
+	me.mu.Lock()
+	defer me.mu.Unlock()
+	known, ok := me.claims[op.Hash]
+	if op.Kind == claim.Release && ok && known.op.Holder == op.Holder {
+		me.add(remembered{op, now})
+	}
+}
+
 // note updates the memory with an operation and its result.
 func (me *memory) note(now time.Time, op claim.Op, code claim.ResultCode) {
 	me.mu.Lock()
@@ -52,10 +63,9 @@
 	case op.Kind == claim.Record && mine:
 		known.op.Outcome = op.Outcome
 		me.claims[op.Hash] = known
-	case op.Kind == claim.Release && mine:
-		me.add(remembered{op, now})
 	case op.Kind == claim.Forget && mine:
-		delete(me.claims, op.Hash)
+		op.Kind = claim.Release
+		me.add(remembered{op, now})
 	}
 }
 
@@ -110,8 +120,8 @@
 	if bo.Store.Era() == era {
 		return
 	}
-	if again, ok := bo.memory.operation(op.Hash); ok {
-		bo.retryInBackground(func(ctx context.Context) bool { return bo.write(ctx, again) })
+	if _, ok := bo.memory.operation(op.Hash); ok {
+		bo.retryInBackground(func(ctx context.Context) bool { return bo.rewrite(ctx, op.Hash) })
 	}
 }
 
@@ -139,29 +149,33 @@
 		writing.Go(func() { bo.storeEra(ctx, now) })
 		era, known = now, true
 		for _, op := range bo.memory.operations() {
-			writing.Go(func() { bo.retry(ctx, func(ctx context.Context) bool { return bo.write(ctx, op) }) })
+			writing.Go(func() { bo.retry(ctx, func(ctx context.Context) bool { return bo.rewrite(ctx, op.Hash) }) })
 		}
 	}
 	return ctx.Err()
 }
 
-// write writes a remembered claim or release again. It returns false if it must be tried again.
-func (bo *Registry) write(ctx context.Context, op claim.Op) bool {
+// rewrite writes a claim or release again, as remembered now. It returns false if it must be tried
+// again.
+func (bo *Registry) rewrite(ctx context.Context, hash string) bool {
+	op, ok := bo.memory.operation(hash)
+	if !ok {
+		return true
+	}
 	rewritten.Inc()
-	return bo.Do(ctx, op).Code != claim.Unavailable
+	if bo.Do(ctx, op).Code == claim.Unavailable {
+		return false
+	}
+	if now, ok := bo.memory.operation(hash); ok && op.Kind == claim.Reclaim && now.Kind == claim.Release {
+		// Released meanwhile, perhaps before the claim was written again.
+		return bo.Do(ctx, now).Code != claim.Unavailable
+	}
+	return true
 }
 
-// share lets another daemon remember what this one alone has stored. The operation counts whether
-// or not that daemon answers.
-func (bo *Registry) share(ctx context.Context, op claim.Op, code claim.ResultCode) {
-	switch {
-	case op.Kind == claim.Acquire && code == claim.Granted, op.Kind == claim.Record && code == claim.Applied:
-		op.Kind = claim.Remember
-	case op.Kind == claim.Release:
-		op.Kind = claim.Forget
-	default:
-		return
-	}
+// tellWitness lets another daemon remember, or forget, what this one alone has stored. The operation
+// counts whether or not that daemon answers.
+func (bo *Registry) tellWitness(ctx context.Context, kind claim.Kind, op claim.Op) {
 	if bo.Witness == nil {
 		return
 	}
@@ -171,5 +185,6 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, witnessTimeout)
 	defer cancel()
+	op.Kind = kind
 	_, _ = bo.Forward(ctx, addr, op)
 }
--- a/internal/platform/claims/outcome_test.go
+++ b/internal/platform/claims/outcome_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"corianderhub.dev/corianderhub/internal/core/claim"
 )
 
@@ -120,3 +122,60 @@
 		})
 	}
 }
+
+// Guards against answers that are lost and against keys that stay claimed although nothing ran, under
+// restores in series while two daemons book and release.
+func TestAnswersOverRestores(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		steps := rapid.SliceOfN(rapid.IntRange(0, 1<<20), 10, 40).Draw(rt, "steps")
+		var err error
+		inCluster(t, func(_ *testing.T, cs *cluster) { err = answersOverRestores(cs, steps) })
+		if err != nil {
+			rt.Error(err)
+		}
+	})
+}
+
+// answersOverRestores makes one request per step, a third of which are refused as not run, and restores
+// copies that are up to copyInterval old.
+func answersOverRestores(cs *cluster, steps []int) error {
+	ctx := context.Background()
+	want := make(map[string]claim.ResultCode)
+	copied := time.Now()
+	cs.st.Copy()
+	for i, step := range steps {
+		bo, key := cs.node([]string{"a", "b"}[step%2]), fmt.Sprint("key", i)
+		op := acquire(key, "x", "p")
+		if bo.Do(ctx, op).Code == claim.Granted {
+			if step/2%3 == 0 {
+				bo.ReleaseInBackground(op)
+				want[key] = claim.Granted
+			} else {
+				op.Outcome = &claim.Outcome{Status: http.StatusOK}
+				bo.RecordInBackground(op)
+				want[key] = claim.Finished
+			}
+		}
+		time.Sleep(time.Duration(step%500) * time.Millisecond)
+		switch step / 6 % 5 {
+		case 0:
+			if time.Since(copied) < copyInterval {
+				cs.st.Restore()
+				time.Sleep(claim.HoldTime * time.Duration(step%2))
+			}
+		case 1, 2:
+			cs.st.Copy()
+			copied = time.Now()
+		}
+	}
+	time.Sleep(claim.HoldTime + 5*time.Second)
+	for key, code := range want {
+		for _, name := range []string{"a", "b"} {
+			op := acquire(key, "y", "p")
+			if got := cs.node(name).Do(ctx, op).Code; got != code {
+				return fmt.Errorf("daemon %s: repeat of %s = %v, want %v", name, key, got, code)
+			}
+		}
+	}
+	return nil
+}
--- a/internal/platform/claims/registry.go
+++ b/internal/platform/claims/registry.go
@@ -54,14 +54,20 @@
 // not answer or answers claim.Unavailable.
 func (bo *Registry) Do(ctx context.Context, op claim.Op) claim.Result {
 	era := bo.Store.Era()
+	bo.memory.begin(bo.Clock.Now(), op)
 	if addr := bo.Owner(op.Shard); addr != "" {
 		if res, err := bo.Forward(ctx, addr, op); err == nil && res.Code != claim.Unavailable {
 			bo.remember(era, op, res.Code)
 			return res
 		}
 	}
+	if op.Kind == claim.Release {
+		bo.tellWitness(ctx, claim.Forget, op)
+	}
 	res := bo.DoLocal(ctx, op)
-	bo.share(ctx, op, res.Code)
+	if op.Kind == claim.Acquire && res.Code == claim.Granted || op.Kind == claim.Record && res.Code == claim.Applied {
+		bo.tellWitness(ctx, claim.Remember, op)
+	}
 	return res
 }
 
@@ -69,6 +75,7 @@
 // claim.Unavailable, and the operation may still be stored.
 func (bo *Registry) DoLocal(ctx context.Context, op claim.Op) claim.Result {
 	era := bo.Store.Era()
+	bo.memory.begin(bo.Clock.Now(), op)
 	res := claim.Result{Code: claim.Applied}
 	if op.Kind != claim.Remember && op.Kind != claim.Forget {
 		res = bo.store(ctx, op)
