Keep the claim of a later attempt when an earlier one's release is written again

A key could be granted twice since, earlier today: attempt x is granted, a copy is made, x is released, attempt y is granted through another daemon, the copy is restored. The claim of y wasn't written, since that of x was there, and then the release of x removed it.

Change: a claim holds all attempts that it was granted to; a release removes its own, and the claim ends with the last.

--- a/internal/core/claim/claim.go
+++ b/internal/core/claim/claim.go
@@ -21,6 +21,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"time"
 )
 
@@ -78,6 +79,9 @@
 type Claim struct {
 	// Holder identifies the attempt that made the claim.
 	Holder string `json:"holder"`
+	// Others identifies further attempts that the key was granted to. A restored copy may hold the
+	// claim of an earlier attempt, whose release it lacks.
+	Others []string `json:"others,omitempty"`
 	// Fingerprint is the fingerprint of the request. A request that reuses the
 	// key with another fingerprint is refused.
 	Fingerprint string   `json:"print"`
@@ -85,6 +89,11 @@
 	Outcome     *Outcome `json:"outcome,omitempty"`
 }
 
+// heldBy reports whether an attempt holds the claim.
+func (cl Claim) heldBy(holder string) bool {
+	return cl.Holder == holder || slices.Contains(cl.Others, holder)
+}
+
 // Slice is the value stored under one SliceKey.
 type Slice struct {
 	Sealed bool `json:"sealed,omitempty"`
@@ -153,7 +162,7 @@
 	// Record stores the outcome of a request that ran.
 	Record
 	// Reclaim stores a granted claim, with its outcome if there is one. If the key is
-	// claimed by the same holder, it stores the outcome only; if by another, nothing.
+	// claimed, it adds the holder and the outcome.
 	Reclaim
 	// Remember keeps a granted claim in memory, with its outcome if there is one, for
 	// Reclaim.
@@ -218,7 +227,7 @@
 		return Result{Code: Mismatch}, true
 	case cl.State == Done:
 		return Result{Code: Finished, Outcome: cl.Outcome}, true
-	case cl.Holder == op.Holder:
+	case cl.heldBy(op.Holder):
 		// An earlier write of the same holder succeeded, but its response was
 		// lost.
 		return Result{Code: Granted}, true
@@ -269,12 +278,7 @@
 	case Acquire:
 		return sl.acquire(op)
 	case Release:
-		cl, ok := sl.Claims[op.Hash]
-		if !ok || cl.Holder != op.Holder || cl.State != Claimed {
-			return Result{Code: NotFound}, false
-		}
-		delete(sl.Claims, op.Hash)
-		return Result{Code: Applied}, true
+		return sl.release(op)
 	case Record:
 		return sl.record(op)
 	case Reclaim:
@@ -283,9 +287,24 @@
 	return Result{Code: Unavailable}, false
 }
 
+func (sl *Slice) release(op Op) (Result, bool) {
+	cl, ok := sl.Claims[op.Hash]
+	if !ok || !cl.heldBy(op.Holder) || cl.State != Claimed {
+		return Result{Code: NotFound}, false
+	}
+	holders := slices.DeleteFunc(append([]string{cl.Holder}, cl.Others...), func(holder string) bool { return holder == op.Holder })
+	if len(holders) == 0 {
+		delete(sl.Claims, op.Hash)
+		return Result{Code: Applied}, true
+	}
+	cl.Holder, cl.Others = holders[0], holders[1:]
+	sl.Claims[op.Hash] = cl
+	return Result{Code: Applied}, true
+}
+
 func (sl *Slice) record(op Op) (Result, bool) {
 	cl, ok := sl.Claims[op.Hash]
-	if !ok || cl.Holder != op.Holder || cl.State != Claimed {
+	if !ok || !cl.heldBy(op.Holder) || cl.State != Claimed {
 		return Result{Code: NotFound}, false
 	}
 	cl.State = Done
@@ -295,12 +314,8 @@
 }
 
 func (sl *Slice) reclaim(op Op) (Result, bool) {
-	if _, ok := sl.Claims[op.Hash]; ok {
-		changed := false
-		if op.Outcome != nil {
-			_, changed = sl.record(op)
-		}
-		return Result{Code: Applied}, changed
+	if cl, ok := sl.Claims[op.Hash]; ok {
+		return Result{Code: Applied}, sl.addHolder(cl, op)
 	}
 	if sl.Sealed {
 		return Result{}, false
@@ -313,6 +328,23 @@
 	return Result{Code: Applied}, true
 }
 
+// addHolder adds the holder of a Reclaim, and its outcome, to a claim that exists. It reports whether
+// the claim changed.
+func (sl *Slice) addHolder(cl Claim, op Op) bool {
+	if cl.State != Claimed {
+		return false
+	}
+	changed := !cl.heldBy(op.Holder)
+	if changed {
+		cl.Others = append(slices.Clone(cl.Others), op.Holder)
+		sl.Claims[op.Hash] = cl
+	}
+	if op.Outcome != nil {
+		_, changed = sl.record(op)
+	}
+	return changed
+}
+
 func (sl *Slice) acquire(op Op) (Result, bool) {
 	if res, ok := sl.Lookup(op); ok {
 		return res, false
--- a/internal/platform/claims/era_test.go
+++ b/internal/platform/claims/era_test.go
@@ -16,8 +16,8 @@
 	"corianderhub.dev/corianderhub/internal/standin"
 )
 
-// cluster is two daemons of which the first merges all shards. A daemon that is down answers no
-// other one.
+// cluster is two daemons, or three, of which the first merges all shards. A daemon that is down
+// answers no other one.
 type cluster struct {
 	st      *standin.Store
 	mu      sync.Mutex
@@ -51,8 +51,8 @@
 		stop()
 	}
 	bo := newRegistry(cs.st)
-	other := map[string]string{"a": "b", "b": "a"}[name]
-	if name == "b" {
+	other := map[string]string{"a": "b", "b": "a", "c": "a"}[name]
+	if name != "a" {
 		bo.Owner = func(int) string { return "a" }
 	}
 	bo.Witness = func(int) string { return other }
@@ -299,6 +299,7 @@
 // claim that both daemons have forgotten is not guarded after the hold.
 func claimsOverRestores(steps []int) error {
 	cs := newCluster(standin.NewStore(clock.System{}))
+	cs.restart("c")
 	cs.st.Copy()
 	ru := &dispatchCounter{keys: make(map[string]int)}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -310,7 +311,7 @@
 		}
 	})
 	for i, step := range steps {
-		name := []string{"a", "b"}[step%2]
+		name := []string{"a", "b", "c"}[step%3]
 		switch step % 12 {
 		case 0, 1, 2:
 			cs.st.Restore()
--- a/internal/platform/claims/outcome_test.go
+++ b/internal/platform/claims/outcome_test.go
@@ -123,6 +123,40 @@
 	}
 }
 
+// Guards against a key that is granted twice because the release of an earlier attempt, which a copy
+// held, is written again and takes the later attempt's claim with it.
+func TestReleaseKeepsLaterClaim(t *testing.T) {
+	for _, recorded := range []bool{false, true} {
+		t.Run(fmt.Sprint("recorded ", recorded), func(t *testing.T) {
+			inCluster(t, func(t *testing.T, cs *cluster) {
+				ctx := context.Background()
+				cs.restart("c")
+				time.Sleep(5 * eraCheckInterval / 2)
+				op := acquire("booking", "x", "p")
+				cs.node("b").Do(ctx, op)
+				cs.st.Copy()
+				op.Kind = claim.Release
+				cs.node("b").Do(ctx, op)
+				op = acquire("booking", "y", "p")
+				if got := cs.node("c").Do(ctx, op).Code; got != claim.Granted {
+					t.Fatalf("claim after the release = %v, want granted", got)
+				}
+				cs.st.Restore()
+				want := claim.Duplicate
+				if recorded {
+					op.Outcome = &claim.Outcome{Status: http.StatusOK}
+					cs.node("c").RecordInBackground(op)
+					want = claim.Finished
+				}
+				time.Sleep(claim.HoldTime + 5*time.Second)
+				if got := cs.node("a").Do(ctx, acquire("booking", "z", "p")).Code; got != want {
+					t.Errorf("repeat = %v, want %v", got, want)
+				}
+			})
+		})
+	}
+}
+
 // Guards against answers that are lost and against keys that stay claimed although nothing ran, under
 // restores in series while two daemons book and release.
 func TestAnswersOverRestores(t *testing.T) {
