Hold the addresses that tests expect to refuse

The same fault elsewhere: tests of the daemon, the endpoint client, the admin client and quarantines closed a listener and took its port for one that refuses; between the two another process may get it. The daemons' own addresses were found free and taken later. They are held now. UDP ports are still found free first.

--- a/internal/daemon/harness_test.go
+++ b/internal/daemon/harness_test.go
@@ -17,6 +17,7 @@
 
 	"corianderhub.dev/corianderhub/internal/clock"
 	"corianderhub.dev/corianderhub/internal/core/intent"
+	"corianderhub.dev/corianderhub/internal/loopback"
 	"corianderhub.dev/corianderhub/internal/peer"
 	"corianderhub.dev/corianderhub/internal/platform"
 	"corianderhub.dev/corianderhub/internal/standin"
@@ -113,7 +114,7 @@
 		change(en)
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	eh := &engineServer{engine: en, server: httptest.NewServer(en.Handler()), stop: stop}
+	eh := &engineServer{engine: en, server: sk.serveHeld(en.Handler()), stop: stop}
 	go en.Run(ctx)
 	sk.t.Cleanup(eh.kill)
 	sk.engines = append(sk.engines, eh)
@@ -128,24 +129,42 @@
 	eh.server.Listener.Close()
 }
 
-// freeAddress returns a loopback address whose port is free for both TCP and
-// UDP.
+// serveHeld starts a server whose address refuses connections after its listener is closed.
+func (sk *testSystem) serveHeld(handler http.Handler) *httptest.Server {
+	ln, err := sk.hold().Listen()
+	if err != nil {
+		sk.t.Fatal(err)
+	}
+	sv := httptest.NewUnstartedServer(handler)
+	sv.Listener.Close()
+	sv.Listener = ln
+	sv.Start()
+	return sv
+}
+
+// freeAddress returns a loopback address whose port is free for UDP and held for TCP until the
+// test ends.
 func (sk *testSystem) freeAddress() string {
 	for {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			sk.t.Fatal(err)
-		}
-		addr := ln.Addr().String()
-		ln.Close()
-		pc, err := net.ListenPacket("udp", addr)
+		ad := sk.hold()
+		pc, err := net.ListenPacket("udp", ad.String())
 		if err == nil {
 			pc.Close()
-			return addr
+			return ad.String()
 		}
 	}
 }
 
+// hold holds a loopback address until the test ends.
+func (sk *testSystem) hold() *loopback.Address {
+	ad, err := loopback.Hold("127.0.0.1:0")
+	if err != nil {
+		sk.t.Fatal(err)
+	}
+	sk.t.Cleanup(func() { ad.Close() })
+	return ad
+}
+
 // addDaemon starts a daemon with all earlier ones as its seeds.
 func (sk *testSystem) addDaemon(name string) *daemonServer {
 	set := Settings{Name: name, DataCenter: "gent", Region: "flanders", Platform: sk.address,
--- a/internal/endpoint/service_test.go
+++ b/internal/endpoint/service_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"corianderhub.dev/corianderhub/internal/loopback"
 	"corianderhub.dev/corianderhub/pkg/verdict"
 )
 
@@ -155,14 +156,13 @@
 
 // Guards against a wrong verdict when nothing listens at the address: the request has not run.
 func TestRefusedConnection(t *testing.T) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	ad, err := loopback.Hold("127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	addr := ln.Addr().String()
-	ln.Close()
+	defer ad.Close()
 	ss := ServiceClient{Transport: NewTransport(4)}
-	_, err = ss.Do(context.Background(), Call{Address: addr, Method: http.MethodPost, Path: "/", Timeout: time.Minute})
+	_, err = ss.Do(context.Background(), Call{Address: ad.String(), Method: http.MethodPost, Path: "/", Timeout: time.Minute})
 	if got := verdict.Of(err); got != verdict.NotRun {
 		t.Errorf("verdict = %s, want %s", got, verdict.NotRun)
 	}
--- a/internal/entry/quarantine_test.go
+++ b/internal/entry/quarantine_test.go
@@ -12,6 +12,7 @@
 	"corianderhub.dev/corianderhub/internal/core/dispatch"
 	"corianderhub.dev/corianderhub/internal/core/quarantine"
 	"corianderhub.dev/corianderhub/internal/front"
+	"corianderhub.dev/corianderhub/internal/loopback"
 	"corianderhub.dev/corianderhub/internal/mesh"
 	"corianderhub.dev/corianderhub/platform"
 	"corianderhub.dev/corianderhub/platform/emulator"
@@ -129,12 +130,13 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	open, closed := ln.Addr().String(), ""
-	if other, err := net.Listen("tcp", "127.0.0.1:0"); err == nil {
-		closed = other.Addr().String()
-		other.Close()
-	}
 	defer ln.Close()
+	held, err := loopback.Hold("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer held.Close()
+	open, closed := ln.Addr().String(), held.String()
 	ct.da.dialer.Others = func(string) []string { return []string{open} }
 	for i := range crashesUntilQuarantine {
 		for _, at := range []struct{ addr, content string }{{open, "sound"}, {closed, "crash"}} {
@@ -143,9 +145,9 @@
 			ct.handleDisconnect(front.Disconnect{Request: fp, Endpoint: fmt.Sprint(at.content, i), Address: at.addr}, known)
 			(<-ct.events)()
 			<-known
-			_, held := ct.da.quarantine.Quarantined(fp, time.Now())
-			if want := at.content == "crash" && i == crashesUntilQuarantine-1; held != want {
-				t.Errorf("%s, attempt %d: quarantined %v, want %v", at.content, i+1, held, want)
+			_, quarantined := ct.da.quarantine.Quarantined(fp, time.Now())
+			if want := at.content == "crash" && i == crashesUntilQuarantine-1; quarantined != want {
+				t.Errorf("%s, attempt %d: quarantined %v, want %v", at.content, i+1, quarantined, want)
 			}
 		}
 	}
--- a/pkg/admin/admin_test.go
+++ b/pkg/admin/admin_test.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
 
+	"corianderhub.dev/corianderhub/internal/loopback"
 	"corianderhub.dev/corianderhub/pkg/verdict"
 )
 
@@ -36,12 +36,12 @@
 
 // Guards against an apply that was never sent being reported as one that may be in force.
 func TestApplyWithoutConnection(t *testing.T) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	ad, err := loopback.Hold("127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	ln.Close()
-	_, err = (&Client{Address: ln.Addr().String()}).Apply(context.Background(), Apply{Operation: "op"})
+	defer ad.Close()
+	_, err = (&Client{Address: ad.String()}).Apply(context.Background(), Apply{Operation: "op"})
 	var re *Refusal
 	if err == nil || errors.As(err, &re) {
 		t.Errorf("error = %v, want one without a verdict", err)
