Call the daemon that remembers another's claims its backup

A witness is an endpoint that shows that a path works (glossary); the claims used the word for a second daemon. Forget kept a release and is RememberRelease. Names only, the encoded numbers are the same; the tests of claims pass, 1.4 s.

--- a/internal/core/claim/claim.go
+++ b/internal/core/claim/claim.go
@@ -167,8 +167,8 @@
 	// Remember keeps a granted claim in memory, with its outcome if there is one, for
 	// Reclaim.
 	Remember
-	// Forget keeps the release of a remembered claim in memory instead.
-	Forget
+	// RememberRelease keeps the release of a remembered claim in memory instead.
+	RememberRelease
 )
 
 // Op is one operation on a claim.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -254,9 +254,9 @@
 	return ranked[0].Peer
 }
 
-// claimWitness returns the peer address of the daemon that remembers the claims of a
+// claimBackup returns the peer address of the daemon that remembers the claims of a
 // shard which this daemon merges, or "" if there is no other daemon.
-func (da *Daemon) claimWitness(shard int) string {
+func (da *Daemon) claimBackup(shard int) string {
 	for _, dm := range slices.Backward(da.claimRanking(shard)) {
 		if dm.Name != da.Settings.Name {
 			return dm.Peer
--- a/internal/platform/claims/era_test.go
+++ b/internal/platform/claims/era_test.go
@@ -55,7 +55,7 @@
 	if name != "a" {
 		bo.Owner = func(int) string { return "a" }
 	}
-	bo.Witness = func(int) string { return other }
+	bo.Backup = func(int) string { return other }
 	bo.Forward = func(ctx context.Context, peer string, op claim.Op) (claim.Result, error) {
 		if to := cs.node(peer); to != nil {
 			return to.DoLocal(ctx, op), nil
--- a/internal/platform/claims/memory.go
+++ b/internal/platform/claims/memory.go
@@ -63,7 +63,7 @@
 	case op.Kind == claim.Record && mine:
 		known.op.Outcome = op.Outcome
 		me.claims[op.Hash] = known
-	case op.Kind == claim.Forget && mine:
+	case op.Kind == claim.RememberRelease && mine:
 		op.Kind = claim.Release
 		me.add(remembered{op, now})
 	}
@@ -173,17 +173,17 @@
 	return true
 }
 
-// tellWitness lets another daemon remember, or forget, what this one alone has stored. The operation
+// replicate lets another daemon remember, or forget, what this one alone has stored. The operation
 // counts whether or not that daemon answers.
-func (bo *Registry) tellWitness(ctx context.Context, kind claim.Kind, op claim.Op) {
-	if bo.Witness == nil {
+func (bo *Registry) replicate(ctx context.Context, kind claim.Kind, op claim.Op) {
+	if bo.Backup == nil {
 		return
 	}
-	addr := bo.Witness(op.Shard)
+	addr := bo.Backup(op.Shard)
 	if addr == "" {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, witnessTimeout)
+	ctx, cancel := context.WithTimeout(ctx, backupTimeout)
 	defer cancel()
 	op.Kind = kind
 	_, _ = bo.Forward(ctx, addr, op)
--- a/internal/platform/claims/registry.go
+++ b/internal/platform/claims/registry.go
@@ -24,8 +24,8 @@
 // not run.
 var retryPauses = []time.Duration{time.Second, 5 * time.Second, 30 * time.Second, 2 * time.Minute}
 
-// witnessTimeout limits the time that a request waits until another daemon remembers its claim.
-const witnessTimeout = 250 * time.Millisecond
+// backupTimeout limits the time that a request waits until another daemon remembers its claim.
+const backupTimeout = 250 * time.Millisecond
 
 // Forward passes an operation to the daemon at a peer address.
 type Forward func(ctx context.Context, peer string, op claim.Op) (claim.Result, error)
@@ -38,9 +38,9 @@
 	// shard. It returns "" if this daemon does.
 	Owner   func(shard int) string
 	Forward Forward
-	// Witness returns the peer address of a daemon that remembers the claims which this daemon
+	// Backup returns the peer address of a daemon that remembers the claims which this daemon
 	// merges and grants by itself, or "". It may be nil.
-	Witness func(shard int) string
+	Backup func(shard int) string
 
 	memory memory
 	eras   eraLog
@@ -62,11 +62,11 @@
 		}
 	}
 	if op.Kind == claim.Release {
-		bo.tellWitness(ctx, claim.Forget, op)
+		bo.replicate(ctx, claim.RememberRelease, op)
 	}
 	res := bo.DoLocal(ctx, op)
 	if op.Kind == claim.Acquire && res.Code == claim.Granted || op.Kind == claim.Record && res.Code == claim.Applied {
-		bo.tellWitness(ctx, claim.Remember, op)
+		bo.replicate(ctx, claim.Remember, op)
 	}
 	return res
 }
@@ -77,7 +77,7 @@
 	era := bo.Store.Era()
 	bo.memory.begin(bo.Clock.Now(), op)
 	res := claim.Result{Code: claim.Applied}
-	if op.Kind != claim.Remember && op.Kind != claim.Forget {
+	if op.Kind != claim.Remember && op.Kind != claim.RememberRelease {
 		res = bo.store(ctx, op)
 	}
 	bo.remember(era, op, res.Code)
