Ask a second daemon to remember a claim if the first can't be reached

Callers: a booking could run a second time if the store was restored, the daemon that had granted its key had ended, and the one daemon that was to remember the claim hadn't been reached. Cause: replicate ignored the answer; where a daemon merged for a shard's unreachable owner it asked that owner. Now two backups are asked in order until one answers, the owner last, each with half the time that the one had; releases go to both. Left: waiting for a backup before the request goes on, or refusing it: a request that the store has accepted would fail because of a daemon it doesn't need.

--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -33,7 +33,7 @@
 	}}
 	da.chain = chainstore.Store{KV: da.platform, Clock: da.Clock}
 	da.memberClient = endpoint.MemberClient{Transport: endpoint.NewTransport(memberIdleConns)}
-	da.claims = &claims.Registry{Store: da.platform, Clock: da.Clock, Owner: da.claimOwner, Forward: da.forwardClaim, Backup: da.claimBackup}
+	da.claims = &claims.Registry{Store: da.platform, Clock: da.Clock, Owner: da.claimOwner, Forward: da.forwardClaim, Backups: da.claimBackups}
 	da.journal = &caller.Journal{}
 	da.buildCallerServer()
 	set := da.Settings.controlSettings()
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -9,7 +9,6 @@
 	"log/slog"
 	"net"
 	"net/http"
-	"slices"
 	"sync"
 	"time"
 
@@ -254,18 +253,29 @@
 	return ranked[0].Peer
 }
 
-// claimBackup returns the peer address of the daemon that remembers the claims of a
-// shard which this daemon merges, or "" if there is no other daemon.
-func (da *Daemon) claimBackup(shard int) string {
-	for _, dm := range slices.Backward(da.claimRanking(shard)) {
-		if dm.Name != da.Settings.Name {
-			return dm.Peer
+// maxClaimBackups bounds the daemons that are asked to remember one claim.
+const maxClaimBackups = 2
+
+// claimBackups returns the peer addresses of the daemons that may remember the claims of a shard
+// which this daemon merges.
+func (da *Daemon) claimBackups(shard int) []string {
+	return backups(da.Settings.Name, da.claimRanking(shard))
+}
+
+// backups returns the peer addresses of a daemon's backups, given the daemons that rank first for a
+// shard. The shard's owner is the last: another daemon merges in its place only if it can't be
+// reached.
+func backups(name string, ranked []gossip.Daemon) []string {
+	var addrs []string
+	for i := range ranked {
+		if dm := ranked[(i+1)%len(ranked)]; dm.Name != name {
+			addrs = append(addrs, dm.Peer)
 		}
 	}
-	return ""
+	return addrs[:min(len(addrs), maxClaimBackups)]
 }
 
-// claimRanking returns the two serving daemons that rank first for a shard.
+// claimRanking returns the serving daemons that rank first for a shard: its owner and two others.
 func (da *Daemon) claimRanking(shard int) []gossip.Daemon {
 	vi := da.View()
 	var serving []gossip.Daemon
@@ -274,7 +284,7 @@
 			serving = append(serving, dm)
 		}
 	}
-	return gossip.Ranked(serving, claim.ShardPrefix(shard), 2)
+	return gossip.Ranked(serving, claim.ShardPrefix(shard), 1+maxClaimBackups)
 }
 
 func (da *Daemon) forwardClaim(ctx context.Context, addr string, op claim.Op) (claim.Result, error) {
--- a/internal/platform/claims/era_test.go
+++ b/internal/platform/claims/era_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"sync"
 	"testing"
@@ -51,17 +50,12 @@
 		stop()
 	}
 	bo := newRegistry(cs.st)
-	other := map[string]string{"a": "b", "b": "a", "c": "a"}[name]
+	others := map[string][]string{"a": {"b", "c"}, "b": {"a"}, "c": {"a"}}[name]
 	if name != "a" {
 		bo.Owner = func(int) string { return "a" }
 	}
-	bo.Backup = func(int) string { return other }
-	bo.Forward = func(ctx context.Context, peer string, op claim.Op) (claim.Result, error) {
-		if to := cs.node(peer); to != nil {
-			return to.DoLocal(ctx, op), nil
-		}
-		return claim.Result{}, errors.New("unreachable")
-	}
+	bo.Backups = func(int) []string { return others }
+	bo.Forward = cs.forward
 	ctx, cancel := context.WithCancel(context.Background())
 	cs.running.Go(func() { bo.Run(ctx) })
 	cs.nodes[name], cs.stop[name] = bo, cancel
--- a/internal/platform/claims/memory.go
+++ b/internal/platform/claims/memory.go
@@ -173,18 +173,24 @@
 	return true
 }
 
-// replicate lets another daemon remember, or forget, what this one alone has stored. The operation
-// counts whether or not that daemon answers.
+// replicate lets another daemon remember what this one alone has stored. A release is sent to all
+// backups, since any of them may remember the claim. The operation counts whether or not one answers.
 func (bo *Registry) replicate(ctx context.Context, kind claim.Kind, op claim.Op) {
-	if bo.Backup == nil {
+	if bo.Backups == nil {
 		return
 	}
-	addr := bo.Backup(op.Shard)
-	if addr == "" {
-		return
+	op.Kind = kind
+	for _, addr := range bo.Backups(op.Shard) {
+		if bo.replicateTo(ctx, addr, op) && kind == claim.Remember {
+			return
+		}
 	}
+}
+
+// replicateTo reports whether the daemon at a peer address remembers the operation.
+func (bo *Registry) replicateTo(ctx context.Context, addr string, op claim.Op) bool {
 	ctx, cancel := context.WithTimeout(ctx, backupTimeout)
 	defer cancel()
-	op.Kind = kind
-	_, _ = bo.Forward(ctx, addr, op)
+	_, err := bo.Forward(ctx, addr, op)
+	return err == nil
 }
--- a/internal/platform/claims/registry.go
+++ b/internal/platform/claims/registry.go
@@ -24,8 +24,8 @@
 // not run.
 var retryPauses = []time.Duration{time.Second, 5 * time.Second, 30 * time.Second, 2 * time.Minute}
 
-// backupTimeout limits the time that a request waits until another daemon remembers its claim.
-const backupTimeout = 250 * time.Millisecond
+// backupTimeout limits the time that a request waits until one backup remembers its claim.
+const backupTimeout = 125 * time.Millisecond
 
 // Forward passes an operation to the daemon at a peer address.
 type Forward func(ctx context.Context, peer string, op claim.Op) (claim.Result, error)
@@ -38,9 +38,9 @@
 	// shard. It returns "" if this daemon does.
 	Owner   func(shard int) string
 	Forward Forward
-	// Backup returns the peer address of a daemon that remembers the claims which this daemon
-	// merges and grants by itself, or "". It may be nil.
-	Backup func(shard int) string
+	// Backups returns the peer addresses of daemons one of which is to remember the claims that
+	// this daemon merges and grants by itself. They are asked in order. It may be nil.
+	Backups func(shard int) []string
 
 	memory memory
 	eras   eraLog
