Tests of front: compare a deadline as a number, bound each wait

A deadline of 999 ms or less, as on a slow machine, counted as more than 1500 because the two were compared as text. Three waits ended with the limit of go test only, without a word on what was waited for. As strict otherwise.

--- a/internal/front/harness_test.go
+++ b/internal/front/harness_test.go
@@ -161,6 +161,16 @@
 	return result{rsp.StatusCode, rsp.Header, string(body), err}
 }
 
+// await waits for a channel to be closed.
+func (ri *rig) await(what string, ch <-chan struct{}) {
+	ri.t.Helper()
+	select {
+	case <-ch:
+	case <-time.After(longTimeout):
+		ri.t.Fatalf("waited %v for %s", longTimeout, what)
+	}
+}
+
 const numEvents = 6
 
 func setTokenCounts(req *http.Request) {
--- a/internal/front/server_test.go
+++ b/internal/front/server_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -165,7 +166,7 @@
 	results := make(chan result, 1)
 	go func() { results <- ri.send("/draft/x", "id", setTokenCounts) }()
 	stalledServer := func(exclude *emulator.Server) *emulator.Server {
-		for {
+		for limit := time.Now().Add(longTimeout); time.Now().Before(limit); {
 			for _, sv := range ri.groupServers {
 				if sv != exclude && len(sv.Runs()) > 0 {
 					return sv
@@ -173,6 +174,8 @@
 			}
 			time.Sleep(time.Millisecond)
 		}
+		t.Fatalf("no other server got the stream within %v", longTimeout)
+		return nil
 	}
 	first := stalledServer(nil)
 	ri.table.MarkBroken("group-"+first.ID, time.Now())
@@ -256,8 +259,9 @@
 			t.Errorf("header %s: %q, want %q", name, got, val)
 		}
 	}
-	if left := ru.Header.Get(platform.HeaderDeadline); left == "" || len(left) > 4 || left > "1500" {
-		t.Errorf("deadline %q sent to the endpoint, want at most 1500", left)
+	left, err := strconv.Atoi(ru.Header.Get(platform.HeaderDeadline))
+	if err != nil || left < 1 || left > 1500 {
+		t.Errorf("deadline %q sent to the endpoint, want 1 to 1500", ru.Header.Get(platform.HeaderDeadline))
 	}
 }
 
@@ -340,7 +344,7 @@
 		setTokenCounts(req)
 		*req = *req.WithContext(ctx)
 	})
-	<-left
+	ri.await("the connection to the endpoint to close", left)
 }
 
 // Guards against running a request at the wrong endpoint after its address was reassigned. The
@@ -352,7 +356,10 @@
 	ri.addGroup(nil)
 	misrouted := make(chan struct{}, 1)
 	ri.front.OnMisrouted = func() { misrouted <- struct{}{} }
-	for len(misrouted) == 0 {
+	for limit := time.Now().Add(longTimeout); len(misrouted) == 0; {
+		if time.Now().After(limit) {
+			t.Fatalf("the endpoint at the reused address got no request within %v", longTimeout)
+		}
 		if re := ri.send("/draft/x", "id", setTokenCounts); re.status != http.StatusOK {
 			t.Fatalf("status %d, want 200", re.status)
 		}
