--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -79,10 +79,10 @@
 	so.ctx = ctx
 	so.check = &Checker{Want: want}
 	so.serverTCPProxies, so.reserved = make(map[string]*Proxy), make(map[string]bool)
+	defer so.stopAll()
 	if err := so.start(); err != nil {
 		return nil, err
 	}
-	defer so.stopAll()
 	go logPauses(ctx, so.Log)
 	if !so.waitReady() {
 		so.check.ReportViolation("not all daemons serve every route within %v of the start", readyTimeout)
