Soak: reserve what a fault changes

Two faults could change the same thing of one server or daemon, and the end of the first ended the second: a limit was no longer announced while the checker still counted requests against it, and the store answered a daemon while it was away to be restored. Each fault now reserves one aspect of its target (requests, backpressure, connections, store calls, process, life); where all are reserved it is left out. Reservations of processes and of servers that are ended stood apart before and are the same now. Left: faults that stack, the latest in force; a check of one that is covered by another would need to know the other.

--- a/internal/soak/backpressure.go
+++ b/internal/soak/backpressure.go
@@ -49,15 +49,15 @@
 	}
 }
 
-// pickServer returns a random model server or plain server.
-func (so *Soak) pickServer(rnd *rand.Rand) *emulator.Server {
-	return so.deployment.Server(pick(rnd, append(so.deployment.IDs("engine"), so.deployment.IDs("desk")...)))
-}
-
 // announceLimit makes a server announce a limit of one request per second, and checks
 // that daemons observe it.
 func announceLimit(so *Soak, rnd *rand.Rand, dur time.Duration) {
-	sv := so.pickServer(rnd)
+	id := so.reserveOne(rnd, backpressureOf, so.serverIDs())
+	if id == "" {
+		return
+	}
+	defer so.release(backpressureOf, id)
+	sv := so.deployment.Server(id)
 	so.Log.Info("soak: server announces a limit.", "server", sv.ID, "for", dur)
 	sv.SetBackpressure(emulator.Backpressure{Limit: "1"})
 	begin := time.Now()
@@ -68,7 +68,12 @@
 
 // announceRetryAfter makes a server shed requests and announce a retry-after of 2 s.
 func announceRetryAfter(so *Soak, rnd *rand.Rand, dur time.Duration) {
-	sv := so.pickServer(rnd)
+	id := so.reserveOne(rnd, backpressureOf, so.serverIDs())
+	if id == "" {
+		return
+	}
+	defer so.release(backpressureOf, id)
+	sv := so.deployment.Server(id)
 	so.Log.Info("soak: server sheds requests and announces retry-after.", "server", sv.ID, "for", dur)
 	sv.SetBackpressure(emulator.Backpressure{Sheds: true, RetryAfter: "2"})
 	so.sleep(dur)
@@ -79,10 +84,14 @@
 // does not announce that and is removed only right before the server is killed, so its
 // end counts as an unplanned fault.
 func announceLeaving(so *Soak, rnd *rand.Rand, _ time.Duration) {
-	id := so.reserveServer(rnd)
+	id := so.reserveOne(rnd, backpressureOf, so.deployment.IDs("engine"))
 	if id == "" {
 		return
 	}
+	if !so.reserve(lifeOf, id) {
+		so.release(backpressureOf, id)
+		return
+	}
 	so.Log.Info("soak: server announces in its responses that it is leaving.", "server", id)
 	so.addServer()
 	so.deployment.Server(id).SetBackpressure(emulator.Backpressure{Leaving: true})
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -80,10 +80,10 @@
 
 func pauseDaemon(so *Soak, rnd *rand.Rand, dur time.Duration) {
 	ps := pick(rnd, so.daemons)
-	if !ps.reserve() {
+	if !so.reserve(processOf, ps.id()) {
 		return
 	}
-	defer ps.release()
+	defer so.release(processOf, ps.id())
 	ps.signal(syscall.SIGSTOP)
 	so.sleep(dur)
 	ps.signal(syscall.SIGCONT)
@@ -108,7 +108,12 @@
 var storeFaults = []emulator.StoreFault{emulator.Busy, emulator.Unresponsive, emulator.DropsResponses}
 
 func storeFaultForOne(so *Soak, rnd *rand.Rand, dur time.Duration) {
-	sp := pick(rnd, so.storeProxies)
+	ps := pick(rnd, so.daemons)
+	if !so.reserve(storeCallsOf, ps.id()) {
+		return
+	}
+	defer so.release(storeCallsOf, ps.id())
+	sp := so.storeProxies[ps.num]
 	sp.SetFault(pick(rnd, storeFaults))
 	so.sleep(dur)
 	sp.SetFault(emulator.NoStoreFault)
@@ -116,6 +121,7 @@
 
 func storeFaultForAll(so *Soak, rnd *rand.Rand, dur time.Duration) {
 	how := pick(rnd, storeFaults)
+	defer so.reserveAll(storeCallsOf)()
 	for _, sp := range so.storeProxies {
 		sp.SetFault(how)
 	}
@@ -157,6 +163,15 @@
 	}
 	so.configure()
 	so.sleep(dur)
+	so.restoreAfterAbsence()
+	so.sleep(time.Duration(rnd.Int64N(int64(maxRewriteDelay))))
+	so.deployment.ConfigureAgain()
+	so.configure()
+}
+
+// restoreAfterAbsence restores the store while no daemon reaches it.
+func (so *Soak) restoreAfterAbsence() {
+	defer so.reserveAll(storeCallsOf)()
 	for _, sp := range so.storeProxies {
 		sp.SetFault(emulator.Busy)
 	}
@@ -165,27 +180,34 @@
 	for _, sp := range so.storeProxies {
 		sp.SetFault(emulator.NoStoreFault)
 	}
-	so.sleep(time.Duration(rnd.Int64N(int64(maxRewriteDelay))))
-	so.deployment.ConfigureAgain()
-	so.configure()
 }
 
 var connFaults = []ConnFault{Delayed, Reset, OneWay, Blackholed}
 
 // injectStoreConnFault injects a fault into the connections of a daemon to the store.
 func injectStoreConnFault(so *Soak, rnd *rand.Rand, dur time.Duration) {
-	so.injectConnFault(pick(rnd, so.storeTCPProxies), pick(rnd, connFaults), dur)
+	ps := pick(rnd, so.daemons)
+	if !so.reserve(storeConnsOf, ps.id()) {
+		return
+	}
+	defer so.release(storeConnsOf, ps.id())
+	so.injectConnFault(so.storeTCPProxies[ps.num], pick(rnd, connFaults), dur)
 }
 
 // injectServerConnFault injects a fault into the connections of all daemons to a server.
 func injectServerConnFault(so *Soak, rnd *rand.Rand, dur time.Duration) {
-	so.injectConnFault(so.pickServerProxy(rnd), pick(rnd, connFaults), dur)
+	id := so.reserveOne(rnd, connsOf, so.serverIDs())
+	if id == "" {
+		return
+	}
+	defer so.release(connsOf, id)
+	so.injectConnFault(so.serverProxy(id), pick(rnd, connFaults), dur)
 }
 
 // killServer kills a model server, removes its entry after dur, as when its lease
 // expires, and adds an empty replacement.
 func killServer(so *Soak, rnd *rand.Rand, dur time.Duration) {
-	id := so.reserveServer(rnd)
+	id := so.reserveOne(rnd, lifeOf, so.deployment.IDs("engine"))
 	if id == "" {
 		return
 	}
@@ -202,7 +224,7 @@
 // drainServer adds a replacement, announces in a model server's entry that it is
 // leaving, and stops it after its requests have ended.
 func drainServer(so *Soak, rnd *rand.Rand, _ time.Duration) {
-	id := so.reserveServer(rnd)
+	id := so.reserveOne(rnd, lifeOf, so.deployment.IDs("engine"))
 	if id == "" {
 		return
 	}
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -29,10 +29,11 @@
 	cmd    *exec.Cmd
 	exited chan struct{}
 	starts int
-	// reserved is set while a fault stops or pauses the process.
-	reserved bool
 }
 
+// id identifies the daemon over all its incarnations.
+func (ps *process) id() string { return fmt.Sprint("daemon-", ps.num) }
+
 // name identifies one incarnation of the daemon.
 func (ps *process) name() string {
 	ps.mu.Lock()
@@ -101,23 +102,3 @@
 		return false
 	}
 }
-
-// reserve reserves the daemon for one fault that stops or pauses it, because two such
-// faults at once would revert each other. It returns false if the daemon is reserved
-// already; otherwise callers call release.
-func (ps *process) reserve() bool {
-	ps.mu.Lock()
-	defer ps.mu.Unlock()
-	if ps.reserved {
-		return false
-	}
-	ps.reserved = true
-	return true
-}
-
-// release ends a reservation.
-func (ps *process) release() {
-	ps.mu.Lock()
-	defer ps.mu.Unlock()
-	ps.reserved = false
-}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -53,8 +53,8 @@
 	mu sync.Mutex
 	// serverTCPProxies are the proxies in front of the servers, by server ID.
 	serverTCPProxies map[string]*Proxy
-	// reserved has the IDs of the model servers that a fault has ended or will end.
-	reserved map[string]bool
+	// reserved has what a fault changes now, or has ended for good.
+	reserved map[target]bool
 	// versionsMu guards versions, the routes that configure has added, one per version.
 	versionsMu sync.Mutex
 	versions   []emulator.Route
@@ -78,7 +78,7 @@
 	defer cancel()
 	so.ctx = ctx
 	so.check = &Checker{Want: want}
-	so.serverTCPProxies, so.reserved = make(map[string]*Proxy), make(map[string]bool)
+	so.serverTCPProxies, so.reserved = make(map[string]*Proxy), make(map[target]bool)
 	defer so.stopAll()
 	if err := so.start(); err != nil {
 		return nil, err
@@ -138,6 +138,13 @@
 	}
 }
 
+// serverProxy returns the TCP proxy in front of a server.
+func (so *Soak) serverProxy(id string) *Proxy {
+	so.mu.Lock()
+	defer so.mu.Unlock()
+	return so.serverTCPProxies[id]
+}
+
 // proxyServer puts a TCP proxy in front of a server and returns the proxy's address.
 func (so *Soak) proxyServer(id, addr string) (string, error) {
 	pr := &Proxy{Target: addr}
@@ -198,10 +205,10 @@
 // restart stops a daemon with end and starts it again after the given time. It does
 // nothing if another fault has reserved the daemon.
 func (so *Soak) restart(ps *process, after time.Duration, end func(*process)) {
-	if !ps.reserve() {
+	if !so.reserve(processOf, ps.id()) {
 		return
 	}
-	defer ps.release()
+	defer so.release(processOf, ps.id())
 	end(ps)
 	so.sleep(after)
 	if err := ps.start(); err != nil {
@@ -216,29 +223,6 @@
 	pr.SetFault(NoConnFault)
 }
 
-// pickServerProxy returns the TCP proxy in front of a random server.
-func (so *Soak) pickServerProxy(rnd *rand.Rand) *Proxy {
-	ids := append(so.deployment.IDs("engine"), so.deployment.IDs("desk")...)
-	so.mu.Lock()
-	defer so.mu.Unlock()
-	return so.serverTCPProxies[pick(rnd, ids)]
-}
-
-// reserveServer returns a random model server and reserves it for good, so that no
-// other fault ends it. It returns "" if there is none left.
-func (so *Soak) reserveServer(rnd *rand.Rand) string {
-	ids := so.deployment.IDs("engine")
-	so.mu.Lock()
-	defer so.mu.Unlock()
-	ids = slices.DeleteFunc(ids, func(id string) bool { return so.reserved[id] })
-	if len(ids) == 0 {
-		return ""
-	}
-	id := pick(rnd, ids)
-	so.reserved[id] = true
-	return id
-}
-
 // addServer adds a model server that is in no group yet.
 func (so *Soak) addServer() {
 	if _, err := so.deployment.AddModelServer(); err != nil {
@@ -248,8 +232,12 @@
 
 // injectServerFault makes a server fail a third of its requests for dur.
 func (so *Soak) injectServerFault(rnd *rand.Rand, how emulator.Fault, dur time.Duration) {
-	ids := append(so.deployment.IDs("engine"), so.deployment.IDs("desk")...)
-	sv := so.deployment.Server(pick(rnd, ids))
+	id := so.reserveOne(rnd, requestsOf, so.serverIDs())
+	if id == "" {
+		return
+	}
+	defer so.release(requestsOf, id)
+	sv := so.deployment.Server(id)
 	sv.SetFault(func(*http.Request) emulator.Fault {
 		if rand.IntN(3) == 0 {
 			return how
