Keep the code of an error that an engine reports in its stream

Callers: a request that an engine rejects after its stream has begun (a prompt that is too long, say) was sent to every other group that the attempts allow, and ended as endpoint-failed. Cause: only the status before the stream was read as a rejection. A client error in the event's code, but 408 and 429, is now bad-request, which isn't retried; the verdict stays may-have-run.

--- a/internal/endpoint/complete.go
+++ b/internal/endpoint/complete.go
@@ -143,6 +143,25 @@
 	return at.newError(verdict.CodeBrokenAnswer, "the stream ended without its terminator", sc.Err())
 }
 
+// errorEventCode returns the code of an error that an engine reports in its stream. Engines state the
+// HTTP status that they would have answered; with a client error every other group refuses the request
+// too.
+func errorEventCode(raw json.RawMessage) verdict.Code {
+	var body struct {
+		Code json.Number `json:"code"`
+	}
+	if json.Unmarshal(raw, &body) != nil {
+		return verdict.CodeEndpointFailed
+	}
+	switch status, _ := strconv.Atoi(body.Code.String()); {
+	case status == http.StatusRequestTimeout, status == http.StatusTooManyRequests:
+		return verdict.CodeEndpointFailed
+	case status >= http.StatusBadRequest && status < http.StatusInternalServerError:
+		return verdict.CodeBadRequest
+	}
+	return verdict.CodeEndpointFailed
+}
+
 // parseChunk decodes an event. It returns a *verdict.Error if the engine reports an error in it.
 func parseChunk(data string) (Chunk, error) {
 	var cb chunkBody
@@ -150,7 +169,7 @@
 		return Chunk{}, err
 	}
 	if len(cb.Error) > 0 {
-		return Chunk{}, &verdict.Error{Code: verdict.CodeEndpointFailed, Verdict: verdict.MayHaveRun, Message: string(cb.Error)}
+		return Chunk{}, &verdict.Error{Code: errorEventCode(cb.Error), Verdict: verdict.MayHaveRun, Message: string(cb.Error)}
 	}
 	ch := Chunk{Usage: cb.Usage}
 	if len(cb.Choices) > 0 {
--- a/internal/endpoint/complete_test.go
+++ b/internal/endpoint/complete_test.go
@@ -10,17 +10,41 @@
 	"corianderhub.dev/corianderhub/pkg/verdict"
 )
 
-// Guards against an error that the engine reports in its stream being passed on as a malformed response.
+// Guards against an error that the engine reports in its stream being passed on as a malformed response,
+// and against a request that one engine rejects being sent to every other one.
 func TestErrorEvent(t *testing.T) {
+	tests := []struct {
+		event string
+		want  verdict.Code
+	}{
+		{`{"message":"out of memory"}`, verdict.CodeEndpointFailed},
+		{`{"message":"out of memory","code":500}`, verdict.CodeEndpointFailed},
+		{`{"message":"prompt too long","code":400}`, verdict.CodeBadRequest},
+		{`{"message":"prompt too long","code":"400"}`, verdict.CodeBadRequest},
+		{`{"message":"no such model","code":404}`, verdict.CodeBadRequest},
+		{`{"message":"busy","code":429}`, verdict.CodeEndpointFailed},
+		{`{"message":"too slow","code":408}`, verdict.CodeEndpointFailed},
+		{`{"message":"no such model","code":"model_not_found"}`, verdict.CodeEndpointFailed},
+		{`{"message":"odd","code":null}`, verdict.CodeEndpointFailed},
+		{`"out of memory"`, verdict.CodeEndpointFailed},
+	}
+	for _, tc := range tests {
+		err := completeWith(t, "data: {\"error\":"+tc.event+"}\n\n")
+		if ve := verdict.As(err); err == nil || ve.Code != tc.want || ve.Verdict != verdict.MayHaveRun {
+			t.Errorf("%s: error = %v, want %s, may-have-run", tc.event, err, tc.want)
+		}
+	}
+}
+
+// completeWith sends a request to an engine that answers it with a stream.
+func completeWith(t *testing.T, stream string) error {
+	t.Helper()
 	sv := httptest.NewServer(http.HandlerFunc(func(wr http.ResponseWriter, req *http.Request) {
 		wr.Header().Set(HeaderRequestID, req.Header.Get(HeaderRequestID))
-		_, _ = wr.Write([]byte("data: {\"error\":{\"message\":\"out of memory\"}}\n\n"))
+		_, _ = wr.Write([]byte(stream))
 	}))
 	defer sv.Close()
 	co := CompletionRequest{RequestID: "r", Address: sv.Listener.Addr().String(), Path: "/v1/completions", StallTimeout: time.Minute,
 		BeforeSend: func() *verdict.Error { return nil }}
-	err := EngineClient{Transport: http.DefaultTransport}.Complete(context.Background(), co, func(Chunk) error { return nil })
-	if ve := verdict.As(err); err == nil || ve.Code != verdict.CodeEndpointFailed || ve.Verdict != verdict.MayHaveRun {
-		t.Errorf("error = %v, want endpoint-failed, may-have-run", err)
-	}
+	return EngineClient{Transport: http.DefaultTransport}.Complete(context.Background(), co, func(Chunk) error { return nil })
 }
