Accept an engine's events that name an absent error

Callers: every completion of an engine that sends "error": null in its events ended as endpoint-failed. Cause: null isn't an empty raw value. Measured: TestNullErrorEvent failed before.

--- a/internal/endpoint/complete.go
+++ b/internal/endpoint/complete.go
@@ -57,8 +57,8 @@
 		} `json:"delta"`
 		FinishReason string `json:"finish_reason"`
 	} `json:"choices"`
-	Usage json.RawMessage `json:"usage"`
-	Error json.RawMessage `json:"error"`
+	Usage json.RawMessage  `json:"usage"`
+	Error *json.RawMessage `json:"error"`
 }
 
 // EngineClient sends completion requests to the leaders of groups.
@@ -168,8 +168,8 @@
 	if err := json.Unmarshal([]byte(data), &cb); err != nil {
 		return Chunk{}, err
 	}
-	if len(cb.Error) > 0 {
-		return Chunk{}, &verdict.Error{Code: errorEventCode(cb.Error), Verdict: verdict.MayHaveRun, Message: string(cb.Error)}
+	if cb.Error != nil {
+		return Chunk{}, &verdict.Error{Code: errorEventCode(*cb.Error), Verdict: verdict.MayHaveRun, Message: string(*cb.Error)}
 	}
 	ch := Chunk{Usage: cb.Usage}
 	if len(cb.Choices) > 0 {
--- a/internal/endpoint/complete_test.go
+++ b/internal/endpoint/complete_test.go
@@ -36,6 +36,13 @@
 	}
 }
 
+// Guards against a complete response of an engine that names an absent error in each event.
+func TestNullErrorEvent(t *testing.T) {
+	if err := completeWith(t, "data: {\"error\":null,\"choices\":[{\"text\":\"a\"}]}\n\ndata: [DONE]\n\n"); err != nil {
+		t.Errorf("error = %v, want none", err)
+	}
+}
+
 // completeWith sends a request to an engine that answers it with a stream.
 func completeWith(t *testing.T, stream string) error {
 	t.Helper()
