--- a/internal/http1/exchange_test.go
+++ b/internal/http1/exchange_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"corianderhub.dev/corianderhub/internal/clock"
+	"corianderhub.dev/corianderhub/internal/loopback"
 	"corianderhub.dev/corianderhub/pkg/verdict"
 )
 
@@ -215,10 +216,12 @@
 
 // Guards against a wrong verdict when nothing listens at the address: the request has not run.
 func TestRefusedConnectionNotRun(t *testing.T) {
-	sv := newServer(t)
-	addr := sv.ln.Addr().String()
-	sv.ln.Close()
-	_, err := newPool().Send(context.Background(), addr, request("1"))
+	ad, err := loopback.Hold("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ad.Close()
+	_, err = newPool().Send(context.Background(), ad.String(), request("1"))
 	var he *Error
 	if !errors.As(err, &he) || he.Verdict != verdict.NotRun {
 		t.Errorf("got %v, want an error with the verdict NotRun", err)
