--- a/internal/endpoint/complete_test.go
+++ b/internal/endpoint/complete_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -55,3 +56,17 @@
 		BeforeSend: func() *verdict.Error { return nil }}
 	return EngineClient{Transport: http.DefaultTransport}.Complete(context.Background(), co, func(Chunk) error { return nil })
 }
+
+// For any event of an engine, decoding must not panic, and an error must say how the attempt failed.
+func FuzzParseChunk(f *testing.F) {
+	f.Add(`{"choices":[{"text":"a","delta":{"content":"b"},"finish_reason":"stop"}],"usage":{}}`)
+	f.Add(`{"error":{"code":400}}`)
+	f.Add(`{"error":null,"usage":null}`)
+	f.Fuzz(func(t *testing.T, data string) {
+		_, err := parseChunk(data)
+		var ve *verdict.Error
+		if errors.As(err, &ve) && (ve.Verdict != verdict.MayHaveRun || ve.Code == "") {
+			t.Errorf("error %v, want one with a code and the verdict may-have-run", ve)
+		}
+	})
+}
