Count the claims that no other daemon remembers

Operators could not see that a claim depended on a single daemon, which the postmortem of unreachable backups needed: corianderhub_claims_unreplicated_total.

--- a/internal/platform/claims/backup_test.go
+++ b/internal/platform/claims/backup_test.go
@@ -72,6 +72,38 @@
 	})
 }
 
+// Guards against claims that one daemon alone remembers without operators being told.
+func TestUnreplicatedClaimIsCounted(t *testing.T) {
+	refuse := func(context.Context, string, claim.Op) (claim.Result, error) {
+		return claim.Result{}, errors.New("refused")
+	}
+	tests := []struct {
+		name    string
+		backups []string
+		want    uint64
+	}{
+		{"one answers", []string{"b", "c"}, 0},
+		{"the only one refuses", []string{"b"}, 1},
+		{"there is none", nil, 1},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			inCluster(t, func(t *testing.T, cs *cluster) {
+				cs.restart("c")
+				cs.cutFrom("a", "b", refuse)
+				cs.node("a").Backups = func(int) []string { return tc.backups }
+				before := unreplicated.Get()
+				if got := cs.node("a").Do(context.Background(), acquire("booking", "x", "p")).Code; got != claim.Granted {
+					t.Fatalf("claim = %v, want granted", got)
+				}
+				if got := unreplicated.Get() - before; got != tc.want {
+					t.Errorf("counted %d claims, want %d", got, tc.want)
+				}
+			})
+		})
+	}
+}
+
 // cutFrom makes calls from one daemon to another end as unreachable says.
 func (cs *cluster) cutFrom(from, to string, unreachable Forward) {
 	bo := cs.node(from)
--- a/internal/platform/claims/memory.go
+++ b/internal/platform/claims/memory.go
@@ -22,6 +22,9 @@
 // rewritten counts the writes of remembered claims and releases after a restore.
 var rewritten = metrics.NewCounter("corianderhub_claims_reclaimed_total")
 
+// unreplicated counts the claims and answers that no other daemon remembers.
+var unreplicated = metrics.NewCounter("corianderhub_claims_unreplicated_total")
+
 // memory holds the claims that were granted or released through this daemon in the last
 // memoryTime. Its zero value is ready for use.
 type memory struct {
@@ -185,6 +188,9 @@
 			return
 		}
 	}
+	if kind == claim.Remember {
+		unreplicated.Inc()
+	}
 }
 
 // replicateTo reports whether the daemon at a peer address remembers the operation.
