--- a/internal/soak/reserve.go
+++ b/internal/soak/reserve.go
@@ -87,8 +87,3 @@
 	}
 	return release
 }
-
-// serverIDs returns the IDs of all servers.
-func (so *Soak) serverIDs() []string {
-	return append(so.deployment.IDs("engine"), so.deployment.IDs("desk")...)
-}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -138,6 +138,11 @@
 	}
 }
 
+// serverIDs returns the IDs of all servers.
+func (so *Soak) serverIDs() []string {
+	return append(so.deployment.IDs("engine"), so.deployment.IDs("desk")...)
+}
+
 // serverProxy returns the TCP proxy in front of a server.
 func (so *Soak) serverProxy(id string) *Proxy {
 	so.mu.Lock()
