--- a/internal/platform/claims/backup_test.go
+++ b/internal/platform/claims/backup_test.go
@@ -72,7 +72,7 @@
 	})
 }
 
-// Guards against claims that one daemon alone remembers without operators being told.
+// Guards against unreplicated claims that the metric does not count.
 func TestUnreplicatedClaimIsCounted(t *testing.T) {
 	refuse := func(context.Context, string, claim.Op) (claim.Result, error) {
 		return claim.Result{}, errors.New("refused")
