--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -267,7 +267,7 @@
 	}
 	st.cause = err
 	st.reportDisconnect(ctx, gr.Leader().ID, gr.Leader().Address, err)
-	st.log.Info("front: attempt failed.", "group", gr.Name, "events", st.events, "cause", err.Error())
+	st.log.Info("front: attempt failed.", "group", gr.Name, "events", st.events, "parts", platform.SharedParts(st.req.Header), "cause", err.Error())
 }
 
 // mayRetry reports whether the request may be sent to another group.
