--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -238,17 +238,23 @@
 
 // sendWithKey is like send with the given API key.
 func (sk *stack) sendWithKey(ru *testDaemon, path, id, key string) string {
+	return sk.sendRequest(ru, path, id, func(req *http.Request) { req.Header.Set(platform.HeaderAuthorization, "Token "+key) })
+}
+
+// sendRequest is like send for a request that change has modified.
+func (sk *stack) sendRequest(ru *testDaemon, path, id string, change func(*http.Request)) string {
 	req, err := http.NewRequestWithContext(sk.ctx, http.MethodPost, "http://"+ru.ip+":18080"+path+"x", strings.NewReader("question"))
 	if err != nil {
 		sk.t.Fatal(err)
 	}
 	req.Host = emulator.Host
 	req.Header.Set(platform.HeaderRequestID, id)
-	req.Header.Set(platform.HeaderAuthorization, "Token "+key)
+	req.Header.Set(platform.HeaderAuthorization, "Token "+emulator.APIKey)
 	if strings.HasPrefix(path, "/draft/") {
 		req.Header.Set(platform.HeaderModel, emulator.ModelLarge)
 		req.Header.Set(platform.HeaderTokens, fmt.Sprint("100,", events*7))
 	}
+	change(req)
 	rsp, err := sk.client.Do(req)
 	if err != nil {
 		return "no answer"
