Check an endpoint again if it closes a connection after it was found running

A crash within a second of another closed connection of the endpoint, such as a truncated response, was not counted, so requests that crash servers could go on. Cause: the result of a check covered all connections closed within a second of its start, also when the endpoint was still running. Evidence and measure: TestCrashAfterTruncatedResponse failed before (crash not noticed) and passes. Now only a crash is taken as the result for what follows; otherwise the next closed connection is checked anew.

--- a/internal/entry/crashcheck.go
+++ b/internal/entry/crashcheck.go
@@ -49,15 +49,13 @@
 	now := ct.da.Clock.Now()
 	ec := ct.crashChecks[bo.Endpoint]
 	switch {
-	case ec == nil, ec.done && now.Sub(ec.startedAt) >= sameCrashWindow:
+	case ec == nil, ec.done && (!ec.crashed || now.Sub(ec.startedAt) >= sameCrashWindow):
 		ec = &crashCheck{startedAt: now}
 		ct.crashChecks[bo.Endpoint] = ec
 		ct.da.spawn(&ct.wg, func(ctx context.Context) { ct.runCrashCheck(ctx, bo, ec) })
 	case ec.done:
+		ct.endpointCrashed(bo.Endpoint, []quarantine.Fingerprint{bo.Request})
 		close(known)
-		if ec.crashed {
-			ct.endpointCrashed(bo.Endpoint, []quarantine.Fingerprint{bo.Request})
-		}
 		return
 	}
 	ec.requests = append(ec.requests, bo.Request)
--- /dev/null
+++ b/internal/entry/crashcheck_test.go
@@ -0,0 +1,50 @@
+package entry
+
+import (
+	"net"
+	"testing"
+
+	"corianderhub.dev/corianderhub/internal/clock"
+	"corianderhub.dev/corianderhub/internal/core/dispatch"
+	"corianderhub.dev/corianderhub/internal/core/quarantine"
+	"corianderhub.dev/corianderhub/internal/front"
+	"corianderhub.dev/corianderhub/internal/loopback"
+)
+
+// Guards against a crash that isn't noticed because the endpoint was found running shortly before,
+// when it had closed another connection.
+func TestCrashAfterTruncatedResponse(t *testing.T) {
+	ct, _ := newTestControl(800)
+	ct.da.front, ct.da.table, ct.da.plain = &front.Server{}, &dispatch.Table{}, &dispatch.PlainTable{}
+	ct.da.Clock = clock.System{}
+	held, err := loopback.Hold("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer held.Close()
+	endpoint, err := held.Listen()
+	if err != nil {
+		t.Fatal(err)
+	}
+	witness, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer witness.Close()
+	ct.da.dialer.Others = func(string) []string { return []string{witness.Addr().String()} }
+	fp := quarantine.Fingerprint{1}
+	disconnect := func() bool {
+		known := make(chan struct{})
+		ct.handleDisconnect(front.Disconnect{Request: fp, Endpoint: "s1", Address: held.String()}, known)
+		(<-ct.events)()
+		<-known
+		return ct.da.quarantine.Suspected(fp)
+	}
+	if disconnect() {
+		t.Error("an endpoint that is running was taken as crashed")
+	}
+	endpoint.Close()
+	if !disconnect() {
+		t.Error("a crash after that was not noticed")
+	}
+}
