Take the end of an unframed response of a crashed endpoint as a truncation

Cause: a response with neither a length nor chunks ends with its connection, and so does every response of a process that ends. Change: at the end of such a response the endpoint is checked as after a closed connection; if its port refuses, the response is broken off, so a resumable stream goes on elsewhere, an idempotent request is sent again, any other ends with 502.

--- a/internal/entry/crashcheck.go
+++ b/internal/entry/crashcheck.go
@@ -28,15 +28,15 @@
 type crashCheck struct {
 	startedAt time.Time
 	requests  []quarantine.Fingerprint
-	// waiters are closed once the result is known. done is set from then on.
-	waiters       []chan struct{}
+	// waiters receive the result. done is set once it is known.
+	waiters       []chan bool
 	done, crashed bool
 }
 
 // checkCrash checks whether the endpoint that closed a connection has crashed. The returned
-// channel is closed once the result is known.
-func (ct *control) checkCrash(bo front.Disconnect) <-chan struct{} {
-	known := make(chan struct{})
+// channel receives the result.
+func (ct *control) checkCrash(bo front.Disconnect) <-chan bool {
+	known := make(chan bool, 1)
 	ct.post(func() { ct.handleDisconnect(bo, known) })
 	return known
 }
@@ -45,7 +45,7 @@
 // the connection of a request. Endpoints also truncate or lose responses, or close
 // connections beyond a limit, without crashing. Such disconnects are not attributed to the
 // request.
-func (ct *control) handleDisconnect(bo front.Disconnect, known chan struct{}) {
+func (ct *control) handleDisconnect(bo front.Disconnect, known chan bool) {
 	now := ct.da.Clock.Now()
 	ec := ct.crashChecks[bo.Endpoint]
 	switch {
@@ -55,7 +55,7 @@
 		ct.da.spawn(&ct.wg, func(ctx context.Context) { ct.runCrashCheck(ctx, bo, ec) })
 	case ec.done:
 		ct.endpointCrashed(bo.Endpoint, []quarantine.Fingerprint{bo.Request})
-		close(known)
+		known <- true
 		return
 	}
 	ec.requests = append(ec.requests, bo.Request)
@@ -98,7 +98,7 @@
 		ct.endpointCrashed(endpoint, ec.requests)
 	}
 	for _, known := range ec.waiters {
-		close(known)
+		known <- crashed
 	}
 	ec.waiters = nil
 }
--- a/internal/entry/crashcheck_test.go
+++ b/internal/entry/crashcheck_test.go
@@ -3,10 +3,10 @@
 import (
 	"net"
 	"testing"
+	"time"
 
 	"corianderhub.dev/corianderhub/internal/clock"
 	"corianderhub.dev/corianderhub/internal/core/dispatch"
-	"corianderhub.dev/corianderhub/internal/core/quarantine"
 	"corianderhub.dev/corianderhub/internal/front"
 	"corianderhub.dev/corianderhub/internal/loopback"
 )
@@ -32,13 +32,19 @@
 	}
 	defer witness.Close()
 	ct.da.dialer.Others = func(string) []string { return []string{witness.Addr().String()} }
-	fp := quarantine.Fingerprint{1}
 	disconnect := func() bool {
-		known := make(chan struct{})
-		ct.handleDisconnect(front.Disconnect{Request: fp, Endpoint: "s1", Address: held.String()}, known)
-		(<-ct.events)()
-		<-known
-		return ct.da.quarantine.Suspected(fp)
+		known := make(chan bool, 1)
+		ct.handleDisconnect(front.Disconnect{Endpoint: "s1", Address: held.String()}, known)
+		for {
+			select {
+			case event := <-ct.events:
+				event()
+			case crashed := <-known:
+				return crashed
+			case <-time.After(waitTimeout):
+				t.Fatal("the check doesn't end")
+			}
+		}
 	}
 	if disconnect() {
 		t.Error("an endpoint that is running was taken as crashed")
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -179,7 +179,7 @@
 		OnMisrouted: func() { da.control.noteMisrouted() },
 		Quarantine:  da.quarantine, Backpressure: da.backpressure,
 		Memory:       front.BodyMemory{Limit: set.MemoryBytes / bodyMemoryDivisor},
-		OnDisconnect: func(bo front.Disconnect) <-chan struct{} { return da.control.checkCrash(bo) },
+		OnDisconnect: func(bo front.Disconnect) <-chan bool { return da.control.checkCrash(bo) },
 		OnCompletion: func(fp quarantine.Fingerprint) { da.control.post(func() { da.control.requestCompleted(fp) }) },
 		Budget: &dispatch.Budget{StartedAt: da.Clock.Now(), Ratio: set.Bounds.RetryRatio, Window: set.Bounds.RetryWindow,
 			Slack: set.Bounds.RetrySlack * budgetShare / minBudgetDaemons}}
--- a/internal/entry/quarantine_test.go
+++ b/internal/entry/quarantine_test.go
@@ -140,7 +140,7 @@
 	ct.da.dialer.Others = func(string) []string { return []string{open} }
 	for i := range crashesUntilQuarantine {
 		for _, at := range []struct{ addr, content string }{{open, "sound"}, {closed, "crash"}} {
-			known := make(chan struct{})
+			known := make(chan bool, 1)
 			fp := quarantine.Fingerprint([]byte((at.content + strings.Repeat(" ", 16))[:16]))
 			ct.handleDisconnect(front.Disconnect{Request: fp, Endpoint: fmt.Sprint(at.content, i), Address: at.addr}, known)
 			(<-ct.events)()
--- a/internal/front/harness_test.go
+++ b/internal/front/harness_test.go
@@ -47,14 +47,13 @@
 	ri.completions = append(ri.completions, fp)
 }
 
-// recordDisconnect records the event and returns a closed channel, as if the endpoint had been
-// found running.
-func (ri *rig) recordDisconnect(bo Disconnect) <-chan struct{} {
+// recordDisconnect records the event and reports that the endpoint has not crashed.
+func (ri *rig) recordDisconnect(bo Disconnect) <-chan bool {
 	ri.mu.Lock()
 	defer ri.mu.Unlock()
 	ri.disconnects = append(ri.disconnects, bo)
-	known := make(chan struct{})
-	close(known)
+	known := make(chan bool, 1)
+	known <- false
 	return known
 }
 
--- a/internal/front/metrics.go
+++ b/internal/front/metrics.go
@@ -20,4 +20,5 @@
 	streamResumes    = metrics.NewCounter("corianderhub_stream_resumes_total")
 	lateDelays       = metrics.NewHistogram("corianderhub_late_hold_seconds")
 	sendCount        = metrics.NewCounter("corianderhub_sends_total")
+	unframedCount    = metrics.NewCounter("corianderhub_unframed_responses_total")
 )
--- a/internal/front/plain.go
+++ b/internal/front/plain.go
@@ -124,6 +124,9 @@
 	defer ex.Close()
 	ca.sv.ApplyResponseHeader(ep.Instance(), ex.Response, begin)
 	body, err := ex.ReadAll(maxResponseBytes)
+	if err == nil {
+		err = ca.checkUnframedEnd(ctx, ex, ep.ID, ep.Address)
+	}
 	if err != nil {
 		err = &http1.Error{Verdict: verdict.MayHaveRun, Err: err}
 		ca.plainAttemptFailed(ctx, ep, err)
--- a/internal/front/quarantine.go
+++ b/internal/front/quarantine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"time"
 
 	"corianderhub.dev/corianderhub/internal/core/quarantine"
@@ -14,7 +15,8 @@
 // processes have crashed on.
 const reasonQuarantined = "quarantined"
 
-// Disconnect is a request whose endpoint closed the connection before the response was complete.
+// Disconnect is a request whose endpoint closed the connection before the response was complete, or
+// at the end of a response without length or chunks.
 type Disconnect struct {
 	Request quarantine.Fingerprint
 	// Endpoint is the endpoint's ID, Address the address that the request was sent to.
@@ -62,6 +64,24 @@
 	}
 }
 
+// checkUnframedEnd checks the end of a response that has neither a length nor chunks. If the endpoint
+// has crashed, the end of its connection is not the end of the response.
+func (ca *call) checkUnframedEnd(ctx context.Context, ex *http1.Exchange, endpoint, addr string) error {
+	if !ex.Unframed() {
+		return nil
+	}
+	unframedCount.Inc()
+	select {
+	case crashed := <-ca.sv.OnDisconnect(Disconnect{ca.fingerprint, endpoint, addr}):
+		if crashed {
+			return io.ErrUnexpectedEOF
+		}
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // reportCompletion reports that an endpoint has completed the request and keeps running. The
 // earlier crashes on the request then had another reason.
 func (ca *call) reportCompletion() {
--- a/internal/front/quarantine_test.go
+++ b/internal/front/quarantine_test.go
@@ -54,11 +54,11 @@
 			ri := newRig(t)
 			fp := fingerprintOf(path, "crash")
 			ri.front.Quarantine.RecordCrash(quarantine.Crash{Endpoint: "earlier", AtMillis: time.Now().UnixMilli(), Requests: []quarantine.Fingerprint{fp}}, time.Now())
-			ri.front.OnDisconnect = func(bo Disconnect) <-chan struct{} {
-				known := make(chan struct{})
+			ri.front.OnDisconnect = func(bo Disconnect) <-chan bool {
+				known := make(chan bool, 1)
 				time.AfterFunc(50*time.Millisecond, func() {
 					ri.quarantineRequest(bo.Request)
-					close(known)
+					known <- true
 				})
 				return known
 			}
--- a/internal/front/relay.go
+++ b/internal/front/relay.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -11,11 +12,15 @@
 )
 
 // relay forwards events as they arrive. It returns nil at the end of a complete stream.
-func (st *stream) relay(ex *http1.Exchange, ti *dispatch.Ticket, sent time.Time, predicted time.Duration) error {
+func (st *stream) relay(ctx context.Context, ex *http1.Exchange, ti *dispatch.Ticket, ch dispatch.Choice, sent time.Time) error {
 	er := newEventReader(ex)
 	for first := true; ; first = false {
 		event, err := er.next()
 		if err == io.EOF {
+			leader := ch.Group.Leader()
+			if err := st.checkUnframedEnd(ctx, ex, leader.ID, leader.Address); err != nil {
+				return err
+			}
 			return st.writeHeader(ex.Response.Header)
 		}
 		if err != nil {
@@ -24,7 +29,7 @@
 		now := st.sv.Clock.Now()
 		ti.Event(now)
 		if first {
-			predictionErrors.Update((now.Sub(sent) - predicted).Abs().Seconds())
+			predictionErrors.Update((now.Sub(sent) - ch.FirstEvent).Abs().Seconds())
 		}
 		if err := st.writeEvent(ex.Response.Header, event, now); err != nil {
 			return err
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -53,8 +53,8 @@
 	// Quarantine records the requests that server processes have crashed on.
 	Quarantine *quarantine.Ledger
 	// OnDisconnect is called when an endpoint closes the connection while it has a request.
-	// The returned channel is closed once it is known whether the endpoint has crashed.
-	OnDisconnect func(Disconnect) <-chan struct{}
+	// The returned channel, of capacity 1, receives whether the endpoint has crashed.
+	OnDisconnect func(Disconnect) <-chan bool
 	// OnCompletion is called when a request that endpoints have crashed on was completed.
 	OnCompletion func(quarantine.Fingerprint)
 
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -135,7 +135,7 @@
 		return ch, st.handleNonStream(attemptCtx, ch, ex, sent)
 	}
 	st.state = verdict.Ran
-	err = st.relay(ex, ti, sent, ch.FirstEvent)
+	err = st.relay(attemptCtx, ex, ti, ch, sent)
 	if err == nil {
 		st.finish()
 		return ch, true
--- a/internal/http1/exchange.go
+++ b/internal/http1/exchange.go
@@ -156,7 +156,7 @@
 			ex.Response = rsp
 			return ex.cn.nc.SetReadDeadline(time.Time{})
 		}
-		if rsp.ContentLength < 0 && len(rsp.TransferEncoding) == 0 {
+		if unframed(rsp) {
 			return ErrMismatchedResponse
 		}
 		if _, err := io.CopyN(io.Discard, rsp.Body, maxSkippedBytes); !errors.Is(err, io.EOF) {
@@ -183,6 +183,14 @@
 	return got == rq.Header.Get(rq.IDHeader)
 }
 
+// Unframed reports whether the response has neither a length nor chunks, so that only the end of its
+// connection ends it.
+func (ex *Exchange) Unframed() bool { return unframed(ex.Response) }
+
+func unframed(rsp *http.Response) bool {
+	return rsp.ContentLength < 0 && len(rsp.TransferEncoding) == 0
+}
+
 // Read reads the response body.
 func (ex *Exchange) Read(buf []byte) (int, error) {
 	num, err := ex.Response.Body.Read(buf)
