Report crashes and completions by their age

A daemon whose clock is ahead would have made sound requests of all callers quarantined: its crashes lay in the others' future, so that no completion cleared them for that time. Cause: reports had the reporting daemon's time of day. Now they have the time since the event, by the steady clock. Measured: TestCrashReportsOfOtherClocks (clock an hour ahead) fails with the time of day (completion doesn't clear) and passes. Daemons of the version before and after don't exchange crashes while both run.

--- a/internal/core/quarantine/ledger.go
+++ b/internal/core/quarantine/ledger.go
@@ -33,8 +33,10 @@
 // Crash describes a crash of a server process, with the requests that it was running.
 type Crash struct {
 	Endpoint string `cbor:"1,keyasint"`
-	// AtMillis is when the crash was detected, in milliseconds of Unix time.
-	AtMillis int64         `cbor:"2,keyasint"`
+	// At is when the crash was detected.
+	At time.Time `cbor:"-"`
+	// Age is the time since then when a daemon reports the crash to another, whose clock may differ.
+	Age      time.Duration `cbor:"4,keyasint"`
 	Requests []Fingerprint `cbor:"3,keyasint"`
 }
 
@@ -42,8 +44,9 @@
 // survived it.
 type Completion struct {
 	Request Fingerprint `cbor:"1,keyasint"`
-	// AtMillis is when the request completed, in milliseconds of Unix time.
-	AtMillis int64 `cbor:"2,keyasint"`
+	// At is when the request completed, Age the time since then as in Crash.
+	At  time.Time     `cbor:"-"`
+	Age time.Duration `cbor:"4,keyasint"`
 }
 
 // Entry is a request that was quarantined, as daemons exchange it and the store keeps it.
@@ -118,7 +121,7 @@
 func (le *Ledger) RecordCrash(en Crash, now time.Time) []Fingerprint {
 	le.mu.Lock()
 	defer le.mu.Unlock()
-	at := time.UnixMilli(en.AtMillis)
+	at := en.At
 	var quarantined []Fingerprint
 	for _, fp := range en.Requests {
 		re := le.record(fp, now)
@@ -150,7 +153,7 @@
 	le.mu.Lock()
 	defer le.mu.Unlock()
 	re := le.record(an.Request, now)
-	re.completedAt = latest(re.completedAt, time.UnixMilli(an.AtMillis))
+	re.completedAt = latest(re.completedAt, an.At)
 }
 
 // Suspected reports whether an endpoint has crashed during the request since it last completed.
--- a/internal/core/quarantine/ledger_test.go
+++ b/internal/core/quarantine/ledger_test.go
@@ -21,7 +21,7 @@
 // crash returns a crash of the endpoint at a time after begin, during the requests with the given
 // names.
 func crash(endpoint string, after time.Duration, names ...string) Crash {
-	en := Crash{Endpoint: endpoint, AtMillis: begin.Add(after).UnixMilli()}
+	en := Crash{Endpoint: endpoint, At: begin.Add(after)}
 	for _, name := range names {
 		en.Requests = append(en.Requests, fingerprint(name))
 	}
@@ -30,7 +30,7 @@
 
 // completion returns a completion of the named request at a time after begin.
 func completion(name string, after time.Duration) Completion {
-	return Completion{fingerprint(name), begin.Add(after).UnixMilli()}
+	return Completion{Request: fingerprint(name), At: begin.Add(after)}
 }
 
 // Guards against a request that keeps crashing endpoints: it must be quarantined after the third
--- a/internal/entry/crashcheck_test.go
+++ b/internal/entry/crashcheck_test.go
@@ -7,8 +7,10 @@
 
 	"corianderhub.dev/corianderhub/internal/clock"
 	"corianderhub.dev/corianderhub/internal/core/dispatch"
+	"corianderhub.dev/corianderhub/internal/core/quarantine"
 	"corianderhub.dev/corianderhub/internal/front"
 	"corianderhub.dev/corianderhub/internal/loopback"
+	"corianderhub.dev/corianderhub/internal/mesh"
 )
 
 // Guards against a crash that isn't noticed because the endpoint was found running shortly before,
@@ -54,3 +56,25 @@
 		t.Error("a crash after that was not noticed")
 	}
 }
+
+// Guards against daemons whose clocks differ: a crash that a daemon reports with its clock ahead must
+// not outweigh the completions of all others for that time.
+func TestCrashReportsOfOtherClocks(t *testing.T) {
+	ahead, aheadClock := newTestControl(800)
+	aheadClock.Advance(time.Hour)
+	fp := quarantine.Fingerprint{1}
+	ahead.announce(announcement{crash: &quarantine.Crash{Endpoint: "s1", At: aheadClock.Now(), Requests: []quarantine.Fingerprint{fp}}, at: aheadClock.Now()})
+	var be mesh.Heartbeat
+	ahead.addQuarantine(&be, aheadClock.Now())
+
+	ct, cl := newTestControl(800)
+	ct.applyQuarantine(be, cl.Now())
+	cl.Advance(time.Second)
+	if !ct.da.quarantine.Suspected(fp) {
+		t.Fatal("the request is not suspected after a crash")
+	}
+	ct.requestCompleted(fp)
+	if ct.da.quarantine.Suspected(fp) {
+		t.Error("a completion after the crash doesn't clear the request")
+	}
+}
--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -94,7 +94,7 @@
 	crashCount.Inc()
 	ct.da.Log.Info("control: endpoint ended under requests.", "endpoint", endpoint, "requests", len(requests),
 		"contents", requests[:min(maxLoggedRequests, len(requests))])
-	en := quarantine.Crash{Endpoint: endpoint, AtMillis: now.UnixMilli(), Requests: requests}
+	en := quarantine.Crash{Endpoint: endpoint, At: now, Requests: requests}
 	ct.applyCrash(en, now)
 	ct.announce(announcement{crash: &en, at: now})
 	ct.sendHeartbeat(heartbeatExtra{to: mesh.ToSteward})
@@ -104,7 +104,7 @@
 // crashed before.
 func (ct *control) requestCompleted(fp quarantine.Fingerprint) {
 	now := ct.da.Clock.Now()
-	an := quarantine.Completion{Request: fp, AtMillis: now.UnixMilli()}
+	an := quarantine.Completion{Request: fp, At: now}
 	ct.da.quarantine.RecordCompletion(an, now)
 	ct.announce(announcement{completion: &an, at: now})
 }
@@ -164,9 +164,13 @@
 			return
 		}
 		if te.crash != nil {
-			be.Crashes = append(be.Crashes, *te.crash)
+			en := *te.crash
+			en.Age = now.Sub(te.at)
+			be.Crashes = append(be.Crashes, en)
 		} else {
-			be.Completions = append(be.Completions, *te.completion)
+			an := *te.completion
+			an.Age = now.Sub(te.at)
+			be.Completions = append(be.Completions, an)
 		}
 	}
 }
@@ -175,9 +179,11 @@
 // entries if the digests differ.
 func (ct *control) applyQuarantine(be mesh.Heartbeat, now time.Time) {
 	for _, en := range be.Crashes {
+		en.At = now.Add(-en.Age)
 		ct.applyCrash(en, now)
 	}
 	for _, an := range be.Completions {
+		an.At = now.Add(-an.Age)
 		ct.da.quarantine.RecordCompletion(an, now)
 	}
 	if be.QuarantineDigest == 0 || be.QuarantineDigest == ct.da.quarantine.Digest(now) || now.Sub(ct.quarantine.fetchedAt) < fetchPause {
--- a/internal/front/quarantine_test.go
+++ b/internal/front/quarantine_test.go
@@ -53,7 +53,7 @@
 		t.Run(path, func(t *testing.T) {
 			ri := newRig(t)
 			fp := fingerprintOf(path, "crash")
-			ri.front.Quarantine.RecordCrash(quarantine.Crash{Endpoint: "earlier", AtMillis: time.Now().UnixMilli(), Requests: []quarantine.Fingerprint{fp}}, time.Now())
+			ri.front.Quarantine.RecordCrash(quarantine.Crash{Endpoint: "earlier", At: time.Now(), Requests: []quarantine.Fingerprint{fp}}, time.Now())
 			ri.front.OnDisconnect = func(bo Disconnect) <-chan bool {
 				known := make(chan bool, 1)
 				time.AfterFunc(50*time.Millisecond, func() {
@@ -91,7 +91,7 @@
 				t.Errorf("%d completions reported of a request without crashes, want 0", num)
 			}
 			fp := fingerprintOf(path, "sound")
-			ri.front.Quarantine.RecordCrash(quarantine.Crash{Endpoint: "earlier", AtMillis: time.Now().UnixMilli(), Requests: []quarantine.Fingerprint{fp}}, time.Now())
+			ri.front.Quarantine.RecordCrash(quarantine.Crash{Endpoint: "earlier", At: time.Now(), Requests: []quarantine.Fingerprint{fp}}, time.Now())
 			ri.send(path, "sound", setTokenCounts)
 			ri.mu.Lock()
 			defer ri.mu.Unlock()
