--- a/internal/core/quarantine/fingerprint.go
+++ b/internal/core/quarantine/fingerprint.go
@@ -1,5 +1,6 @@
-// Package quarantine identifies requests by their content and quarantines those that crash the
-// endpoints that run them. A quarantined request is not sent to any endpoint.
+// Package quarantine identifies requests by their content and by the parts of their prompts, and
+// quarantines those requests and parts that crash the endpoints that run them. A quarantined
+// request, or one with a quarantined part, is not sent to any endpoint.
 package quarantine
 
 import (
@@ -9,8 +10,8 @@
 	"errors"
 )
 
-// Fingerprint identifies a request by its content. All attempts of a request have the same
-// fingerprint, whatever their request identifiers.
+// Fingerprint identifies a subject: a request by its content, or a part of prompts. All attempts of
+// a request have the same fingerprint, whatever their request identifiers.
 type Fingerprint [16]byte
 
 // String returns the fingerprint as 32 hexadecimal digits.
@@ -39,6 +40,34 @@
 	return fp
 }
 
+// maxParts bounds the parts of a prompt that are considered.
+const maxParts = 16
+
+// partDomain separates the fingerprints of parts from those of requests.
+const partDomain = "part"
+
+// Request identifies a request and the parts of its prompt that other requests may share.
+type Request struct {
+	Content Fingerprint   `cbor:"1,keyasint"`
+	Parts   []Fingerprint `cbor:"2,keyasint,omitempty"`
+}
+
+// NewRequest returns the identification of a request to a service whose prompt shares the parts with
+// the given IDs. It leaves out parts beyond maxParts.
+func NewRequest(co *Content, service string, partIDs []string) Request {
+	re := Request{Content: co.Fingerprint()}
+	for _, id := range partIDs[:min(len(partIDs), maxParts)] {
+		part := Content{Method: partDomain, Host: service, URI: id}
+		re.Parts = append(re.Parts, part.Fingerprint())
+	}
+	return re
+}
+
+// Subjects returns the fingerprints of the request and of its parts.
+func (re *Request) Subjects() []Fingerprint {
+	return append([]Fingerprint{re.Content}, re.Parts...)
+}
+
 // MarshalText implements encoding.TextMarshaler.
 func (fp Fingerprint) MarshalText() ([]byte, error) { return []byte(fp.String()), nil }
 
--- a/internal/core/quarantine/ledger.go
+++ b/internal/core/quarantine/ledger.go
@@ -14,20 +14,32 @@
 const (
 	// CrashThreshold is the number of endpoint crashes during a request that puts it in quarantine.
 	// A crash interrupts all requests of the endpoint; an unrelated request is unlikely to be
-	// present at three crashes.
+	// present at three crashes. The same number holds for a part that no completed request had.
 	CrashThreshold = 3
+	// provenPartThreshold is the number for a part that completed requests have had: its other
+	// requests may take longer to complete than endpoints to crash.
+	provenPartThreshold = 5
+	// minPartRequests is the number of different requests that must have run during the crashes of
+	// a part. Otherwise the one request explains them.
+	minPartRequests = 2
 	// TTL is how long a request stays in quarantine. A request that crashes endpoints does so until
 	// their software is fixed.
 	TTL = 24 * time.Hour
-	// suspectTTL is how long the record of a request that was never quarantined is kept after its
+	// firstProbeInterval is the time from the quarantine of a part until a request with it is sent
+	// in spite of that. The time doubles with each probe, up to maxProbeDoublings times.
+	firstProbeInterval = 2 * time.Minute
+	maxProbeDoublings  = 7
+	// suspectTTL is how long the record of a subject that was never quarantined is kept after its
 	// last update.
 	suspectTTL = 15 * time.Minute
 	// duplicateWindow is the time within which reports of a crash of the same endpoint are taken
 	// as the same crash. Several daemons report each crash, and an endpoint takes longer than this
 	// to restart.
 	duplicateWindow = time.Second
-	// maxRecords bounds the number of requests with a record, at about 1 MB of memory.
+	// maxRecords bounds the number of subjects with a record, at about 1 MB of memory.
 	maxRecords = 4096
+	// maxCrashes bounds the crashes whose reports are merged.
+	maxCrashes = 256
 )
 
 // Crash describes a crash of a server process, with the requests that it was running.
@@ -37,107 +49,114 @@
 	At time.Time `cbor:"-"`
 	// Age is the time since then when a daemon reports the crash to another, whose clock may differ.
 	Age      time.Duration `cbor:"4,keyasint"`
-	Requests []Fingerprint `cbor:"3,keyasint"`
+	Requests []Request     `cbor:"5,keyasint"`
 }
 
 // Completion reports that a request has completed: an endpoint has sent the complete response and
 // survived it.
 type Completion struct {
-	Request Fingerprint `cbor:"1,keyasint"`
+	// Subject is the request or a part of its prompt.
+	Subject Fingerprint `cbor:"1,keyasint"`
 	// At is when the request completed, Age the time since then as in Crash.
 	At  time.Time     `cbor:"-"`
 	Age time.Duration `cbor:"4,keyasint"`
+	// Took is the time from sending the request to the endpoint until it completed.
+	Took time.Duration `cbor:"5,keyasint"`
 }
 
-// Entry is a request that was quarantined, as daemons exchange it and the store keeps it.
+// Entry is a subject that was quarantined, as daemons exchange it and the store keeps it.
 type Entry struct {
-	Request Fingerprint `json:"request"`
-	// Since is the time of the latest crash that put the request in quarantine.
+	Subject Fingerprint `json:"request"`
+	// Part is set for a part of prompts.
+	Part bool `json:"part,omitempty"`
+	// Since is the time of the latest crash that put the subject in quarantine.
 	Since time.Time `json:"since"`
-	// CompletedAt is when the request last completed, or zero. If it is not before Since, the
-	// request is no longer quarantined.
+	// CompletedAt is when the request, or one with the part, last completed, or zero. If it is not
+	// before Since, the subject is no longer quarantined.
 	CompletedAt time.Time `json:"answered,omitzero"`
 }
 
-// Ledger records the endpoint crashes during each request, as this daemon and others detect them.
-// Crashes and completions may be reported in any order and more than once. The zero value is an
-// empty ledger. A Ledger is safe for concurrent use.
+// Ledger records the endpoint crashes during each request and with each part of prompts, as this
+// daemon and others detect them. Crashes and completions may be reported in any order and more than
+// once. The zero value is an empty ledger. A Ledger is safe for concurrent use.
+//
+// A subject is quarantined once it was present at enough crashes since it last completed that no
+// quarantined subject explains. It is released if another subject turns out to explain them all.
 type Ledger struct {
 	mu       sync.Mutex
-	requests map[Fingerprint]*record
-	// quarantined holds the records of requests that were ever quarantined, including those that
+	subjects map[Fingerprint]*record
+	// quarantined holds the records of subjects that were ever quarantined, including those that
 	// have completed since.
 	quarantined map[Fingerprint]*record
-	// num is len(requests). Readers check it first, to avoid the lock while there are none.
+	// crashes are the latest crashes, oldest report first.
+	crashes []*endpointCrash
+	proven  provenParts
+	// num is len(subjects). Readers check it first, to avoid the lock while there are none.
 	num atomic.Int64
 }
 
-// record is the state of one request.
-type record struct {
-	crashes []endpointCrash
-	// completedAt is when the request last completed. Crashes before that are not attributed to
-	// it.
-	completedAt time.Time
-	// quarantinedAt is the time of the latest crash that put the request in quarantine; zero if it
-	// never was.
-	quarantinedAt time.Time
-	// updatedAt is when the record was last updated.
-	updatedAt time.Time
-}
-
-// endpointCrash is one crash of the server process of an endpoint.
-type endpointCrash struct {
-	endpoint string
-	at       time.Time
-}
-
-// crashesSinceCompletion returns the number of crashes since the request last completed.
-func (re *record) crashesSinceCompletion() int {
-	num := 0
-	for _, se := range re.crashes {
-		if se.at.After(re.completedAt) {
-			num++
+// RecordCrash records an endpoint crash, and returns the subjects that are newly quarantined by it.
+func (le *Ledger) RecordCrash(en Crash, now time.Time) []Entry {
+	le.mu.Lock()
+	defer le.mu.Unlock()
+	se := le.crash(en.Endpoint, en.At)
+	var present []Fingerprint
+	for _, rq := range en.Requests {
+		for i, fp := range rq.Subjects() {
+			re := le.record(fp, i > 0, now)
+			re.addCrash(se, rq.Content)
+			present = append(present, fp)
+			if re.quarantined(now) {
+				re.quarantinedAt = latest(re.quarantinedAt, en.At)
+				se.addQuarantined(re)
+			}
 		}
 	}
-	return num
+	newly := le.judge(present, en.At, now)
+	le.release(now)
+	return newly
 }
 
-// quarantined reports whether the request is in quarantine.
-func (re *record) quarantined(now time.Time) bool {
-	return re.quarantinedAt.After(re.completedAt) && now.Sub(re.quarantinedAt) < TTL
+// crash returns the crash of an endpoint at a time, and adds it if no report of it came before.
+func (le *Ledger) crash(endpoint string, at time.Time) *endpointCrash {
+	same := func(se *endpointCrash) bool { return se.endpoint == endpoint && se.at.Sub(at).Abs() < duplicateWindow }
+	if i := slices.IndexFunc(le.crashes, same); i >= 0 {
+		return le.crashes[i]
+	}
+	se := &endpointCrash{endpoint: endpoint, at: at}
+	le.crashes = append(le.crashes[max(0, len(le.crashes)+1-maxCrashes):], se)
+	return se
 }
 
-// addCrash records a crash, unless it is a duplicate of a recorded one.
-func (re *record) addCrash(se endpointCrash) {
-	same := func(other endpointCrash) bool {
-		return other.endpoint == se.endpoint && other.at.Sub(se.at).Abs() < duplicateWindow
-	}
-	if !slices.ContainsFunc(re.crashes, same) {
-		re.crashes = append(re.crashes, se)
+// addQuarantined notes a quarantined subject of the crash.
+func (se *endpointCrash) addQuarantined(re *record) {
+	if !slices.Contains(se.quarantined, re) {
+		se.quarantined = append(se.quarantined, re)
 	}
 }
 
-// RecordCrash records an endpoint crash, and returns the requests that are newly quarantined by it.
-func (le *Ledger) RecordCrash(en Crash, now time.Time) []Fingerprint {
-	le.mu.Lock()
-	defer le.mu.Unlock()
-	at := en.At
-	var quarantined []Fingerprint
-	for _, fp := range en.Requests {
-		re := le.record(fp, now)
-		re.addCrash(endpointCrash{en.Endpoint, at})
-		if re.crashesSinceCompletion() < CrashThreshold {
-			continue
+// judge quarantines the guilty ones of the subjects that were present at a crash, and returns those
+// that are newly quarantined. Parts come first, since they explain the crashes of single requests.
+func (le *Ledger) judge(present []Fingerprint, at, now time.Time) []Entry {
+	var newly []Entry
+	for _, part := range []bool{true, false} {
+		var guilty []Fingerprint
+		for _, fp := range present {
+			if re := le.subjects[fp]; re != nil && re.part == part && re.guilty() {
+				guilty = append(guilty, fp)
+			}
 		}
-		if le.quarantine(fp, re, at, now) {
-			quarantined = append(quarantined, fp)
+		for _, fp := range guilty {
+			re := le.subjects[fp]
+			if le.quarantine(fp, re, at, now) {
+				newly = append(newly, Entry{fp, re.part, re.quarantinedAt, re.completedAt})
+			}
 		}
 	}
-	return quarantined
+	return newly
 }
 
-// quarantine puts a request in quarantine as of since, and reports whether the request is newly
-// quarantined.
+// quarantine puts a subject in quarantine as of since, and reports whether it is newly quarantined.
 func (le *Ledger) quarantine(fp Fingerprint, re *record, since, now time.Time) bool {
 	before := re.quarantined(now)
 	re.quarantinedAt = latest(re.quarantinedAt, since)
@@ -145,43 +164,110 @@
 		le.quarantined = make(map[Fingerprint]*record)
 	}
 	le.quarantined[fp] = re
+	for _, se := range re.crashes {
+		se.addQuarantined(re)
+	}
 	return !before && re.quarantined(now)
 }
 
-// RecordCompletion records the completion of a request.
+// release ends the quarantine of the subjects whose crashes others explain.
+func (le *Ledger) release(now time.Time) {
+	for _, re := range le.quarantined {
+		if re.quarantined(now) && re.evidence() > 0 && re.unexplained() == 0 {
+			re.completedAt = latest(re.completedAt, re.quarantinedAt)
+		}
+	}
+}
+
+// RecordCompletion records the completion of a request, or of one with a part.
 func (le *Ledger) RecordCompletion(an Completion, now time.Time) {
 	le.mu.Lock()
 	defer le.mu.Unlock()
-	re := le.record(an.Request, now)
-	re.completedAt = latest(re.completedAt, an.At)
+	re := le.record(an.Subject, false, now)
+	re.complete(an)
+	re.requests, re.proven = nil, true
+	le.proven.add(an.Subject)
 }
 
-// Suspected reports whether an endpoint has crashed during the request since it last completed.
-func (le *Ledger) Suspected(fp Fingerprint) bool {
+// Complete notes that a request has completed, and returns those of its subjects during which
+// endpoints have crashed since they last completed.
+func (le *Ledger) Complete(rq Request) []Fingerprint {
+	le.mu.Lock()
+	defer le.mu.Unlock()
+	for _, fp := range rq.Parts {
+		le.proven.add(fp)
+	}
+	return le.suspected(rq)
+}
+
+// Suspected returns the subjects of the request during which endpoints have crashed since they last
+// completed.
+func (le *Ledger) Suspected(rq Request) []Fingerprint {
 	if le.num.Load() == 0 {
-		return false
+		return nil
 	}
 	le.mu.Lock()
 	defer le.mu.Unlock()
-	re := le.requests[fp]
-	return re != nil && re.crashesSinceCompletion() > 0
+	return le.suspected(rq)
+}
+
+func (le *Ledger) suspected(rq Request) []Fingerprint {
+	if len(le.subjects) == 0 {
+		return nil
+	}
+	return slices.DeleteFunc(rq.Subjects(), func(fp Fingerprint) bool {
+		re := le.subjects[fp]
+		return re == nil || re.evidence() == 0 && !re.quarantinedAt.After(re.completedAt)
+	})
 }
 
-// Quarantined returns the remaining time of a request in quarantine, and whether it is quarantined.
-func (le *Ledger) Quarantined(fp Fingerprint, now time.Time) (time.Duration, bool) {
+// Quarantined returns the subject of a request that is in quarantine for longest, the remaining time,
+// and whether there is one.
+func (le *Ledger) Quarantined(rq Request, now time.Time) (subject Fingerprint, left time.Duration, quarantined bool) {
 	if le.num.Load() == 0 {
-		return 0, false
+		return Fingerprint{}, 0, false
 	}
 	le.mu.Lock()
 	defer le.mu.Unlock()
-	re := le.requests[fp]
-	if re == nil || !re.quarantined(now) {
-		return 0, false
+	for _, fp := range rq.Subjects() {
+		re := le.subjects[fp]
+		if re == nil || !re.quarantined(now) {
+			continue
+		}
+		if until := min(TTL-now.Sub(re.quarantinedAt), max(minRetryAfter, re.nextProbe().Sub(now))); until > left {
+			subject, left, quarantined = fp, until, true
+		}
+	}
+	return subject, left, quarantined
+}
+
+// minRetryAfter is the least remaining time of a quarantine that callers are given.
+const minRetryAfter = time.Second
+
+// ClaimProbe reports whether a request may be sent although it has quarantined parts, to learn
+// whether endpoints still crash. It grants one request in the time until the next probe.
+func (le *Ledger) ClaimProbe(rq Request, now time.Time) bool {
+	le.mu.Lock()
+	defer le.mu.Unlock()
+	var held []*record
+	for _, fp := range rq.Subjects() {
+		re := le.subjects[fp]
+		if re == nil || !re.quarantined(now) {
+			continue
+		}
+		if now.Before(re.nextProbe()) {
+			return false
+		}
+		held = append(held, re)
+	}
+	for _, re := range held {
+		re.probedAt = now
+		re.probes++
 	}
-	return TTL - now.Sub(re.quarantinedAt), true
+	return len(held) > 0
 }
 
-// Entries returns the requests that were quarantined within the last TTL, including those that
+// Entries returns the subjects that were quarantined within the last TTL, including those that
 // have completed since, in order of their fingerprints.
 func (le *Ledger) Entries(now time.Time) []Entry {
 	le.mu.Lock()
@@ -189,34 +275,39 @@
 	var entries []Entry
 	for fp, re := range le.quarantined {
 		if now.Sub(re.quarantinedAt) < TTL {
-			entries = append(entries, Entry{fp, re.quarantinedAt, re.completedAt})
+			entries = append(entries, Entry{fp, re.part, re.quarantinedAt, re.completedAt})
 		}
 	}
-	slices.SortFunc(entries, func(one, two Entry) int { return slices.Compare(one.Request[:], two.Request[:]) })
+	slices.SortFunc(entries, func(one, two Entry) int { return slices.Compare(one.Subject[:], two.Subject[:]) })
 	return entries
 }
 
-// Merge adds the entries of another daemon or of the store, and returns the requests that are newly
+// Held returns the entries that are in quarantine.
+func (le *Ledger) Held(now time.Time) []Entry {
+	return slices.DeleteFunc(le.Entries(now), func(en Entry) bool { return !en.Since.After(en.CompletedAt) })
+}
+
+// Merge adds the entries of another daemon or of the store, and returns the subjects that are newly
 // quarantined by them.
-func (le *Ledger) Merge(entries []Entry, now time.Time) []Fingerprint {
+func (le *Ledger) Merge(entries []Entry, now time.Time) []Entry {
 	le.mu.Lock()
 	defer le.mu.Unlock()
-	var quarantined []Fingerprint
+	var newly []Entry
 	for _, en := range entries {
 		if now.Sub(en.Since) >= TTL {
 			continue
 		}
-		re := le.record(en.Request, now)
+		re := le.record(en.Subject, en.Part, now)
 		re.completedAt = latest(re.completedAt, en.CompletedAt)
-		if le.quarantine(en.Request, re, en.Since, now) {
-			quarantined = append(quarantined, en.Request)
+		if le.quarantine(en.Subject, re, en.Since, now) {
+			newly = append(newly, en)
 		}
 	}
-	return quarantined
+	return newly
 }
 
-// Digest returns a digest of the quarantined requests and of whether each has completed since.
-// Daemons compare digests to detect that their ledgers differ. It is 0 if no request was
+// Digest returns a digest of the quarantined subjects and of whether each has completed since.
+// Daemons compare digests to detect that their ledgers differ. It is 0 if no subject was
 // quarantined within the last TTL.
 func (le *Ledger) Digest(now time.Time) uint64 {
 	if le.num.Load() == 0 {
@@ -245,74 +336,56 @@
 	}
 	le.mu.Lock()
 	defer le.mu.Unlock()
-	for fp, re := range le.requests {
+	for fp, re := range le.subjects {
 		if re.expired(now) {
 			le.remove(fp)
 		}
 	}
+	le.crashes = slices.DeleteFunc(le.crashes, func(se *endpointCrash) bool { return now.Sub(se.at) >= suspectTTL })
 }
 
-// expired reports whether the record can be deleted: TTL after the request was quarantined, or
-// suspectTTL after the last update of one that never was.
-func (re *record) expired(now time.Time) bool {
-	if re.quarantinedAt.IsZero() {
-		return now.Sub(re.updatedAt) >= suspectTTL
-	}
-	return now.Sub(re.quarantinedAt) >= TTL
-}
-
-// remove deletes the record of a request.
+// remove deletes the record of a subject.
 func (le *Ledger) remove(fp Fingerprint) {
-	delete(le.requests, fp)
+	delete(le.subjects, fp)
 	delete(le.quarantined, fp)
-	le.num.Store(int64(len(le.requests)))
+	le.num.Store(int64(len(le.subjects)))
 }
 
-// record returns the record of a request, and creates it if there is none. At the limit of
+// record returns the record of a subject, and creates it if there is none. At the limit of
 // maxRecords, a new record replaces an old one.
-func (le *Ledger) record(fp Fingerprint, now time.Time) *record {
-	if le.requests == nil {
-		le.requests = make(map[Fingerprint]*record)
+func (le *Ledger) record(fp Fingerprint, part bool, now time.Time) *record {
+	if le.subjects == nil {
+		le.subjects = make(map[Fingerprint]*record)
 	}
-	re := le.requests[fp]
+	re := le.subjects[fp]
 	if re == nil {
-		if len(le.requests) >= maxRecords {
+		if len(le.subjects) >= maxRecords {
 			le.evictOldest()
 		}
 		re = &record{}
-		le.requests[fp] = re
-		le.num.Store(int64(len(le.requests)))
+		le.subjects[fp] = re
+		le.num.Store(int64(len(le.subjects)))
+	}
+	if part && !re.part {
+		// A completion, which doesn't tell, may have created the record.
+		re.part = true
+	}
+	if re.part && len(re.crashes) == 0 {
+		re.proven = le.proven.contains(fp)
 	}
 	re.updatedAt = now
 	return re
 }
 
-// evictOldest deletes the least recently updated record, preferably one of a request that was never
+// evictOldest deletes the least recently updated record, preferably one of a subject that was never
 // quarantined.
 func (le *Ledger) evictOldest() {
 	order := func(one, two Fingerprint) int {
-		first, second := le.requests[one], le.requests[two]
-		if byRank := cmp.Compare(evictionRank(first), evictionRank(second)); byRank != 0 {
+		first, second := le.subjects[one], le.subjects[two]
+		if byRank := cmp.Compare(first.evictionRank(), second.evictionRank()); byRank != 0 {
 			return byRank
 		}
 		return first.updatedAt.Compare(second.updatedAt)
 	}
-	le.remove(slices.MinFunc(slices.Collect(maps.Keys(le.requests)), order))
-}
-
-// evictionRank returns 1 for a request that was quarantined and 0 for one that is only suspected.
-// Lower ranks are evicted first.
-func evictionRank(re *record) int {
-	if re.quarantinedAt.IsZero() {
-		return 0
-	}
-	return 1
-}
-
-// latest returns the later of two times.
-func latest(one, two time.Time) time.Time {
-	if two.After(one) {
-		return two
-	}
-	return one
+	le.remove(slices.MinFunc(slices.Collect(maps.Keys(le.subjects)), order))
 }
--- a/internal/core/quarantine/ledger_test.go
+++ b/internal/core/quarantine/ledger_test.go
@@ -23,14 +23,14 @@
 func crash(endpoint string, after time.Duration, names ...string) Crash {
 	en := Crash{Endpoint: endpoint, At: begin.Add(after)}
 	for _, name := range names {
-		en.Requests = append(en.Requests, fingerprint(name))
+		en.Requests = append(en.Requests, Request{Content: fingerprint(name)})
 	}
 	return en
 }
 
 // completion returns a completion of the named request at a time after begin.
 func completion(name string, after time.Duration) Completion {
-	return Completion{Request: fingerprint(name), At: begin.Add(after)}
+	return Completion{Subject: fingerprint(name), At: begin.Add(after)}
 }
 
 // Guards against a request that keeps crashing endpoints: it must be quarantined after the third
@@ -58,10 +58,10 @@
 			for _, ev := range tc.events {
 				le.apply(ev, begin.Add(now))
 			}
-			if _, quarantined := le.Quarantined(fingerprint("crash"), begin.Add(now)); quarantined != tc.want {
+			if _, _, quarantined := le.Quarantined(Request{Content: fingerprint("crash")}, begin.Add(now)); quarantined != tc.want {
 				t.Errorf("quarantined: %v, want %v", quarantined, tc.want)
 			}
-			if _, quarantined := le.Quarantined(fingerprint("other"), begin.Add(now)); quarantined {
+			if _, _, quarantined := le.Quarantined(Request{Content: fingerprint("other")}, begin.Add(now)); quarantined {
 				t.Error("unrelated request is quarantined")
 			}
 		})
@@ -90,7 +90,7 @@
 		remaining time.Duration
 	}{{0, TTL}, {time.Hour, TTL - time.Hour}, {TTL, 0}} {
 		le.Sweep(begin.Add(tc.after))
-		remaining, quarantined := le.Quarantined(fingerprint("crash"), begin.Add(tc.after))
+		_, remaining, quarantined := le.Quarantined(Request{Content: fingerprint("crash")}, begin.Add(tc.after))
 		if remaining != tc.remaining || quarantined != (tc.remaining > 0) {
 			t.Errorf("after %v: quarantined %v, remaining %v, want %v", tc.after, quarantined, remaining, tc.remaining)
 		}
@@ -110,10 +110,10 @@
 	for i := range maxRecords + 10 {
 		le.RecordCrash(crash(fmt.Sprint("other-", i), time.Second, fmt.Sprint("request-", i)), begin.Add(time.Second))
 	}
-	if num := len(le.requests); num > maxRecords {
+	if num := len(le.subjects); num > maxRecords {
 		t.Errorf("%d records, want at most maxRecords", num)
 	}
-	if _, quarantined := le.Quarantined(fingerprint("crash"), begin.Add(time.Minute)); !quarantined {
+	if _, _, quarantined := le.Quarantined(Request{Content: fingerprint("crash")}, begin.Add(time.Minute)); !quarantined {
 		t.Error("quarantined request was evicted")
 	}
 }
--- /dev/null
+++ b/internal/core/quarantine/traffic_test.go
@@ -0,0 +1,256 @@
+package quarantine
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+)
+
+// traffic is a random series of requests to groups of endpoints, on a clock of its own.
+type traffic struct {
+	rnd    *rand.Rand
+	le     *Ledger
+	now    time.Time
+	groups []*testGroup
+	// crashing are the IDs of the parts that crash endpoints.
+	crashing []string
+	crashes  int
+	// wrong are the parts other than crashing that were quarantined.
+	wrong map[string]bool
+	// refused counts the sound requests that were refused, of those that were sent.
+	sent, refused int
+	// late counts the requests with a crashing part that were sent.
+	late int
+}
+
+type testGroup struct {
+	downUntil time.Time
+	running   []*testRequest
+}
+
+type testRequest struct {
+	name  string
+	parts []string
+	id    *Request
+	// sentAt is when it was sent, endsAt when it completes or crashes its endpoint.
+	sentAt, endsAt time.Time
+	resent         bool
+	crashes        bool
+}
+
+const (
+	testGroups     = 13
+	testStep       = 10 * time.Millisecond
+	soundPerSecond = 60
+	crashPerSecond = 5
+	// usualParts and rareParts are the numbers of parts that sound requests share; a rare one comes
+	// about once in four seconds.
+	usualParts, rareParts = 10, 20
+	rareShare             = 12
+)
+
+func newTraffic(seed uint64) *traffic {
+	tr := &traffic{rnd: rand.New(rand.NewPCG(seed, seed)), le: &Ledger{}, now: begin, wrong: make(map[string]bool)}
+	for range testGroups {
+		tr.groups = append(tr.groups, &testGroup{})
+	}
+	return tr
+}
+
+func (tr *traffic) identity(rq *testRequest) Request {
+	if rq.id == nil {
+		co := Content{Body: []byte(rq.name)}
+		id := NewRequest(&co, "engine", rq.parts)
+		rq.id = &id
+	}
+	return *rq.id
+}
+
+func (tr *traffic) random(from, to time.Duration) time.Duration {
+	return from + time.Duration(tr.rnd.Int64N(int64(to-from)))
+}
+
+// run plays the traffic for a time.
+func (tr *traffic) run(span time.Duration) {
+	for end := tr.now.Add(span); tr.now.Before(end); tr.now = tr.now.Add(testStep) {
+		if tr.rnd.Float64() < soundPerSecond*testStep.Seconds() {
+			tr.sendSound()
+		}
+		if len(tr.crashing) > 0 && tr.rnd.Float64() < crashPerSecond*testStep.Seconds() {
+			part := tr.crashing[tr.rnd.IntN(len(tr.crashing))]
+			if tr.send(&testRequest{name: fmt.Sprint("crash-", tr.now.UnixNano()), parts: []string{tr.usualPart(), part}, crashes: true}) {
+				tr.late++
+			}
+		}
+		for _, gr := range tr.groups {
+			tr.step(gr)
+		}
+	}
+}
+
+func (tr *traffic) usualPart() string { return fmt.Sprint("usual-", tr.rnd.IntN(usualParts)) }
+
+func (tr *traffic) sendSound() {
+	second := fmt.Sprint("second-", tr.rnd.IntN(usualParts))
+	if tr.rnd.IntN(rareShare) == 0 {
+		second = fmt.Sprint("rare-", tr.rnd.IntN(rareParts))
+	}
+	if slices.Contains(tr.crashing, second) {
+		return
+	}
+	tr.sent++
+	if !tr.send(&testRequest{name: fmt.Sprint("sound-", tr.now.UnixNano()), parts: []string{tr.usualPart(), second}}) {
+		tr.refused++
+	}
+}
+
+// send sends a request to a random group that is up, and reports whether it was sent.
+func (tr *traffic) send(rq *testRequest) bool {
+	if _, _, held := tr.le.Quarantined(tr.identity(rq), tr.now); held {
+		return false
+	}
+	up := slices.DeleteFunc(slices.Clone(tr.groups), func(gr *testGroup) bool { return tr.now.Before(gr.downUntil) })
+	if len(up) == 0 {
+		return false
+	}
+	gr := up[tr.rnd.IntN(len(up))]
+	rq.sentAt = tr.now
+	rq.endsAt = tr.now.Add(tr.random(300*time.Millisecond, 2*time.Second))
+	if rq.crashes {
+		rq.endsAt = tr.now.Add(tr.random(80*time.Millisecond, 300*time.Millisecond))
+	}
+	gr.running = append(gr.running, rq)
+	return true
+}
+
+// step completes the requests of a group that are due.
+func (tr *traffic) step(gr *testGroup) {
+	for _, rq := range slices.Clone(gr.running) {
+		if tr.now.Before(rq.endsAt) {
+			continue
+		}
+		if rq.crashes {
+			tr.crash(gr)
+			return
+		}
+		gr.running = slices.DeleteFunc(gr.running, func(other *testRequest) bool { return other == rq })
+		for _, fp := range tr.le.Complete(tr.identity(rq)) {
+			tr.le.RecordCompletion(Completion{Subject: fp, At: tr.now, Took: tr.now.Sub(rq.sentAt)}, tr.now)
+		}
+	}
+}
+
+// crash ends a group. Two daemons report it one after the other, each with its half of the requests.
+// What was broken off is sent again once, except for those that crash endpoints.
+func (tr *traffic) crash(gr *testGroup) {
+	tr.crashes++
+	running := gr.running
+	gr.running, gr.downUntil = nil, tr.now.Add(3*time.Second)
+	tr.rnd.Shuffle(len(running), func(i, j int) { running[i], running[j] = running[j], running[i] })
+	for num, half := range [][]*testRequest{running[:len(running)/2], running[len(running)/2:]} {
+		en := Crash{Endpoint: fmt.Sprint("crash-", tr.crashes), At: tr.now.Add(time.Duration(num) * 5 * time.Millisecond)}
+		for _, rq := range half {
+			en.Requests = append(en.Requests, tr.identity(rq))
+		}
+		tr.le.RecordCrash(en, tr.now)
+		tr.noteWrong(half)
+	}
+	for _, rq := range running {
+		if !rq.resent && !slices.ContainsFunc(rq.parts, func(id string) bool { return slices.Contains(tr.crashing, id) }) {
+			rq.resent = true
+			tr.send(rq)
+		}
+	}
+}
+
+// noteWrong records the parts of requests that are quarantined although they crash nothing.
+func (tr *traffic) noteWrong(requests []*testRequest) {
+	for _, rq := range requests {
+		for i, fp := range tr.identity(rq).Parts {
+			if _, _, held := tr.le.Quarantined(Request{Parts: []Fingerprint{fp}}, tr.now); held && !slices.Contains(tr.crashing, rq.parts[i]) {
+				tr.wrong[rq.parts[i]] = true
+			}
+		}
+	}
+}
+
+// Guards against a crashing part that costs more servers than it takes to know it, and against
+// parts that are refused only because they were there.
+func TestCrashingPartAmongRandomTraffic(t *testing.T) {
+	const (
+		seeds = 30
+		// contactTime is the time after the fifth crash from which requests with a crashing part
+		// may be sent maxLate times.
+		contactTime = 3 * time.Second
+		maxLate     = 3
+	)
+	for _, tc := range []struct {
+		name string
+		// warmUp is how long the ledger has known the traffic.
+		warmUp time.Duration
+		parts  []string
+		// meanCrashes is the number of servers that one part may crash on average, 0 for any.
+		meanCrashes int
+	}{
+		{"new part", 5 * time.Second, []string{"crashing"}, 5},
+		{"new part at a daemon that has just started", 0, []string{"crashing"}, 5},
+		{"two new parts", 5 * time.Second, []string{"crashing", "other-crashing"}, 5},
+		{"part that was sound before", 5 * time.Second, []string{"second-0"}, 0},
+		{"rare part that was sound before", 5 * time.Second, []string{"rare-0"}, 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			crashes, wrong, refused, sent, most := 0, 0, 0, 0, 0
+			for seed := range uint64(seeds) {
+				tr := newTraffic(seed)
+				tr.run(tc.warmUp)
+				tr.crashing = tc.parts
+				for tr.crashes < 5*len(tc.parts) && tr.now.Sub(begin) < time.Minute {
+					tr.run(testStep)
+				}
+				tr.run(contactTime)
+				tr.sent, tr.refused, tr.late = 0, 0, 0
+				tr.run(10 * time.Second)
+				if tr.late > maxLate*len(tc.parts) {
+					t.Errorf("seed %d: requests with a crashing part sent %d times after the fifth crash, want %d at most", seed, tr.late, maxLate*len(tc.parts))
+				}
+				if tr.refused*2 > tr.sent {
+					t.Errorf("seed %d: %d of %d sound requests refused, want half at most", seed, tr.refused, tr.sent)
+				}
+				crashes, wrong, most = crashes+tr.crashes, wrong+len(tr.wrong), max(most, tr.crashes)
+				refused, sent = refused+tr.refused, sent+tr.sent
+			}
+			t.Logf("crashes: %d in %d runs, %d at most; sound parts quarantined: %d; sound requests refused: %d of %d", crashes, seeds, most, wrong, refused, sent)
+			if tc.meanCrashes > 0 && crashes > tc.meanCrashes*seeds*len(tc.parts) {
+				t.Errorf("%d crashes in %d runs, want %d a part on average at most", crashes, seeds, tc.meanCrashes)
+			}
+		})
+	}
+}
+
+// Guards against parts that are refused because of crashes that no request causes: racks that lose
+// several servers at once, one after the other, while rare parts are in use.
+func TestCrashesWithoutCause(t *testing.T) {
+	const seeds = 50
+	wrong, refused, sent := 0, 0, 0
+	for seed := range uint64(seeds) {
+		tr := newTraffic(seed)
+		for range 6 {
+			tr.run(tr.random(200*time.Millisecond, 4*time.Second))
+			for _, gr := range tr.groups[:tr.rnd.IntN(4)+1] {
+				if !tr.now.Before(gr.downUntil) {
+					tr.crash(gr)
+				}
+			}
+			tr.rnd.Shuffle(len(tr.groups), func(i, j int) { tr.groups[i], tr.groups[j] = tr.groups[j], tr.groups[i] })
+		}
+		tr.run(2 * time.Second)
+		wrong += len(tr.wrong)
+		refused, sent = refused+tr.refused, sent+tr.sent
+	}
+	t.Logf("sound parts quarantined: %d; sound requests refused: %d of %d", wrong, refused, sent)
+	if wrong > 0 {
+		t.Errorf("%d sound parts quarantined in %d runs, want none", wrong, seeds)
+	}
+}
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -71,6 +71,8 @@
 	// by mu. deputy is set while this daemon is a deputy; shared.
 	deputyConfirmed time.Time
 	deputy          atomic.Bool
+	// acting is set while this daemon acts as the steward.
+	acting atomic.Bool
 	// generation counts how often following has begun; shared, guarded by mu. A follower
 	// from an earlier generation reads everything again.
 	generation int
@@ -252,6 +254,7 @@
 		ct.shareLimits(now)
 		ct.da.table.SetReportDelay(ct.da.mesh.ReportDelay())
 		ct.deputy.Store(ct.isDeputy(now))
+		ct.acting.Store(ct.lease.ready())
 		ct.da.mesh.SetDeputy(ct.deputy.Load() && ct.follows())
 	}
 }
--- a/internal/entry/crashcheck.go
+++ b/internal/entry/crashcheck.go
@@ -27,7 +27,7 @@
 // crashCheck is a check whether an endpoint has crashed while processing requests.
 type crashCheck struct {
 	startedAt time.Time
-	requests  []quarantine.Fingerprint
+	requests  []quarantine.Request
 	// waiters receive the result. done is set once it is known.
 	waiters       []chan bool
 	done, crashed bool
@@ -54,7 +54,7 @@
 		ct.crashChecks[bo.Endpoint] = ec
 		ct.da.spawn(&ct.wg, func(ctx context.Context) { ct.runCrashCheck(ctx, bo, ec) })
 	case ec.done:
-		ct.endpointCrashed(bo.Endpoint, []quarantine.Fingerprint{bo.Request})
+		ct.endpointCrashed(bo.Endpoint, []quarantine.Request{bo.Request})
 		known <- true
 		return
 	}
--- a/internal/entry/crashcheck_test.go
+++ b/internal/entry/crashcheck_test.go
@@ -62,19 +62,19 @@
 func TestCrashReportsOfOtherClocks(t *testing.T) {
 	ahead, aheadClock := newTestControl(800)
 	aheadClock.Advance(time.Hour)
-	fp := quarantine.Fingerprint{1}
-	ahead.announce(announcement{crash: &quarantine.Crash{Endpoint: "s1", At: aheadClock.Now(), Requests: []quarantine.Fingerprint{fp}}, at: aheadClock.Now()})
+	rq := quarantine.Request{Content: quarantine.Fingerprint{1}}
+	ahead.announce(announcement{crash: &quarantine.Crash{Endpoint: "s1", At: aheadClock.Now(), Requests: []quarantine.Request{rq}}, at: aheadClock.Now()})
 	var be mesh.Heartbeat
 	ahead.addQuarantine(&be, aheadClock.Now())
 
 	ct, cl := newTestControl(800)
 	ct.applyQuarantine(be, cl.Now())
 	cl.Advance(time.Second)
-	if !ct.da.quarantine.Suspected(fp) {
+	if len(ct.da.quarantine.Suspected(rq)) != 1 {
 		t.Fatal("the request is not suspected after a crash")
 	}
-	ct.requestCompleted(fp)
-	if ct.da.quarantine.Suspected(fp) {
+	ct.subjectCompleted(rq.Content, 0)
+	if len(ct.da.quarantine.Suspected(rq)) != 0 {
 		t.Error("a completion after the crash doesn't clear the request")
 	}
 }
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -180,7 +180,10 @@
 		Quarantine:  da.quarantine, Backpressure: da.backpressure,
 		Memory:       front.BodyMemory{Limit: set.MemoryBytes / bodyMemoryDivisor},
 		OnDisconnect: func(bo front.Disconnect) <-chan bool { return da.control.checkCrash(bo) },
-		OnCompletion: func(fp quarantine.Fingerprint) { da.control.post(func() { da.control.requestCompleted(fp) }) },
+		OnCompletion: func(fp quarantine.Fingerprint, took time.Duration) {
+			da.control.post(func() { da.control.subjectCompleted(fp, took) })
+		},
+		MayProbe: func() bool { return da.control.acting.Load() },
 		Budget: &dispatch.Budget{StartedAt: da.Clock.Now(), Ratio: set.Bounds.RetryRatio, Window: set.Bounds.RetryWindow,
 			Slack: set.Bounds.RetrySlack * budgetShare / minBudgetDaemons}}
 	da.control = newControl(da)
--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -17,12 +17,13 @@
 
 // A request may crash each server that processes it, and its caller or a daemon sends it
 // again: group after group is lost, with all their other requests. Each attempt has its own
-// ID and may reach any daemon, so crashes must be recorded by the request's content and
-// shared among all daemons. Daemons announce the crashes that they see. A request under
-// which three servers have crashed is quarantined; the quarantine is kept in the store, so
+// ID and may reach any daemon, and requests that differ may share the part of their prompts
+// that servers crash on. So crashes must be recorded by the request's content and by its
+// parts, and shared among all daemons. Daemons announce the crashes that they see. What
+// enough servers have crashed under is quarantined; the quarantine is kept in the store, so
 // that it survives the loss of all daemons.
 
-// quarantinePrefix precedes a request's fingerprint in the store's keys.
+// quarantinePrefix precedes a subject's fingerprint in the store's keys.
 const quarantinePrefix = keyPrefix + "quarantine/"
 
 const (
@@ -30,9 +31,9 @@
 	// some may be lost.
 	announceRepeats = 3
 	// maxAnnouncements bounds the announcements kept for a new steward.
-	// maxAnnouncedRequests bounds the requests named in one heartbeat, which take 4 KB.
+	// maxAnnouncedSubjects bounds the fingerprints in one heartbeat, which take 16 KB.
 	maxAnnouncements     = 256
-	maxAnnouncedRequests = 256
+	maxAnnouncedSubjects = 1024
 	// maxReannounceAge is the maximum age of an event that is announced again to a new
 	// steward.
 	maxReannounceAge = 15 * time.Minute
@@ -51,15 +52,16 @@
 
 // Counters of crashes and of the resulting quarantine entries.
 var (
-	crashCount       = metrics.NewCounter("corianderhub_endpoints_ended_total")
-	quarantinedCount = metrics.NewCounter("corianderhub_requests_quarantined_total")
+	crashCount           = metrics.NewCounter("corianderhub_endpoints_ended_total")
+	quarantinedCount     = metrics.NewCounter("corianderhub_requests_quarantined_total")
+	quarantinedPartCount = metrics.NewCounter("corianderhub_parts_quarantined_total")
 )
 
 // quarantineControl is the part of the control state for requests that crash servers.
 type quarantineControl struct {
 	// announcements are the events that this daemon has seen, oldest first.
 	announcements []announcement
-	// stored are the requests quarantined in the store.
+	// stored are the subjects quarantined in the store.
 	stored map[quarantine.Fingerprint]bool
 	// nextSync is the time of the next synchronization with the store, pause the time
 	// between attempts while the store does not answer. syncing is set while a
@@ -79,33 +81,43 @@
 	at, until  time.Time
 }
 
-// size returns the number of requests that the announcement names.
+// size returns the number of fingerprints in the announcement.
 func (te *announcement) size() int {
-	if te.crash != nil {
-		return len(te.crash.Requests)
+	if te.crash == nil {
+		return 1
 	}
-	return 1
+	num := 0
+	for _, rq := range te.crash.Requests {
+		num += 1 + len(rq.Parts)
+	}
+	return num
 }
 
 // endpointCrashed records and announces that this daemon has seen an endpoint crash while
 // it processed the requests.
-func (ct *control) endpointCrashed(endpoint string, requests []quarantine.Fingerprint) {
+func (ct *control) endpointCrashed(endpoint string, requests []quarantine.Request) {
 	now := ct.da.Clock.Now()
 	crashCount.Inc()
-	ct.da.Log.Info("control: endpoint ended under requests.", "endpoint", endpoint, "requests", len(requests),
-		"contents", requests[:min(maxLoggedRequests, len(requests))])
+	var contents []quarantine.Fingerprint
+	for _, rq := range requests[:min(maxLoggedRequests, len(requests))] {
+		contents = append(contents, rq.Content)
+	}
+	ct.da.Log.Info("control: endpoint ended under requests.", "endpoint", endpoint, "requests", len(requests), "contents", contents)
 	en := quarantine.Crash{Endpoint: endpoint, At: now, Requests: requests}
 	ct.applyCrash(en, now)
 	ct.announce(announcement{crash: &en, at: now})
 	ct.sendHeartbeat(heartbeatExtra{to: mesh.ToSteward})
 }
 
-// requestCompleted records and announces that a request completed under which endpoints had
-// crashed before.
-func (ct *control) requestCompleted(fp quarantine.Fingerprint) {
+// subjectCompleted records and announces that a request completed, or one with a part, under
+// which endpoints had crashed before.
+func (ct *control) subjectCompleted(fp quarantine.Fingerprint, took time.Duration) {
 	now := ct.da.Clock.Now()
-	an := quarantine.Completion{Request: fp, At: now}
+	an := quarantine.Completion{Subject: fp, At: now, Took: took}
 	ct.da.quarantine.RecordCompletion(an, now)
+	ct.quarantine.announcements = slices.DeleteFunc(ct.quarantine.announcements, func(te announcement) bool {
+		return te.completion != nil && te.completion.Subject == fp
+	})
 	ct.announce(announcement{completion: &an, at: now})
 }
 
@@ -114,11 +126,16 @@
 	ct.noteQuarantined(ct.da.quarantine.RecordCrash(en, now), "ends")
 }
 
-// noteQuarantined counts and logs newly quarantined requests.
-func (ct *control) noteQuarantined(requests []quarantine.Fingerprint, from string) {
-	for _, fp := range requests {
-		quarantinedCount.Inc()
-		ct.da.Log.Warn("control: request quarantined.", "content", fp, "from", from)
+// noteQuarantined counts and logs newly quarantined requests and parts.
+func (ct *control) noteQuarantined(entries []quarantine.Entry, from string) {
+	for _, en := range entries {
+		if en.Part {
+			quarantinedPartCount.Inc()
+			ct.da.Log.Warn("control: part of prompts quarantined.", "part", en.Subject, "from", from)
+		} else {
+			quarantinedCount.Inc()
+			ct.da.Log.Warn("control: request quarantined.", "content", en.Subject, "from", from)
+		}
 		// Daemons that follow the store write the entry immediately.
 		ct.quarantine.nextSync = time.Time{}
 	}
@@ -152,7 +169,7 @@
 }
 
 // addQuarantine adds the quarantine digest and the current announcements to a heartbeat,
-// newest first, up to maxAnnouncedRequests.
+// newest first, up to maxAnnouncedSubjects.
 func (ct *control) addQuarantine(be *mesh.Heartbeat, now time.Time) {
 	be.QuarantineDigest = ct.da.quarantine.Digest(now)
 	total := 0
@@ -160,7 +177,7 @@
 		if now.After(te.until) {
 			continue
 		}
-		if total += te.size(); total > maxAnnouncedRequests {
+		if total += te.size(); total > maxAnnouncedSubjects {
 			return
 		}
 		if te.crash != nil {
@@ -218,13 +235,15 @@
 // quarantineChanges returns the entries that the store lacks, and those in the store that
 // are no longer quarantined.
 func (ct *control) quarantineChanges(now time.Time) (puts []quarantine.Entry, deletes []quarantine.Fingerprint) {
+	held := ct.da.quarantine.Held(now)
 	for fp := range ct.quarantine.stored {
-		if _, held := ct.da.quarantine.Quarantined(fp, now); !held && len(deletes) < maxChanges {
+		isHeld := slices.ContainsFunc(held, func(en quarantine.Entry) bool { return en.Subject == fp })
+		if !isHeld && len(deletes) < maxChanges {
 			deletes = append(deletes, fp)
 		}
 	}
-	for _, en := range ct.da.quarantine.Entries(now) {
-		if _, held := ct.da.quarantine.Quarantined(en.Request, now); held && !ct.quarantine.stored[en.Request] && len(puts) < maxChanges {
+	for _, en := range held {
+		if !ct.quarantine.stored[en.Subject] && len(puts) < maxChanges {
 			puts = append(puts, en)
 		}
 	}
@@ -240,7 +259,7 @@
 		if err != nil {
 			return nil, eris.Wrap(err, "encode quarantine entry")
 		}
-		writes = append(writes, platform.Put{Key: quarantinePrefix + en.Request.String(), Value: raw})
+		writes = append(writes, platform.Put{Key: quarantinePrefix + en.Subject.String(), Value: raw})
 	}
 	var keys []string
 	for _, fp := range deletes {
@@ -288,19 +307,19 @@
 	}
 	for _, it := range items {
 		var en quarantine.Entry
-		if err := json.Unmarshal(it.Value, &en); err != nil || quarantinePrefix+en.Request.String() != it.Key {
+		if err := json.Unmarshal(it.Value, &en); err != nil || quarantinePrefix+en.Subject.String() != it.Key {
 			if !ct.loggedInvalid[it.Key] && len(ct.loggedInvalid) < maxLoggedInvalid {
 				ct.loggedInvalid[it.Key] = true
 				ct.da.Log.Warn("control: invalid quarantine entry ignored.", "key", it.Key, "revision", it.Revision)
 			}
 			continue
 		}
-		ct.quarantine.stored[en.Request] = true
+		ct.quarantine.stored[en.Subject] = true
 		ct.noteQuarantined(ct.da.quarantine.Merge([]quarantine.Entry{en}, now), fromStore)
 	}
 }
 
-// splitKeys splits the project's items in the store into daemons and quarantined requests.
+// splitKeys splits the project's items in the store into daemons and quarantined subjects.
 func splitKeys(items []platform.Item) (daemons, quarantined []platform.Item) {
 	for _, it := range items {
 		switch {
--- a/internal/entry/quarantine_test.go
+++ b/internal/entry/quarantine_test.go
@@ -141,11 +141,11 @@
 	for i := range crashesUntilQuarantine {
 		for _, at := range []struct{ addr, content string }{{open, "sound"}, {closed, "crash"}} {
 			known := make(chan bool, 1)
-			fp := quarantine.Fingerprint([]byte((at.content + strings.Repeat(" ", 16))[:16]))
-			ct.handleDisconnect(front.Disconnect{Request: fp, Endpoint: fmt.Sprint(at.content, i), Address: at.addr}, known)
+			rq := quarantine.Request{Content: quarantine.Fingerprint([]byte((at.content + strings.Repeat(" ", 16))[:16]))}
+			ct.handleDisconnect(front.Disconnect{Request: rq, Endpoint: fmt.Sprint(at.content, i), Address: at.addr}, known)
 			(<-ct.events)()
 			<-known
-			_, quarantined := ct.da.quarantine.Quarantined(fp, time.Now())
+			_, _, quarantined := ct.da.quarantine.Quarantined(rq, time.Now())
 			if want := at.content == "crash" && i == crashesUntilQuarantine-1; quarantined != want {
 				t.Errorf("%s, attempt %d: quarantined %v, want %v", at.content, i+1, quarantined, want)
 			}
@@ -161,8 +161,8 @@
 	for i := range 39 {
 		ct.da.mesh.AddPeers([]string{fmt.Sprint("10.0.1.", i)})
 	}
-	fp := quarantine.Fingerprint{1}
-	ct.announce(announcement{crash: &quarantine.Crash{Endpoint: "s1", Requests: []quarantine.Fingerprint{fp}}, at: cl.Now()})
+	rq := quarantine.Request{Content: quarantine.Fingerprint{1}}
+	ct.announce(announcement{crash: &quarantine.Crash{Endpoint: "s1", Requests: []quarantine.Request{rq}}, at: cl.Now()})
 	announced := func() int {
 		var be mesh.Heartbeat
 		ct.addQuarantine(&be, cl.Now())
--- a/internal/front/plain.go
+++ b/internal/front/plain.go
@@ -57,7 +57,7 @@
 			break
 		}
 		ep := pc.next()
-		if ep == nil || pc.recordAttempt(ca.attemptPlain(ctx, ep)) {
+		if ep == nil || pc.attempt(ctx, ep) {
 			break
 		}
 	}
@@ -80,8 +80,10 @@
 	return ep
 }
 
-// recordAttempt records the result of an attempt and reports whether it was the last one.
-func (pc *plainCall) recordAttempt(an *response, err error) bool {
+// attempt sends the request to an endpoint and reports whether that was the last attempt.
+func (pc *plainCall) attempt(ctx context.Context, ep *dispatch.PlainEndpoint) bool {
+	sent := pc.sv.Clock.Now()
+	an, err := pc.attemptPlain(ctx, ep)
 	pc.err = err
 	if err != nil {
 		if http1.VerdictOf(err) == verdict.NotRun {
@@ -96,7 +98,7 @@
 	}
 	pc.state = verdict.Ran
 	if an.status < http.StatusMultipleChoices {
-		pc.reportCompletion()
+		pc.reportCompletion(sent)
 	}
 	return an.status < http.StatusInternalServerError || !pc.route.Idempotent()
 }
--- a/internal/front/quarantine.go
+++ b/internal/front/quarantine.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"slices"
 	"time"
 
 	"corianderhub.dev/corianderhub/internal/core/quarantine"
@@ -11,24 +12,24 @@
 	"corianderhub.dev/corianderhub/platform"
 )
 
-// reasonQuarantined is the reason of a refusal of a quarantined request: one that server
-// processes have crashed on.
+// reasonQuarantined is the reason of a refusal of a request that server processes have crashed on,
+// or of one with such a part in its prompt.
 const reasonQuarantined = "quarantined"
 
 // Disconnect is a request whose endpoint closed the connection before the response was complete, or
 // at the end of a response without length or chunks.
 type Disconnect struct {
-	Request quarantine.Fingerprint
+	Request quarantine.Request
 	// Endpoint is the endpoint's ID, Address the address that the request was sent to.
 	Endpoint, Address string
 }
 
-// computeFingerprint sets the request's fingerprint and adds it to all its log lines. The
-// request ID can't serve for this, because it differs between a caller's attempts.
-func (ca *call) computeFingerprint() {
+// identify sets the identification of the request, and adds its content's fingerprint to all its log
+// lines. The request ID can't serve for this, because it differs between a caller's attempts.
+func (ca *call) identify() {
 	co := quarantine.Content{Method: ca.req.Method, Host: ca.req.Host, URI: ca.req.RequestURI, Caller: ca.caller(), Body: ca.body}
-	ca.fingerprint = co.Fingerprint()
-	ca.log = ca.log.With("content", ca.fingerprint)
+	ca.identity = quarantine.NewRequest(&co, ca.service, platform.SharedParts(ca.req.Header))
+	ca.log = ca.log.With("content", ca.identity.Content)
 }
 
 // caller identifies the caller: by workspace, or by the authorization header if there is none.
@@ -41,10 +42,23 @@
 }
 
 // quarantined reports whether the request must not be sent to any server, and for how much
-// longer. Server processes have crashed on it: each attempt could crash another one, with all
-// requests that it serves.
+// longer. Server processes have crashed on it, or on a part of its prompt: each attempt could crash
+// another one, with all requests that it serves. From time to time the steward's daemon sends one
+// request all the same.
 func (ca *call) quarantined() (time.Duration, bool) {
-	return ca.sv.Quarantine.Quarantined(ca.fingerprint, ca.sv.Clock.Now())
+	now := ca.sv.Clock.Now()
+	subject, left, quarantined := ca.sv.Quarantine.Quarantined(ca.identity, now)
+	if !quarantined {
+		return 0, false
+	}
+	if ca.sends == 0 && (ca.probe || ca.sv.MayProbe() && ca.sv.Quarantine.ClaimProbe(ca.identity, now)) {
+		ca.probe = true
+		return 0, false
+	}
+	if i := slices.Index(ca.identity.Parts, subject); i >= 0 {
+		ca.log = ca.log.With("part", platform.SharedParts(ca.req.Header)[i])
+	}
+	return left, true
 }
 
 // reportDisconnect reports an attempt that failed because its endpoint closed the connection.
@@ -54,12 +68,12 @@
 	if !http1.PeerClosed(err) && !errors.Is(err, errTruncatedEvent) {
 		return
 	}
-	known := ca.sv.OnDisconnect(Disconnect{ca.fingerprint, endpoint, addr})
-	if !ca.sv.Quarantine.Suspected(ca.fingerprint) {
+	crashed := ca.sv.OnDisconnect(Disconnect{ca.identity, endpoint, addr})
+	if len(ca.sv.Quarantine.Suspected(ca.identity)) == 0 {
 		return
 	}
 	select {
-	case <-known:
+	case <-crashed:
 	case <-ctx.Done():
 	}
 }
@@ -72,7 +86,7 @@
 	}
 	unframedCount.Inc()
 	select {
-	case crashed := <-ca.sv.OnDisconnect(Disconnect{ca.fingerprint, endpoint, addr}):
+	case crashed := <-ca.sv.OnDisconnect(Disconnect{ca.identity, endpoint, addr}):
 		if crashed {
 			return io.ErrUnexpectedEOF
 		}
@@ -82,10 +96,11 @@
 	}
 }
 
-// reportCompletion reports that an endpoint has completed the request and keeps running. The
-// earlier crashes on the request then had another reason.
-func (ca *call) reportCompletion() {
-	if ca.sv.Quarantine.Suspected(ca.fingerprint) {
-		ca.sv.OnCompletion(ca.fingerprint)
+// reportCompletion reports that an endpoint has completed the request that it was sent at a time, and
+// keeps running. The earlier crashes on the request and on the parts of its prompt then had another
+// reason.
+func (ca *call) reportCompletion(sent time.Time) {
+	for _, fp := range ca.sv.Quarantine.Complete(ca.identity) {
+		ca.sv.OnCompletion(fp, ca.sv.Clock.Now().Sub(sent))
 	}
 }
--- a/internal/front/quarantine_test.go
+++ b/internal/front/quarantine_test.go
@@ -18,7 +18,7 @@
 
 // quarantineRequest quarantines a request, as if servers had crashed on it.
 func (ri *rig) quarantineRequest(fp quarantine.Fingerprint) {
-	ri.front.Quarantine.Merge([]quarantine.Entry{{Request: fp, Since: time.Now()}}, time.Now())
+	ri.front.Quarantine.Merge([]quarantine.Entry{{Subject: fp, Since: time.Now()}}, time.Now())
 }
 
 // Guards against sending a quarantined request to another server when its caller retries it. The
@@ -53,11 +53,11 @@
 		t.Run(path, func(t *testing.T) {
 			ri := newRig(t)
 			fp := fingerprintOf(path, "crash")
-			ri.front.Quarantine.RecordCrash(quarantine.Crash{Endpoint: "earlier", At: time.Now(), Requests: []quarantine.Fingerprint{fp}}, time.Now())
+			ri.front.Quarantine.RecordCrash(quarantine.Crash{Endpoint: "earlier", At: time.Now(), Requests: []quarantine.Request{{Content: fp}}}, time.Now())
 			ri.front.OnDisconnect = func(bo Disconnect) <-chan bool {
 				known := make(chan bool, 1)
 				time.AfterFunc(50*time.Millisecond, func() {
-					ri.quarantineRequest(bo.Request)
+					ri.quarantineRequest(bo.Request.Content)
 					known <- true
 				})
 				return known
@@ -91,7 +91,7 @@
 				t.Errorf("%d completions reported of a request without crashes, want 0", num)
 			}
 			fp := fingerprintOf(path, "sound")
-			ri.front.Quarantine.RecordCrash(quarantine.Crash{Endpoint: "earlier", At: time.Now(), Requests: []quarantine.Fingerprint{fp}}, time.Now())
+			ri.front.Quarantine.RecordCrash(quarantine.Crash{Endpoint: "earlier", At: time.Now(), Requests: []quarantine.Request{{Content: fp}}}, time.Now())
 			ri.send(path, "sound", setTokenCounts)
 			ri.mu.Lock()
 			defer ri.mu.Unlock()
@@ -133,3 +133,58 @@
 	defer ri.mu.Unlock()
 	return len(ri.disconnects)
 }
+
+// setParts sets a prompt with the parts, the last of which is the request's own, and token counts.
+func setParts(parts string) func(*http.Request) {
+	return func(req *http.Request) {
+		setTokenCounts(req)
+		req.Header.Set(platform.HeaderPrefix, parts)
+	}
+}
+
+// part returns the fingerprint of a part of prompts for the service that streams.
+func part(id string) quarantine.Fingerprint {
+	return quarantine.NewRequest(&quarantine.Content{}, "engine", []string{id}).Parts[0]
+}
+
+// Guards against sending requests with a quarantined part to servers, and against refusing others of
+// the same caller. The last part is a request's own and is never quarantined.
+func TestQuarantinedPartIsRefused(t *testing.T) {
+	ri := newRig(t)
+	ri.addGroup(nil)
+	ri.front.Quarantine.Merge([]quarantine.Entry{{Subject: part("dead"), Part: true, Since: time.Now()}}, time.Now())
+	for parts, refused := range map[string]bool{"dead:5,a1:5,own:5": true, "a1:5,dead:5,own:5": true, "a1:5,own:5": false, "a1:5,dead:5": false, "": false} {
+		re := ri.send("/draft/x", "id-"+parts, setParts(parts))
+		if got := re.status == http.StatusServiceUnavailable; got != refused {
+			t.Errorf("parts %q: status %d, want refused %v", parts, re.status, refused)
+		}
+		if refused && re.header.Get(platform.HeaderRetryAfter) == "" {
+			t.Errorf("parts %q: refused without Retry-After", parts)
+		}
+		if num := ri.runs("id-" + parts); (num == 0) != refused {
+			t.Errorf("parts %q: ran %d times, refused %v", parts, num, refused)
+		}
+	}
+}
+
+// Guards against a verdict that never ends: once a probe is due, the daemon that may probe sends one
+// request, and no other until the next probe.
+func TestQuarantinedPartIsProbed(t *testing.T) {
+	ri := newRig(t)
+	ri.addGroup(nil)
+	ri.front.Quarantine.Merge([]quarantine.Entry{{Subject: part("dead"), Part: true, Since: time.Now().Add(-time.Hour)}}, time.Now())
+	if re := ri.send("/draft/x", "before", setParts("dead:5,own:5")); re.status != http.StatusServiceUnavailable {
+		t.Errorf("daemon that may not probe: status %d, want 503", re.status)
+	}
+	ri.front.MayProbe = func() bool { return true }
+	if re := ri.send("/draft/x", "probe", setParts("dead:5,own:5")); re.status != http.StatusOK || re.body != completeStream("probe") {
+		t.Errorf("probe: status %d with %q, want the complete stream", re.status, re.body)
+	}
+	if num := len(ri.completions); num == 0 {
+		t.Error("the completion of the probe is not reported")
+	}
+	// The rig records completions but doesn't apply them, so the part stays in quarantine.
+	if re := ri.send("/draft/x", "after", setParts("dead:5,own:5")); re.status != http.StatusServiceUnavailable {
+		t.Errorf("after the probe: status %d, want 503", re.status)
+	}
+}
--- a/internal/front/relay.go
+++ b/internal/front/relay.go
@@ -86,8 +86,8 @@
 	return nil
 }
 
-func (st *stream) finish() {
-	st.reportCompletion()
+func (st *stream) finish(sent time.Time) {
+	st.reportCompletion(sent)
 	st.sv.Table.RecordAnswer(st.choice.Group, st.events, st.sv.Clock.Now())
 	st.log.Info("front: answered.", "outcome", "whole", "status", http.StatusOK, "sends", st.sends, "events", st.events,
 		"group", st.choice.Group.Name, "first-ms", st.firstEvent.Milliseconds(), "predicted-ms", st.choice.FirstEvent.Milliseconds(),
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -50,13 +50,18 @@
 	OnMisrouted func()
 	// OnLeaving is called when an endpoint has announced its shutdown in a response.
 	OnLeaving func(catalog.Instance)
-	// Quarantine records the requests that server processes have crashed on.
+	// Quarantine records the requests and parts of prompts that server processes have crashed on.
 	Quarantine *quarantine.Ledger
 	// OnDisconnect is called when an endpoint closes the connection while it has a request.
 	// The returned channel, of capacity 1, receives whether the endpoint has crashed.
 	OnDisconnect func(Disconnect) <-chan bool
-	// OnCompletion is called when a request that endpoints have crashed on was completed.
-	OnCompletion func(quarantine.Fingerprint)
+	// OnCompletion is called with a request, or a part of prompts, that endpoints have crashed on,
+	// when a request with it was completed. took is the time since the request was sent to the
+	// endpoint.
+	OnCompletion func(subject quarantine.Fingerprint, took time.Duration)
+	// MayProbe reports whether this daemon may send a request with a quarantined part when a probe
+	// is due. Only one daemon may at a time.
+	MayProbe func() bool
 
 	stopping atomic.Bool
 	daemons  atomic.Int64
@@ -92,9 +97,11 @@
 	body    []byte
 	// hold counts the memory of the request's body and of its response.
 	hold *bodyHold
-	// fingerprint identifies the request by its content. It is the same for all attempts of
-	// a caller.
-	fingerprint quarantine.Fingerprint
+	// identity identifies the request by its content and the parts of its prompt. It is the same
+	// for all attempts of a caller.
+	identity quarantine.Request
+	// probe is set if the request is sent although a part of its prompt is quarantined.
+	probe bool
 	// arrived is when the request was received; deadline is when the caller must have a
 	// response.
 	arrived, deadline time.Time
@@ -233,7 +240,7 @@
 		return &refusal{status: http.StatusBadRequest, reason: "body-not-read", cause: err}
 	}
 	ca.body = body
-	ca.computeFingerprint()
+	ca.identify()
 	return nil
 }
 
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -137,7 +137,7 @@
 	st.state = verdict.Ran
 	err = st.relay(attemptCtx, ex, ti, ch, sent)
 	if err == nil {
-		st.finish()
+		st.finish(sent)
 		return ch, true
 	}
 	st.attemptFailed(attemptCtx, ch.Group, err, verdict.Ran)
--- a/internal/mesh/intervals_test.go
+++ b/internal/mesh/intervals_test.go
@@ -253,8 +253,8 @@
 // Guards against crash reports that dominate the traffic. A crash reports all requests
 // in flight, so with many daemons the report goes only to the steward.
 func TestCrashesSentOnlyToSteward(t *testing.T) {
-	be := Heartbeat{Crashes: []quarantine.Crash{{Endpoint: "s1", Age: 5, Requests: []quarantine.Fingerprint{{1, 2}, {3}}}},
-		Completions: []quarantine.Completion{{Request: quarantine.Fingerprint{4}, Age: 6}}, QuarantineDigest: 7}
+	be := Heartbeat{Crashes: []quarantine.Crash{{Endpoint: "s1", Age: 5, Requests: []quarantine.Request{{Content: quarantine.Fingerprint{1, 2}, Parts: []quarantine.Fingerprint{{5}}}, {Content: quarantine.Fingerprint{3}}}}},
+		Completions: []quarantine.Completion{{Subject: quarantine.Fingerprint{4}, Age: 6}}, QuarantineDigest: 7}
 	for _, work := range []WorkOf{WorkOwn, WorkNone, WorkRelayed} {
 		en := heartbeatEncoder{be: be, wo: Work{Except: func(string) dispatch.Work { return dispatch.Work{} }}}
 		raw, err := en.datagram(recipientOf(0, work))
