Don't send a request with an unproven part again after its server crashed

Callers saw each crashing request take two servers: it was sent to a second one while the end of the first was still unproved (the record: 22.693 s and 22.693 s). Cause: the wait for the crash check applied only to requests that were suspected already. Cost: a sound request with a part nobody has used is not resumed after a crash before its first event; its caller may retry. Weighed: never sending again what had no event (bystanders in the queue would pay), one such request at a time over all daemons (a permit that daemons cut off from each other can't agree on). Measured: TestUnprovenPartIsNotSentAgain fails without it (2 runs, 200).

--- a/internal/core/quarantine/ledger.go
+++ b/internal/core/quarantine/ledger.go
@@ -221,6 +221,13 @@
 	})
 }
 
+// Unproven reports whether no request has completed lately with one of the parts of the request.
+func (le *Ledger) Unproven(rq Request) bool {
+	le.mu.Lock()
+	defer le.mu.Unlock()
+	return slices.ContainsFunc(rq.Parts, func(fp Fingerprint) bool { return !le.proven.contains(fp) })
+}
+
 // Quarantined returns the subject of a request that is in quarantine for longest, the remaining time,
 // and whether there is one.
 func (le *Ledger) Quarantined(rq Request, now time.Time) (subject Fingerprint, left time.Duration, quarantined bool) {
--- a/internal/front/plain.go
+++ b/internal/front/plain.go
@@ -151,7 +151,7 @@
 		return
 	}
 	ca.sv.Plain.RecordFailure(ep, ca.sv.Clock.Now())
-	ca.reportDisconnect(ctx, ep.ID, ep.Address, err)
+	ca.reportDisconnect(ctx, ep.ID, ep.Address, err, false) // Requests to plain endpoints have no parts.
 	ca.log.Info("front: attempt failed.", "endpoint", ep.ID, "cause", err.Error())
 }
 
--- a/internal/front/quarantine.go
+++ b/internal/front/quarantine.go
@@ -61,20 +61,26 @@
 	return left, true
 }
 
-// reportDisconnect reports an attempt that failed because its endpoint closed the connection.
-// If endpoints have crashed on the request before, it waits until it is known whether this one
-// has, so that the request is not sent to the next endpoint in the meantime.
-func (ca *call) reportDisconnect(ctx context.Context, endpoint, addr string, err error) {
+// reportDisconnect reports an attempt that failed because its endpoint closed the connection. It
+// returns false if the request must not be sent again: the endpoint has crashed before the first
+// event, and no request with one of the prompt's parts has completed lately.
+//
+// It waits until it is known whether the endpoint has crashed if endpoints have crashed on the
+// request before, or may now have, so that the request is not sent to the next one in the meantime.
+func (ca *call) reportDisconnect(ctx context.Context, endpoint, addr string, err error, begun bool) bool {
 	if !http1.PeerClosed(err) && !errors.Is(err, errTruncatedEvent) {
-		return
+		return true
 	}
 	crashed := ca.sv.OnDisconnect(Disconnect{ca.identity, endpoint, addr})
-	if len(ca.sv.Quarantine.Suspected(ca.identity)) == 0 {
-		return
+	unproven := !begun && ca.sv.Quarantine.Unproven(ca.identity)
+	if !unproven && len(ca.sv.Quarantine.Suspected(ca.identity)) == 0 {
+		return true
 	}
 	select {
-	case <-crashed:
+	case yes := <-crashed:
+		return !yes || !unproven
 	case <-ctx.Done():
+		return true
 	}
 }
 
--- a/internal/front/quarantine_test.go
+++ b/internal/front/quarantine_test.go
@@ -188,3 +188,38 @@
 		t.Errorf("after the probe: status %d, want 503", re.status)
 	}
 }
+
+// Guards against a second crash under one request: if its first endpoint has crashed before the first
+// event, it is sent again only if requests with each part of its prompt have completed.
+func TestUnprovenPartIsNotSentAgain(t *testing.T) {
+	for _, tc := range []struct {
+		name            string
+		proven, crashed bool
+		runs            int
+	}{{"new part", false, true, 1}, {"part of completed requests", true, true, 2}, {"endpoint still running", false, false, 2}} {
+		t.Run(tc.name, func(t *testing.T) {
+			ri := newRig(t)
+			fault := failFirst(emulator.DropsResponse)
+			for range 2 {
+				ri.addGroup(fault)
+			}
+			if tc.crashed {
+				ri.crashOnce()
+			}
+			if tc.proven {
+				ri.front.Quarantine.Complete(quarantine.Request{Parts: []quarantine.Fingerprint{part("a1")}})
+			}
+			re := ri.send("/draft/x", "id", setParts("a1:5,own:5"))
+			if num := ri.runs("id"); num != tc.runs {
+				t.Errorf("ran %d times, want %d", num, tc.runs)
+			}
+			want := http.StatusOK
+			if tc.runs == 1 {
+				want = http.StatusBadGateway
+			}
+			if re.status != want {
+				t.Errorf("status %d, want %d", re.status, want)
+			}
+		})
+	}
+}
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -53,8 +53,10 @@
 	state verdict.Verdict
 	// final is a response without events, to be forwarded unchanged.
 	final *response
-	// cause is the error of the last failed attempt.
-	cause error
+	// cause is the error of the last failed attempt. crashed is set if its endpoint has crashed and
+	// the next one might, too.
+	cause   error
+	crashed bool
 }
 
 // stream handles a request on a streaming route.
@@ -266,13 +268,13 @@
 		st.state = verdict.MayHaveRun
 	}
 	st.cause = err
-	st.reportDisconnect(ctx, gr.Leader().ID, gr.Leader().Address, err)
+	st.crashed = !st.reportDisconnect(ctx, gr.Leader().ID, gr.Leader().Address, err, st.events > 0)
 	st.log.Info("front: attempt failed.", "group", gr.Name, "events", st.events, "parts", platform.SharedParts(st.req.Header), "cause", err.Error())
 }
 
 // mayRetry reports whether the request may be sent to another group.
 func (st *stream) mayRetry(ctx context.Context) bool {
-	if ctx.Err() != nil || errors.Is(st.cause, errCallerGone) || st.sends >= st.route.MaxAttempts || len(st.tried) >= maxGroupsTried {
+	if ctx.Err() != nil || st.crashed || errors.Is(st.cause, errCallerGone) || st.sends >= st.route.MaxAttempts || len(st.tried) >= maxGroupsTried {
 		return false
 	}
 	if st.state != verdict.NotRun && !st.route.Idempotent() {
