Soak: requests that crash servers, and responses without framing

The crash itself moved to the emulator (CrashOnPart). Now it resets (TestProxyResetsWhatIsNotWhole), and stops with its server, so crashes are recognized in soaks at all.

--- a/internal/entry/crashing_part_test.go
+++ b/internal/entry/crashing_part_test.go
@@ -4,13 +4,11 @@
 	"fmt"
 	"io"
 	"net/http"
-	"slices"
 	"strings"
 	"testing"
 	"time"
 
 	"corianderhub.dev/corianderhub/platform"
-	"corianderhub.dev/corianderhub/platform/emulator"
 )
 
 const (
@@ -22,20 +20,6 @@
 	maxPartCrashes, maxLaterSends = 5, 3
 )
 
-// crashOnParts makes model servers crash when they write the response to a request with one of the
-// parts.
-func (sk *stack) crashOnParts(parts ...string) {
-	sk.de.ReplacementDelay = 300 * time.Millisecond
-	sk.de.SetModelFault(func(req *http.Request) emulator.Fault {
-		for entry := range strings.SplitSeq(req.Header.Get(platform.HeaderPrefix), ",") {
-			if id, _, _ := strings.Cut(entry, ":"); slices.Contains(parts, id) {
-				return emulator.Crashes
-			}
-		}
-		return emulator.None
-	})
-}
-
 // sendWithParts sends a request of its own ID and body whose prompt has the parts and one of its
 // own, and returns the same as send.
 func (sk *stack) sendWithParts(ru *testDaemon, id string, parts ...string) string {
@@ -92,7 +76,8 @@
 		t.Run(tc.name, func(t *testing.T) {
 			sk := newStack(t, 3)
 			sk.de.SetUnframed(tc.unframed)
-			sk.crashOnParts(crashingPart)
+			sk.de.ReplacementDelay = 300 * time.Millisecond
+			sk.de.CrashOnPart(crashingPart)
 			sk.sendWithCrashingPart(crashingPart, 15)
 			sk.checkPartIsQuarantined(1)
 		})
--- a/internal/soak/backpressure.go
+++ b/internal/soak/backpressure.go
@@ -96,7 +96,7 @@
 	so.addServer()
 	so.deployment.Server(id).SetBackpressure(emulator.Backpressure{Leaving: true})
 	so.sleep(2 * drainTime)
-	defer so.check.BeginFault()()
+	defer so.check.BeginFault("backpressure")()
 	so.deployment.Deregister(id)
 	so.deployment.Kill(id)
 }
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -38,8 +39,11 @@
 	Disconnected, TimedOut bool
 }
 
-// span is a period of time. A zero end means that it has not ended.
-type span struct{ from, to time.Time }
+// span is a period of time. A zero end means that it has not ended. name is the fault's, if any.
+type span struct {
+	from, to time.Time
+	name     string
+}
 
 func (sp span) overlaps(from, to time.Time) bool {
 	return sp.from.Before(to) && (sp.to.IsZero() || sp.to.After(from))
@@ -98,11 +102,11 @@
 
 // BeginFault records the start of an unplanned fault. The returned function records
 // its end.
-func (ch *Checker) BeginFault() (end func()) {
+func (ch *Checker) BeginFault(name string) (end func()) {
 	ch.mu.Lock()
 	defer ch.mu.Unlock()
 	at := len(ch.unplannedFaults)
-	ch.unplannedFaults = append(ch.unplannedFaults, span{from: time.Now()})
+	ch.unplannedFaults = append(ch.unplannedFaults, span{from: time.Now(), name: name})
 	return func() {
 		ch.mu.Lock()
 		defer ch.mu.Unlock()
@@ -130,11 +134,11 @@
 // settleTime is how long after the end of an unplanned fault its effects are excused.
 const settleTime = 4 * time.Second
 
-// faultFree reports whether no unplanned fault could have had an effect in a period.
-// Callers hold mu.
-func (ch *Checker) faultFree(from, to time.Time) bool {
+// faultFree reports whether no unplanned fault could have had an effect in a period, apart
+// from those of the given names. Callers hold mu.
+func (ch *Checker) faultFree(from, to time.Time, except ...string) bool {
 	for _, sp := range ch.unplannedFaults {
-		if sp.overlaps(from.Add(-settleTime), to) {
+		if !slices.Contains(except, sp.name) && sp.overlaps(from.Add(-settleTime), to) {
 			return false
 		}
 	}
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -46,7 +46,7 @@
 		}, "planned stop"},
 		{"cut by a planned stop beside a fault", func(ch *Checker) {
 			ch.BeginStop(0)
-			ch.BeginFault()
+			ch.BeginFault("killed")
 			oc := answer(Slot, 0, "", true)
 			oc.End = time.Now().Add(time.Second)
 			ch.RecordOutcome(oc)
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"sync"
 	"time"
@@ -55,6 +56,12 @@
 	return ln.Addr().String(), nil
 }
 
+// Stop closes the listener and resets all connections, as the end of the target's process does.
+func (pr *Proxy) Stop() {
+	pr.ln.Close()
+	pr.closeAll(true)
+}
+
 // SetFault changes the fault of open and new connections. Reset closes the open ones.
 // A connection that has lost bytes forwards nothing more in that direction after the
 // fault ends, as when a stateful device between the ends has dropped its state.
@@ -78,8 +85,8 @@
 	pr.mu.Lock()
 	defer pr.mu.Unlock()
 	for nc := range pr.conns {
-		if tc, ok := nc.(*net.TCPConn); ok && reset {
-			_ = tc.SetLinger(0) // Makes Close send a reset.
+		if reset {
+			resetOnClose(nc)
 		}
 		nc.Close()
 	}
@@ -124,15 +131,24 @@
 	pr.track(to, true)
 	defer pr.track(to, false)
 	defer to.Close()
-	done := make(chan struct{}, 2)
-	go pr.copy(to, from, false, done)
-	go pr.copy(from, to, true, done)
-	<-done
+	whole := make(chan bool, 2)
+	go func() { whole <- pr.copy(to, from, false) }()
+	go func() { whole <- pr.copy(from, to, true) }()
+	if !<-whole {
+		resetOnClose(from)
+	}
 }
 
-// copy copies bytes in one direction, subject to the current fault.
-func (pr *Proxy) copy(to, from net.Conn, responses bool, done chan<- struct{}) {
-	defer func() { done <- struct{}{} }()
+// resetOnClose makes Close send a TCP reset.
+func resetOnClose(nc net.Conn) {
+	if tc, ok := nc.(*net.TCPConn); ok {
+		_ = tc.SetLinger(0) // The connection may be closed already.
+	}
+}
+
+// copy copies bytes in one direction, subject to the current fault. It reports whether all bytes
+// up to the end were copied. TCP doesn't deliver the end of a connection without the bytes before it.
+func (pr *Proxy) copy(to, from net.Conn, responses bool) (whole bool) {
 	buf := make([]byte, 16<<10)
 	discarding := false
 	for {
@@ -144,11 +160,11 @@
 		}
 		if num > 0 && !discarding {
 			if _, err := to.Write(buf[:num]); err != nil {
-				return
+				return false
 			}
 		}
 		if err != nil {
-			return
+			return err == io.EOF && !discarding
 		}
 	}
 }
--- a/internal/soak/proxy_test.go
+++ b/internal/soak/proxy_test.go
@@ -78,3 +78,58 @@
 		}
 	}
 }
+
+// Guards against a proxy that ends a connection as if all bytes had been delivered, although it has
+// discarded some or the target has reset it: a response without length would look complete.
+func TestProxyResetsWhatIsNotWhole(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		fault ConnFault
+		reset bool
+		want  error
+	}{{"closed by the target", NoConnFault, false, io.EOF}, {"reset by the target", NoConnFault, true, syscall.ECONNRESET},
+		{"closed by the target after lost bytes", OneWay, false, syscall.ECONNRESET}} {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer ln.Close()
+		pr := &Proxy{Target: ln.Addr().String()}
+		addr, err := pr.Start(t.Context())
+		if err != nil {
+			t.Fatal(err)
+		}
+		nc, err := net.Dial("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer nc.Close()
+		target, err := ln.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		pr.SetFault(tc.fault)
+		if _, err := io.WriteString(target, "line"); err != nil {
+			t.Fatal(err)
+		}
+		if tc.reset {
+			if _, err := io.ReadFull(nc, make([]byte, len("line"))); err != nil {
+				t.Fatal(err)
+			}
+			resetOnClose(target)
+		}
+		target.Close()
+		if err := nc.SetReadDeadline(time.Now().Add(waitTimeout)); err != nil {
+			t.Fatal(err)
+		}
+		if _, err = io.Copy(io.Discard, nc); err == nil {
+			err = io.EOF
+		}
+		if !errors.Is(err, tc.want) {
+			t.Errorf("%s: %v, want %v", tc.name, err, tc.want)
+		}
+	}
+}
+
+// waitTimeout bounds a wait for what must happen.
+const waitTimeout = 30 * time.Second
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -37,6 +37,8 @@
 	FaultInterval time.Duration
 	// Restores adds restores of the store from copies to the faults.
 	Restores bool
+	// Crashes adds requests that crash servers to the faults, and responses without framing.
+	Crashes bool
 	// Subnet gives the daemons the addresses 127.0.Subnet.1 and up.
 	Subnet int
 
@@ -103,7 +105,8 @@
 // start starts the emulated platform and the daemons, each with proxies of its own to
 // the store.
 func (so *Soak) start() error {
-	so.deployment = &emulator.Deployment{ModelServers: so.ModelServers, PlainServers: so.PlainServers, EventInterval: eventInterval, Proxy: so.proxyServer}
+	so.deployment = &emulator.Deployment{ModelServers: so.ModelServers, PlainServers: so.PlainServers, EventInterval: eventInterval, Proxy: so.proxyServer,
+		ReplacementDelay: replacementDelay, OnKill: func(id string) { so.serverProxy(id).Stop() }}
 	if err := so.deployment.Start(so.ctx); err != nil {
 		return err
 	}
@@ -174,7 +177,10 @@
 	clients.Go(func() { so.injectBackpressure(workCtx, &running) })
 	drawn := faults
 	if so.Restores {
-		drawn = append(slices.Clone(faults), restores)
+		drawn = append(slices.Clone(drawn), restores)
+	}
+	if so.Crashes {
+		drawn = append(slices.Clone(drawn), crashes...)
 	}
 	rnd := rand.New(rand.NewPCG(so.Seed, 1))
 	for workCtx.Err() == nil {
@@ -191,7 +197,7 @@
 func (so *Soak) runFault(fa fault, rnd *rand.Rand, dur time.Duration) {
 	so.Log.Info("soak: fault.", "fault", fa.String(), "for", dur)
 	if !fa.planned {
-		defer so.check.BeginFault()()
+		defer so.check.BeginFault(fa.name)()
 	}
 	fa.run(so, rnd, dur)
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -28,22 +28,22 @@
 		t.Fatalf("build of the daemon: %v: %s", err, out)
 	}
 	type run struct {
-		seed     uint64
-		restores bool
+		seed              uint64
+		restores, crashes bool
 	}
-	runs := []run{{1, false}, {1, true}}
+	runs := []run{{1, false, false}, {1, true, false}, {1, false, true}}
 	for _, re := range regressions {
-		runs = append(runs, run{re.seed, false})
+		runs = append(runs, run{re.seed, false, false})
 	}
 	for _, ru := range runs {
-		so := &Soak{Log: slog.New(slog.DiscardHandler), Binary: binary, Dir: t.TempDir(), Seed: ru.seed, Restores: ru.restores, Daemons: 4, ModelServers: 9, PlainServers: 3,
+		so := &Soak{Log: slog.New(slog.DiscardHandler), Binary: binary, Dir: t.TempDir(), Seed: ru.seed, Restores: ru.restores, Crashes: ru.crashes, Daemons: 4, ModelServers: 9, PlainServers: 3,
 			Clients: 16, Duration: 6 * time.Second, FaultInterval: 700 * time.Millisecond, Subnet: 119}
 		violations, err := so.Run(t.Context())
 		if err != nil {
 			t.Fatal(err)
 		}
 		for _, vi := range violations {
-			t.Errorf("seed %d, restores %t: %s", ru.seed, ru.restores, vi)
+			t.Errorf("seed %d, restores %t, crashes %t: %s", ru.seed, ru.restores, ru.crashes, vi)
 		}
 	}
 }
