Own interface: quarantine completions and messages that engines crash on

Callers would have seen all groups lost to one message: a completion that crashes its engine resumed at the next group, six times each, and nothing was remembered beyond it. Now each daemon keeps a ledger (core/quarantine) of requests and of messages but the last; an attempt that breaks off is followed by a check of the engine's port; what is quarantined is refused at once, 503 'quarantined' with Retry-After, and probed at intervals that double. Weighed: sharing the ledger by gossip. Left open, so each of N daemons may lose three engines to one message. Measured: TestCrashingMessageIsQuarantined, one daemon, six engines: before, the first request took all six and five of six sound ones got 502; after, three engines, all sound ones served.

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -23,6 +23,7 @@
 	"corianderhub.dev/corianderhub/internal/core/control"
 	"corianderhub.dev/corianderhub/internal/core/gossip"
 	"corianderhub.dev/corianderhub/internal/core/intent"
+	"corianderhub.dev/corianderhub/internal/core/quarantine"
 	"corianderhub.dev/corianderhub/internal/core/retry"
 	"corianderhub.dev/corianderhub/internal/endpoint"
 	"corianderhub.dev/corianderhub/internal/platform/claims"
@@ -71,6 +72,8 @@
 	// EntriesLifetime is how long callers may cache a response of /v1/entries.
 	EntriesLifetime time.Duration
 
+	// crashes records the completions and messages that engines have crashed on.
+	crashes  quarantine.Ledger
 	budget   *retry.Budget
 	picker   addressPicker
 	inFlight inFlight
--- a/internal/caller/complete.go
+++ b/internal/caller/complete.go
@@ -13,6 +13,7 @@
 	"corianderhub.dev/corianderhub/internal/core/admit"
 	"corianderhub.dev/corianderhub/internal/core/claim"
 	"corianderhub.dev/corianderhub/internal/core/control"
+	"corianderhub.dev/corianderhub/internal/core/quarantine"
 	"corianderhub.dev/corianderhub/internal/core/route"
 	"corianderhub.dev/corianderhub/internal/endpoint"
 	"corianderhub.dev/corianderhub/pkg/admin"
@@ -52,7 +53,12 @@
 	maxTokens int
 	routing   route.Request
 	guard     atMostOnce
-	out       completionWriter
+	// identity identifies the request and its messages when engines crash.
+	identity quarantine.Request
+	// sentAt is when the last attempt was sent, address where to.
+	sentAt  time.Time
+	address string
+	out     completionWriter
 	// sentText is the text received from engines so far. A stream has passed it
 	// on to the caller already. sentTokens is the number of its tokens.
 	sentText     strings.Builder
@@ -141,6 +147,7 @@
 	co.routing.Prefixes = route.Prefixes(make([]uint64, 0, 4), name, prompt)
 	co.routing.PromptTokens = int64(len(prompt) / bytesPerToken)
 	co.out = newCompletionWriter(co)
+	co.identity = identify(co)
 	return co, nil
 }
 
@@ -191,6 +198,9 @@
 func (se *Server) runAttempts(ctx context.Context, co *completion) error {
 	se.budget.Earn()
 	for try := 1; ; try++ {
+		if ve := se.checkQuarantine(co); ve != nil {
+			return co.adjustVerdict(ve)
+		}
 		sentBefore := co.sentTokens
 		gr := se.pickGroup(ctx, co)
 		if gr == nil {
@@ -200,9 +210,11 @@
 		if ve == nil || co.finishReason != "" && ctx.Err() == nil {
 			// The engine has sent a finish reason, so the text is complete.
 			// Only what follows the text, such as the usage, can be missing.
+			se.recordCompletion(co)
 			return nil
 		}
-		if !co.mayContinue(ve) || ctx.Err() != nil || try == maxAttempts {
+		crashed := se.recordCrash(ctx, co, co.address, ve, co.sentTokens > sentBefore)
+		if crashed || !co.mayContinue(ve) || ctx.Err() != nil || try == maxAttempts {
 			return co.adjustVerdict(ve)
 		}
 		// An attempt that added tokens leaves less work for the next one, so
@@ -285,7 +297,8 @@
 	defer gr.End(num)
 	co.pool.router.Remember(co.routing, gr)
 	co.ex.record.addAttempt(admin.Attempt{At: se.Clock.Now(), Target: gr.ID, Reason: "picked", Load: gr.Load()})
-	at := &delivery{se: se, co: co, gr: gr, target: ta, sentAt: se.Clock.Now()}
+	co.sentAt, co.address = se.Clock.Now(), ta.Address
+	at := &delivery{se: se, co: co, gr: gr, target: ta, sentAt: co.sentAt}
 	return se.Engines.Complete(ctx, endpoint.CompletionRequest{
 		RequestID:    co.ex.id,
 		Address:      ta.Address,
--- a/internal/standin/completion.go
+++ b/internal/standin/completion.go
@@ -97,6 +97,9 @@
 func (en *Engine) stream(w http.ResponseWriter, req *http.Request, cb completionBody, ef EngineFaults) {
 	chat := strings.Contains(req.URL.Path, "chat")
 	prompt, resumed := cb.split(chat)
+	if en.OnPrompt != nil {
+		en.OnPrompt(prompt)
+	}
 	total := resumed + cb.MaxTokens
 	if cb.MaxTokens == 0 {
 		total = max(resumed, defaultTokens)
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -42,6 +42,8 @@
 	// Slots is the number of requests that run at once; further ones wait. Zero
 	// means no limit.
 	Slots int
+	// OnPrompt is called with the prompt of each request that begins to run; nil means nothing.
+	OnPrompt func(prompt string)
 	// IgnoresFencing makes the engine accept orders with an old fencing token.
 	IgnoresFencing bool
 
--- a/pkg/verdict/verdict.go
+++ b/pkg/verdict/verdict.go
@@ -68,6 +68,8 @@
 	// CodeNotReady means that the daemon has no configuration yet, or that no daemon
 	// answered.
 	CodeNotReady Code = "not-ready"
+	// CodeQuarantined means that engines have crashed on the request, or on a part of its prompt.
+	CodeQuarantined Code = "quarantined"
 	// CodePlatform means that the platform's key-value service did not answer.
 	CodePlatform Code = "platform-unavailable"
 )
@@ -135,6 +137,7 @@
 	CodeInvalid:        http.StatusUnprocessableEntity,
 	CodeNotReady:       http.StatusServiceUnavailable,
 	CodePlatform:       http.StatusServiceUnavailable,
+	CodeQuarantined:    http.StatusServiceUnavailable,
 }
 
 // Status returns the HTTP status of a response with the error: 500 for a code that has
