Judge parts of prompts by what all daemons have proven

A sound part would have been refused everywhere if one daemon had not yet seen it complete: the verdict of any daemon holds at all, and each knew only its own completions. Change: a crash report says which parts the reporting daemon has proven; three different requests must have had the part (two before); where daemons are many only the steward judges parts, unless none was heard for 3 s.

--- a/internal/core/quarantine/fingerprint.go
+++ b/internal/core/quarantine/fingerprint.go
@@ -50,6 +50,9 @@
 type Request struct {
 	Content Fingerprint   `cbor:"1,keyasint"`
 	Parts   []Fingerprint `cbor:"2,keyasint,omitempty"`
+	// Proven has a bit for each part with which requests have completed lately at the daemon that
+	// reports a crash, the lowest for the first.
+	Proven uint16 `cbor:"3,keyasint,omitempty"`
 }
 
 // NewRequest returns the identification of a request to a service whose prompt shares the parts with
@@ -63,6 +66,10 @@
 	return re
 }
 
+// provenAt reports whether the daemon that reports a crash has proven a subject, by its index in
+// Subjects.
+func (re *Request) provenAt(i int) bool { return i > 0 && re.Proven>>(i-1)&1 == 1 }
+
 // Subjects returns the fingerprints of the request and of its parts.
 func (re *Request) Subjects() []Fingerprint {
 	return append([]Fingerprint{re.Content}, re.Parts...)
--- a/internal/core/quarantine/ledger.go
+++ b/internal/core/quarantine/ledger.go
@@ -21,7 +21,7 @@
 	provenPartThreshold = 5
 	// minPartRequests is the number of different requests that must have run during the crashes of
 	// a part. Otherwise the one request explains them.
-	minPartRequests = 2
+	minPartRequests = 3
 	// TTL is how long a request stays in quarantine. A request that crashes endpoints does so until
 	// their software is fixed.
 	TTL = 24 * time.Hour
@@ -93,8 +93,14 @@
 	proven  provenParts
 	// num is len(subjects). Readers check it first, to avoid the lock while there are none.
 	num atomic.Int64
+	// deferring is set by SetDeferring.
+	deferring atomic.Bool
 }
 
+// SetDeferring sets whether another daemon, which receives all reports, judges parts. A part that is
+// at all crashes that one daemon sees may not be at all of them.
+func (le *Ledger) SetDeferring(on bool) { le.deferring.Store(on) }
+
 // RecordCrash records an endpoint crash, and returns the subjects that are newly quarantined by it.
 func (le *Ledger) RecordCrash(en Crash, now time.Time) []Entry {
 	le.mu.Lock()
@@ -103,7 +109,11 @@
 	var present []Fingerprint
 	for _, rq := range en.Requests {
 		for i, fp := range rq.Subjects() {
+			if rq.provenAt(i) {
+				le.proven.add(fp)
+			}
 			re := le.record(fp, i > 0, now)
+			re.proven = re.proven || rq.provenAt(i)
 			re.addCrash(se, rq.Content)
 			present = append(present, fp)
 			if re.quarantined(now) {
@@ -140,6 +150,9 @@
 func (le *Ledger) judge(present []Fingerprint, at, now time.Time) []Entry {
 	var newly []Entry
 	for _, part := range []bool{true, false} {
+		if part && le.deferring.Load() {
+			continue
+		}
 		var guilty []Fingerprint
 		for _, fp := range present {
 			if re := le.subjects[fp]; re != nil && re.part == part && re.guilty() {
@@ -221,6 +234,21 @@
 	})
 }
 
+// MarkProven sets which parts of the requests have been proven, for the report of a crash.
+func (le *Ledger) MarkProven(requests []Request) {
+	le.mu.Lock()
+	defer le.mu.Unlock()
+	for i := range requests {
+		rq := &requests[i]
+		rq.Proven = 0
+		for num, fp := range rq.Parts {
+			if le.proven.contains(fp) {
+				rq.Proven |= 1 << num
+			}
+		}
+	}
+}
+
 // Unproven reports whether no request has completed lately with one of the parts of the request.
 func (le *Ledger) Unproven(rq Request) bool {
 	le.mu.Lock()
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -249,6 +249,7 @@
 		ct.crashChecks.sweep(now)
 		ct.logUnreached(now)
 		ct.da.quarantine.Sweep(now)
+		ct.da.quarantine.SetDeferring(ct.defersParts(now))
 		ct.da.backpressure.Sweep(now)
 		ct.shareBudgets()
 		ct.shareLimits(now)
--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -44,6 +44,9 @@
 	quarantineSyncInterval = 2 * time.Second
 	// maxQuarantinePause bounds that time while the store does not answer.
 	maxQuarantinePause = 8 * time.Second
+	// maxStewardSilence is the time without a steward after which a daemon judges by what it has
+	// seen itself.
+	maxStewardSilence = 3 * time.Second
 	// maxChanges is the number of keys that the store accepts in one transaction.
 	maxChanges = 32
 	// maxLoggedRequests bounds the requests named in one log line.
@@ -98,6 +101,7 @@
 func (ct *control) endpointCrashed(endpoint string, requests []quarantine.Request) {
 	now := ct.da.Clock.Now()
 	crashCount.Inc()
+	ct.da.quarantine.MarkProven(requests)
 	var contents []quarantine.Fingerprint
 	for _, rq := range requests[:min(maxLoggedRequests, len(requests))] {
 		contents = append(contents, rq.Content)
@@ -217,6 +221,12 @@
 	})
 }
 
+// defersParts reports whether the steward judges the parts of prompts. It receives the reports of
+// all daemons, this one only its own.
+func (ct *control) defersParts(now time.Time) bool {
+	return !ct.da.mesh.Direct() && !ct.lease.ready() && now.Sub(ct.lastStewardHeartbeat) < maxStewardSilence
+}
+
 // stepQuarantine synchronizes the quarantine with the store while this daemon follows it.
 func (ct *control) stepQuarantine(now time.Time) {
 	qc := &ct.quarantine
