Test of parts that no crash tells apart, known to fail

Requests with a crashing part between two sound ones put all three in quarantine, since all were at the same crashes. Sound requests with one or both of the sound parts are then refused until the probe after two minutes.

--- a/internal/entry/crashing_part_test.go
+++ b/internal/entry/crashing_part_test.go
@@ -83,3 +83,34 @@
 		})
 	}
 }
+
+// Guards against sound parts that stay refused because they were at all crashes of a crashing part, and
+// no request with them had completed before: no crash tells these parts apart.
+func TestInseparablePartsAreDecided(t *testing.T) {
+	const first, last = "aaaa", "dddd"
+	const crashing, sound, wantServed = 12, 20, 10
+	sk := newStack(t, 3)
+	sk.de.ReplacementDelay = 300 * time.Millisecond
+	sk.de.CrashOnPart(crashingPart)
+	for num := range crashing {
+		ru := sk.daemons[num%len(sk.daemons)]
+		sk.untilServed(ru)
+		sk.sendWithParts(ru, fmt.Sprint("crash-", num), first, crashingPart, last)
+	}
+	for _, parts := range [][]string{{first}, {first, last}} {
+		served := 0
+		for num := range sound {
+			id := fmt.Sprint("sound-", len(parts), "-", num)
+			if sk.sendWithParts(sk.daemons[num%len(sk.daemons)], id, parts...) == completeStream(id) {
+				served++
+			}
+		}
+		if served < wantServed {
+			t.Errorf("%d of %d sound requests with parts %v served, want %d", served, sound, parts, wantServed)
+		}
+	}
+	if num := sk.de.Crashes(); num > maxPartCrashes+maxLaterSends {
+		t.Errorf("%d servers crashed, want %d at most", num, maxPartCrashes+maxLaterSends)
+	}
+	sk.checkInvariants()
+}
