Tell parts that were at the same crashes from each other by trials

Cause: parts that were at all the same crashes are quarantined together, and stay so until the probe after two minutes. Change: the steward grants one request at a time that has some of the quarantined parts and lacks others of the same crashes. Its completion clears its parts; its crash is one more of its parts, which then explain all crashes of the others.

--- a/internal/core/quarantine/fingerprint.go
+++ b/internal/core/quarantine/fingerprint.go
@@ -48,11 +48,11 @@
 
 // Request identifies a request and the parts of its prompt that other requests may share.
 type Request struct {
-	Content Fingerprint   `cbor:"1,keyasint"`
-	Parts   []Fingerprint `cbor:"2,keyasint,omitempty"`
+	Content Fingerprint   `cbor:"1,keyasint" json:"content"`
+	Parts   []Fingerprint `cbor:"2,keyasint,omitempty" json:"parts,omitempty"`
 	// Proven has a bit for each part with which requests have completed lately at the daemon that
 	// reports a crash, the lowest for the first.
-	Proven uint16 `cbor:"3,keyasint,omitempty"`
+	Proven uint16 `cbor:"3,keyasint,omitempty" json:"-"`
 }
 
 // NewRequest returns the identification of a request to a service whose prompt shares the parts with
--- a/internal/core/quarantine/ledger.go
+++ b/internal/core/quarantine/ledger.go
@@ -77,6 +77,8 @@
 	// crashes are the latest crashes, oldest report first.
 	crashes []*endpointCrash
 	proven  provenParts
+	// trial is the latest request that ClaimTrial granted, or nil.
+	trial *trial
 	// num is len(subjects). Readers check it first, to avoid the lock while there are none.
 	num atomic.Int64
 	// deferring is set by SetDeferring.
@@ -108,6 +110,7 @@
 			}
 		}
 	}
+	le.noteTrialCrash(en)
 	newly := le.judge(present, en.At, now)
 	le.release(now)
 	return newly
@@ -262,6 +265,14 @@
 	return subject, left, quarantined
 }
 
+// Holds reports whether a subject is in quarantine.
+func (le *Ledger) Holds(subject Fingerprint, now time.Time) bool {
+	le.mu.Lock()
+	defer le.mu.Unlock()
+	re := le.subjects[subject]
+	return re != nil && re.quarantined(now)
+}
+
 // minRetryAfter is the least remaining time of a quarantine that callers are given.
 const minRetryAfter = time.Second
 
--- a/internal/core/quarantine/record.go
+++ b/internal/core/quarantine/record.go
@@ -41,6 +41,8 @@
 	// probedAt is when a request was last sent in spite of the quarantine, probes how often.
 	probedAt time.Time
 	probes   int
+	// trials counts the requests that ClaimTrial granted since the subject last completed.
+	trials int
 	// updatedAt is when the record was last updated.
 	updatedAt time.Time
 }
@@ -67,6 +69,7 @@
 	first := slices.IndexFunc(re.crashes, re.attributed)
 	if first < 0 || sent.After(re.crashes[first].at) {
 		re.completedAt = latest(re.completedAt, an.At)
+		re.trials = 0
 	}
 	re.clearedTo = latest(re.clearedTo, sent)
 }
--- a/internal/core/quarantine/traffic_test.go
+++ b/internal/core/quarantine/traffic_test.go
@@ -26,9 +26,13 @@
 	// wrong are the parts other than crashing that were quarantined.
 	wrong map[string]bool
 	// refused counts the sound requests that were refused, of those that were sent.
-	sent, refused int
-	// late counts the requests with a crashing part that were sent.
-	late int
+	// sentWith counts those with a part of with, refusedWith the refused ones of these.
+	sent, refused, sentWith, refusedWith int
+	// late counts the requests with a crashing part that were sent, trials those granted by the steward.
+	late, trials int
+	// with are the parts that all requests with a crashing part have. Sound requests have one of them now
+	// and then, but not before the first crash.
+	with []string
 }
 
 type testGroup struct {
@@ -96,7 +100,7 @@
 		}
 		if len(tr.crashing) > 0 && tr.rnd.Float64() < crashPerSecond*testStep.Seconds() {
 			part := tr.crashing[tr.rnd.IntN(len(tr.crashing))]
-			if tr.send(&testRequest{name: fmt.Sprint("crash-", tr.now.UnixNano()), parts: []string{tr.usualPart(), part}, crashes: true}) {
+			if tr.send(&testRequest{name: fmt.Sprint("crash-", tr.now.UnixNano()), parts: tr.crashingParts(part), crashes: true}) {
 				tr.late++
 			}
 		}
@@ -138,24 +142,39 @@
 
 func (tr *traffic) usualPart() string { return fmt.Sprint("usual-", tr.rnd.IntN(usualParts)) }
 
+// crashingParts returns the parts of a request that crashes its endpoint.
+func (tr *traffic) crashingParts(part string) []string {
+	if len(tr.with) == 0 {
+		return []string{tr.usualPart(), part}
+	}
+	return append([]string{tr.usualPart(), part}, tr.with...)
+}
+
 func (tr *traffic) sendSound() {
 	second := fmt.Sprint("second-", tr.rnd.IntN(usualParts))
 	if tr.rnd.IntN(rareShare) == 0 {
 		second = fmt.Sprint("rare-", tr.rnd.IntN(rareParts))
 	}
+	if len(tr.with) > 0 && tr.crashes >= CrashThreshold && tr.rnd.IntN(rareShare) == 0 {
+		second = tr.with[tr.rnd.IntN(len(tr.with))]
+		tr.sentWith++
+	}
 	if slices.Contains(tr.crashing, second) {
 		return
 	}
 	tr.sent++
 	if !tr.send(&testRequest{name: fmt.Sprint("sound-", tr.now.UnixNano()), parts: []string{tr.usualPart(), second}}) {
 		tr.refused++
+		if slices.Contains(tr.with, second) {
+			tr.refusedWith++
+		}
 	}
 }
 
 // send sends a request to a random group that is up, and reports whether it was sent.
 func (tr *traffic) send(rq *testRequest) bool {
 	rq.daemon = tr.rnd.IntN(len(tr.ledgers))
-	if _, _, held := tr.ledgers[rq.daemon].Quarantined(tr.identity(rq), tr.now); held {
+	if _, _, held := tr.ledgers[rq.daemon].Quarantined(tr.identity(rq), tr.now); held && !tr.claimTrial(rq) {
 		return false
 	}
 	up := slices.DeleteFunc(slices.Clone(tr.groups), func(gr *testGroup) bool { return tr.now.Before(gr.downUntil) })
@@ -172,6 +191,15 @@
 	return true
 }
 
+// claimTrial asks the first daemon, which is the steward, for a trial.
+func (tr *traffic) claimTrial(rq *testRequest) bool {
+	if len(tr.ledgers[rq.daemon].HeldParts(tr.identity(rq), tr.now)) == 0 || !tr.ledgers[0].ClaimTrial(tr.identity(rq), tr.now) {
+		return false
+	}
+	tr.trials++
+	return true
+}
+
 // step completes the requests of a group that are due.
 func (tr *traffic) step(gr *testGroup) {
 	for _, rq := range slices.Clone(gr.running) {
@@ -252,36 +280,43 @@
 		steward bool
 		// meanCrashes is the number of servers that one part may crash on average, 0 for any.
 		meanCrashes int
+		with        []string
 	}{
-		{"new part", 5 * time.Second, []string{"crashing"}, 6, false, 5},
-		{"new part at daemons that have just started", 0, []string{"crashing"}, 6, false, 5},
-		{"two new parts", 5 * time.Second, []string{"crashing", "other-crashing"}, 6, false, 5},
-		{"part that was sound before", 5 * time.Second, []string{"second-0"}, 6, false, 0},
-		{"new part, steward of 40 daemons", 5 * time.Second, []string{"crashing"}, 40, true, 5},
-		{"rare part that was sound before", 5 * time.Second, []string{"rare-0"}, 6, false, 0},
+		{"new part", 5 * time.Second, []string{"crashing"}, 6, false, 5, nil},
+		{"new part at daemons that have just started", 0, []string{"crashing"}, 6, false, 5, nil},
+		{"two new parts", 5 * time.Second, []string{"crashing", "other-crashing"}, 6, false, 5, nil},
+		{"part that was sound before", 5 * time.Second, []string{"second-0"}, 6, false, 0, nil},
+		{"new part, steward of 40 daemons", 5 * time.Second, []string{"crashing"}, 40, true, 5, nil},
+		{"new part, always with two others", 5 * time.Second, []string{"crashing"}, 6, false, 8, []string{"with-0", "with-1"}},
+		{"new part, always with two others, steward of 40 daemons", 5 * time.Second, []string{"crashing"}, 40, true, 8, []string{"with-0", "with-1"}},
+		{"rare part that was sound before", 5 * time.Second, []string{"rare-0"}, 6, false, 0, nil},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			crashes, wrong, refused, sent, most := 0, 0, 0, 0, 0
+			crashes, wrong, refused, sent, most, trials := 0, 0, 0, 0, 0, 0
 			for seed := range uint64(seeds) {
 				tr := newTraffic(seed, tc.daemons, tc.steward)
 				tr.run(tc.warmUp)
-				tr.crashing = tc.parts
+				tr.crashing, tr.with = tc.parts, tc.with
 				for tr.crashes < 5*len(tc.parts) && tr.now.Sub(begin) < time.Minute {
 					tr.run(testStep)
 				}
 				tr.run(contactTime)
-				tr.sent, tr.refused, tr.late = 0, 0, 0
+				tr.sent, tr.refused, tr.late, tr.sentWith, tr.refusedWith = 0, 0, 0, 0, 0
 				tr.run(10 * time.Second)
 				if tr.late > maxLate*len(tc.parts) {
 					t.Errorf("seed %d: requests with a crashing part sent %d times after the fifth crash, want %d at most", seed, tr.late, maxLate*len(tc.parts))
 				}
+				if tr.refusedWith*2 > tr.sentWith {
+					t.Errorf("seed %d: %d of %d sound requests with an inseparable part refused, want half at most", seed, tr.refusedWith, tr.sentWith)
+				}
+				trials += tr.trials
 				if tr.refused*2 > tr.sent {
 					t.Errorf("seed %d: %d of %d sound requests refused, want half at most", seed, tr.refused, tr.sent)
 				}
 				crashes, wrong, most = crashes+tr.crashes, wrong+len(tr.wrong), max(most, tr.crashes)
 				refused, sent = refused+tr.refused, sent+tr.sent
 			}
-			t.Logf("crashes: %d in %d runs, %d at most; sound parts quarantined: %d; sound requests refused: %d of %d", crashes, seeds, most, wrong, refused, sent)
+			t.Logf("crashes: %d in %d runs, %d at most; sound parts quarantined: %d; sound requests refused: %d of %d; trials: %d", crashes, seeds, most, wrong, refused, sent, trials)
 			if tc.meanCrashes > 0 && crashes > tc.meanCrashes*seeds*len(tc.parts) {
 				t.Errorf("%d crashes in %d runs, want %d a part on average at most", crashes, seeds, tc.meanCrashes)
 			}
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -79,6 +79,7 @@
 	control *control
 	mesh    *mesh.Mesh
 	peers   *mesh.Client
+	trials  trials
 	dialer  *relay.Dialer
 	relay   *relay.Server
 	pool    *http1.Pool
@@ -183,9 +184,11 @@
 		OnCompletion: func(fp quarantine.Fingerprint, took time.Duration) {
 			da.control.post(func() { da.control.subjectCompleted(fp, took) })
 		},
-		MayProbe: func() bool { return da.control.acting.Load() },
+		MayProbe:   func() bool { return da.control.acting.Load() },
+		ClaimTrial: func(ctx context.Context, rq quarantine.Request) bool { return da.trials.claim(ctx, rq) },
 		Budget: &dispatch.Budget{StartedAt: da.Clock.Now(), Ratio: set.Bounds.RetryRatio, Window: set.Bounds.RetryWindow,
 			Slack: set.Bounds.RetrySlack * budgetShare / minBudgetDaemons}}
+	da.trials.da = da
 	da.control = newControl(da)
 	return nil
 }
@@ -313,6 +316,7 @@
 func (da *Daemon) peerHandler() http.Handler {
 	sv := &mesh.Server{View: da.view.Load, Daemons: da.mesh.Known,
 		Quarantine:   func() []quarantine.Entry { return da.quarantine.Entries(da.Clock.Now()) },
+		ClaimTrial:   da.trials.grant,
 		Backpressure: func() []backpressure.Notice { return da.backpressure.Notices(da.Clock.Now()) },
 		Config: func() ([]byte, int64) {
 			if co := da.config.Load(); co != nil {
--- a/internal/entry/heartbeats.go
+++ b/internal/entry/heartbeats.go
@@ -98,6 +98,7 @@
 	}
 	ct.steward, ct.lastStewardHeartbeat = be, now
 	ct.da.mesh.SetSteward(be.IP)
+	ct.da.trials.steward.Store(&stewardContact{be.IP, now})
 	for _, su := range be.Healthy {
 		ct.da.table.MarkHealthy(su.Group)
 	}
--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -118,11 +118,16 @@
 func (ct *control) subjectCompleted(fp quarantine.Fingerprint, took time.Duration) {
 	now := ct.da.Clock.Now()
 	an := quarantine.Completion{Subject: fp, At: now, Took: took}
+	held := ct.da.quarantine.Holds(fp, now)
 	ct.da.quarantine.RecordCompletion(an, now)
 	ct.quarantine.announcements = slices.DeleteFunc(ct.quarantine.announcements, func(te announcement) bool {
 		return te.completion != nil && te.completion.Subject == fp
 	})
 	ct.announce(announcement{completion: &an, at: now})
+	if held {
+		// Until the others know, they refuse requests with it.
+		ct.sendHeartbeat(heartbeatExtra{to: mesh.ToSteward})
+	}
 }
 
 // applyCrash applies a crash that this daemon or another one has seen.
--- a/internal/front/harness_test.go
+++ b/internal/front/harness_test.go
@@ -83,6 +83,7 @@
 	ri.front = &Server{Clock: clock.System{}, Log: slog.New(slog.NewTextHandler(&ri.log, nil)), Table: ri.table, Plain: ri.plain,
 		Config: func() *catalog.Config { return ri.cfg }, Stale: func() bool { return false }, OnMisrouted: func() {}, OnLeaving: func(catalog.Instance) {},
 		Quarantine: &quarantine.Ledger{}, OnDisconnect: ri.recordDisconnect, OnCompletion: ri.recordCompletion, MayProbe: func() bool { return false },
+		ClaimTrial:   func(context.Context, quarantine.Request) bool { return false },
 		Backpressure: &backpressure.Tracker{},
 		Pool:         &http1.Pool{Clock: clock.System{}},
 		Budget:       &dispatch.Budget{Ratio: 0.2, Slack: 100, Window: 10 * time.Second}}
--- a/internal/front/quarantine.go
+++ b/internal/front/quarantine.go
@@ -44,14 +44,14 @@
 // quarantined reports whether the request must not be sent to any server, and for how much
 // longer. Server processes have crashed on it, or on a part of its prompt: each attempt could crash
 // another one, with all requests that it serves. From time to time the steward's daemon sends one
-// request all the same.
+// request all the same, and the steward grants those that tell parts from each other.
 func (ca *call) quarantined() (time.Duration, bool) {
 	now := ca.sv.Clock.Now()
 	subject, left, quarantined := ca.sv.Quarantine.Quarantined(ca.identity, now)
 	if !quarantined {
 		return 0, false
 	}
-	if ca.sends == 0 && (ca.probe || ca.sv.MayProbe() && ca.sv.Quarantine.ClaimProbe(ca.identity, now)) {
+	if ca.sends == 0 && (ca.probe || ca.claimProbe(now)) {
 		ca.probe = true
 		return 0, false
 	}
@@ -61,6 +61,20 @@
 	return left, true
 }
 
+// claimProbe reports whether the request may be sent in spite of the quarantine: as the probe that is
+// due, or as a trial that tells its quarantined parts from others.
+func (ca *call) claimProbe(now time.Time) bool {
+	if ca.sv.MayProbe() && ca.sv.Quarantine.ClaimProbe(ca.identity, now) {
+		ca.log.Info("front: quarantined request sent as a probe.", "parts", platform.SharedParts(ca.req.Header))
+		return true
+	}
+	if !ca.sv.ClaimTrial(ca.req.Context(), ca.identity) {
+		return false
+	}
+	ca.log.Info("front: quarantined request sent as a trial.", "parts", platform.SharedParts(ca.req.Header))
+	return true
+}
+
 // reportDisconnect reports an attempt that failed because its endpoint closed the connection. It
 // returns false if the request must not be sent again: the endpoint has crashed before the first
 // event, and no request with one of the prompt's parts has completed lately.
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -4,6 +4,7 @@
 package front
 
 import (
+	"context"
 	"errors"
 	"log/slog"
 	"net/http"
@@ -62,6 +63,10 @@
 	// MayProbe reports whether this daemon may send a request with a quarantined part when a probe
 	// is due. Only one daemon may at a time.
 	MayProbe func() bool
+	// ClaimTrial reports whether a request with quarantined parts may be sent, because its result tells
+	// them from others that were at the same crashes. It asks the steward, which grants one such
+	// request at a time.
+	ClaimTrial func(context.Context, quarantine.Request) bool
 
 	stopping atomic.Bool
 	daemons  atomic.Int64
--- a/internal/mesh/call.go
+++ b/internal/mesh/call.go
@@ -26,6 +26,8 @@
 	PathDaemons = "/peer/daemons"
 	// PathQuarantine returns the quarantined requests.
 	PathQuarantine = "/peer/quarantine"
+	// PathTrial asks the steward whether a request with quarantined parts may be sent.
+	PathTrial = "/peer/quarantine/trial"
 	// PathBackpressure returns the notices of endpoints about how much load they
 	// accept.
 	PathBackpressure = "/peer/backpressure"
@@ -58,8 +60,13 @@
 // get returns the body and the headers of a 200 response, and an error for any other
 // status.
 func (cl *Client) get(ctx context.Context, ip, path string) ([]byte, http.Header, error) {
+	return cl.do(ctx, http.MethodGet, ip, path, nil)
+}
+
+// do makes a call like get with a method and a body.
+func (cl *Client) do(ctx context.Context, method, ip, path string, body []byte) ([]byte, http.Header, error) {
 	target := "http://" + net.JoinHostPort(ip, strconv.Itoa(cl.Port)) + path
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
+	req, err := http.NewRequestWithContext(ctx, method, target, bytes.NewReader(body))
 	if err != nil {
 		return nil, nil, eris.Wrap(err, "peer call")
 	}
@@ -119,6 +126,22 @@
 	return entries, eris.Wrap(json.Unmarshal(raw, &entries), "decode peer quarantine")
 }
 
+// maxTrialBytes bounds the identification of a request: its content and at most 16 parts, 35 bytes each.
+const maxTrialBytes = 4 << 10
+
+// ClaimTrial asks the steward at ip whether a request with quarantined parts may be sent.
+func (cl *Client) ClaimTrial(ctx context.Context, ip string, rq quarantine.Request) (granted bool, err error) {
+	body, err := json.Marshal(rq)
+	if err != nil {
+		return false, eris.Wrap(err, "encode trial")
+	}
+	raw, _, err := cl.do(ctx, http.MethodPost, ip, PathTrial, body)
+	if err != nil {
+		return false, err
+	}
+	return granted, eris.Wrap(json.Unmarshal(raw, &granted), "decode trial")
+}
+
 // Backpressure fetches the backpressure notices that the daemon at ip holds.
 func (cl *Client) Backpressure(ctx context.Context, ip string) ([]backpressure.Notice, error) {
 	raw, _, err := cl.get(ctx, ip, PathBackpressure)
@@ -132,10 +155,12 @@
 // Server handles the HTTP calls of other daemons. Its functions provide the data; set
 // all of them before use.
 type Server struct {
-	View         func() *catalog.View
-	Config       func() (raw []byte, revision int64)
-	Daemons      func() []string
-	Quarantine   func() []quarantine.Entry
+	View       func() *catalog.View
+	Config     func() (raw []byte, revision int64)
+	Daemons    func() []string
+	Quarantine func() []quarantine.Entry
+	// ClaimTrial grants a trial if this daemon is the steward.
+	ClaimTrial   func(quarantine.Request) bool
 	Backpressure func() []backpressure.Notice
 
 	view, config cachedResponse
@@ -148,10 +173,20 @@
 	mux.HandleFunc("GET "+PathConfig, se.sendConfig)
 	mux.HandleFunc("GET "+PathDaemons, func(w http.ResponseWriter, _ *http.Request) { sendJSON(w, se.Daemons()) })
 	mux.HandleFunc("GET "+PathQuarantine, func(w http.ResponseWriter, _ *http.Request) { sendJSON(w, se.Quarantine()) })
+	mux.HandleFunc("POST "+PathTrial, se.claimTrial)
 	mux.HandleFunc("GET "+PathBackpressure, func(w http.ResponseWriter, _ *http.Request) { sendJSON(w, se.Backpressure()) })
 	return mux
 }
 
+func (se *Server) claimTrial(w http.ResponseWriter, req *http.Request) {
+	var rq quarantine.Request
+	if err := json.NewDecoder(http.MaxBytesReader(w, req.Body, maxTrialBytes)).Decode(&rq); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	sendJSON(w, se.ClaimTrial(rq))
+}
+
 // sendJSON writes a small value as JSON, uncompressed.
 func sendJSON(w http.ResponseWriter, value any) {
 	raw, err := json.Marshal(value)
