Own interface: tell the other daemons crashes, completions and quarantined entries

Cause: each daemon counted engine crashes by itself, so one message crashed three engines at each. Change: daemons send each other crashes and completions as messages between daemons, at most 64 reports each, and compare the digest of their entries with a random other daemon every second, every 50 ms until the first answer. The daemon that ranks first of the serving ones grants probes and trials for all. The ledger knows releases by operators.

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -71,9 +71,14 @@
 	StallTimeout time.Duration
 	// EntriesLifetime is how long callers may cache a response of /v1/entries.
 	EntriesLifetime time.Duration
+	// Quarantine records the completions and messages that engines have crashed on.
+	Quarantine *quarantine.Ledger
+	// OnCrash and OnCompletion are called with what this daemon has recorded, to tell the others.
+	OnCrash      func(quarantine.Crash)
+	OnCompletion func(quarantine.Completion)
+	// ClaimProbe reports whether a quarantined request may be sent, as a probe or as a trial.
+	ClaimProbe func(context.Context, quarantine.Request) bool
 
-	// crashes records the completions and messages that engines have crashed on.
-	crashes  quarantine.Ledger
 	budget   *retry.Budget
 	picker   addressPicker
 	inFlight inFlight
--- a/internal/caller/complete.go
+++ b/internal/caller/complete.go
@@ -198,7 +198,7 @@
 func (se *Server) runAttempts(ctx context.Context, co *completion) error {
 	se.budget.Earn()
 	for try := 1; ; try++ {
-		if ve := se.checkQuarantine(co); ve != nil {
+		if ve := se.checkQuarantine(ctx, co, try == 1); ve != nil {
 			return co.adjustVerdict(ve)
 		}
 		sentBefore := co.sentTokens
--- a/internal/caller/quarantine.go
+++ b/internal/caller/quarantine.go
@@ -44,11 +44,15 @@
 }
 
 // checkQuarantine returns an error if engines have crashed on the request or on a part of its
-// prompt. From time to time it lets one such request pass.
-func (se *Server) checkQuarantine(co *completion) *verdict.Error {
-	now := se.Clock.Now()
-	_, left, quarantined := se.crashes.Quarantined(co.identity, now)
-	if !quarantined || se.crashes.ClaimProbe(co.identity, now) {
+// prompt. It lets one such request pass from time to time, and one whose result tells its messages
+// from others, at its first attempt.
+func (se *Server) checkQuarantine(ctx context.Context, co *completion, first bool) *verdict.Error {
+	_, left, quarantined := se.Quarantine.Quarantined(co.identity, se.Clock.Now())
+	if !quarantined {
+		return nil
+	}
+	if first && se.ClaimProbe(ctx, co.identity) {
+		se.Log.Info("caller: quarantined request sent as a probe.", "content", co.identity.Content, "request", co.ex.id)
 		return nil
 	}
 	return &verdict.Error{Code: verdict.CodeQuarantined, Verdict: verdict.NotRun, RetryAfter: left,
@@ -65,14 +69,20 @@
 	}
 	now := se.Clock.Now()
 	enginesEndedTotal.Inc()
-	se.crashes.Sweep(now)
-	unproven := se.crashes.Unproven(co.identity)
+	unproven := se.Quarantine.Unproven(co.identity)
 	en := quarantine.Crash{Endpoint: address, At: now, Requests: []quarantine.Request{co.identity}}
-	for _, held := range se.crashes.RecordCrash(en, now) {
+	se.Quarantine.MarkProven(en.Requests)
+	se.NoteQuarantined(se.Quarantine.RecordCrash(en, now), "request "+co.ex.id)
+	se.OnCrash(en)
+	return unproven && !begun
+}
+
+// NoteQuarantined counts and logs what is newly quarantined. from says by what.
+func (se *Server) NoteQuarantined(entries []quarantine.Entry, from string) {
+	for _, held := range entries {
 		quarantinedTotal.Inc()
-		se.Log.Warn("caller: quarantined.", "subject", held.Subject, "message", held.Part, "request", co.ex.id)
+		se.Log.Warn("caller: quarantined.", "subject", held.Subject, "message", held.Part, "from", from)
 	}
-	return unproven && !begun
 }
 
 // refuses reports whether connections to address are refused: the machine is up, but the process
@@ -89,7 +99,9 @@
 // recordCompletion clears the request and its messages of the crashes before it was sent.
 func (se *Server) recordCompletion(co *completion) {
 	now := se.Clock.Now()
-	for _, fp := range se.crashes.Complete(co.identity) {
-		se.crashes.RecordCompletion(quarantine.Completion{Subject: fp, At: now, Took: now.Sub(co.sentAt)}, now)
+	for _, fp := range se.Quarantine.Complete(co.identity) {
+		an := quarantine.Completion{Subject: fp, At: now, Took: now.Sub(co.sentAt)}
+		se.Quarantine.RecordCompletion(an, now)
+		se.OnCompletion(an)
 	}
 }
--- a/internal/core/quarantine/entry.go
+++ b/internal/core/quarantine/entry.go
@@ -17,6 +17,9 @@
 	// CompletedAt is when the request, or one with the part, last completed, or zero. If it is not
 	// before Since, the subject is no longer quarantined.
 	CompletedAt time.Time `json:"answered,omitzero"`
+	// ReleasedAt is when an operator last released the subject, or zero. Crashes before that don't
+	// count against it.
+	ReleasedAt time.Time `json:"released,omitzero"`
 }
 
 // Entries returns the subjects that were quarantined within the last TTL, including those that
@@ -27,7 +30,7 @@
 	var entries []Entry
 	for fp, re := range le.quarantined {
 		if now.Sub(re.quarantinedAt) < TTL {
-			entries = append(entries, Entry{fp, re.part, re.quarantinedAt, re.completedAt})
+			entries = append(entries, Entry{fp, re.part, re.quarantinedAt, re.completedAt, re.releasedAt})
 		}
 	}
 	slices.SortFunc(entries, func(one, two Entry) int { return slices.Compare(one.Subject[:], two.Subject[:]) })
@@ -39,6 +42,19 @@
 	return slices.DeleteFunc(le.Entries(now), func(en Entry) bool { return !en.Since.After(en.CompletedAt) })
 }
 
+// Release ends the quarantine of a subject on the order of an operator, and returns its entry and
+// whether it was in quarantine. It is quarantined again if enough endpoints crash from then on.
+func (le *Ledger) Release(subject Fingerprint, now time.Time) (Entry, bool) {
+	le.mu.Lock()
+	defer le.mu.Unlock()
+	re := le.subjects[subject]
+	if re == nil || !re.quarantined(now) {
+		return Entry{}, false
+	}
+	re.release(now)
+	return Entry{subject, re.part, re.quarantinedAt, re.completedAt, re.releasedAt}, true
+}
+
 // Merge adds the entries of another daemon or of the store, and returns the subjects that are newly
 // quarantined by them.
 func (le *Ledger) Merge(entries []Entry, now time.Time) []Entry {
@@ -51,6 +67,7 @@
 		}
 		re := le.record(en.Subject, en.Part, now)
 		re.completedAt = latest(re.completedAt, en.CompletedAt)
+		re.release(en.ReleasedAt)
 		if le.quarantine(en.Subject, re, en.Since, now) {
 			newly = append(newly, en)
 		}
--- a/internal/core/quarantine/ledger.go
+++ b/internal/core/quarantine/ledger.go
@@ -151,7 +151,7 @@
 		for _, fp := range guilty {
 			re := le.subjects[fp]
 			if le.quarantine(fp, re, at, now) {
-				newly = append(newly, Entry{fp, re.part, re.quarantinedAt, re.completedAt})
+				newly = append(newly, Entry{fp, re.part, re.quarantinedAt, re.completedAt, re.releasedAt})
 			}
 		}
 	}
--- a/internal/core/quarantine/record.go
+++ b/internal/core/quarantine/record.go
@@ -35,6 +35,8 @@
 	// latest time at which one was sent that has completed. Crashes before clearedTo are not
 	// attributed to the subject: what crashes endpoints since then may have been sound before.
 	completedAt, clearedTo time.Time
+	// releasedAt is when an operator last released the subject.
+	releasedAt time.Time
 	// quarantinedAt is the time of the latest crash that put the subject in quarantine; zero if it
 	// never was.
 	quarantinedAt time.Time
@@ -74,6 +76,15 @@
 	re.clearedTo = latest(re.clearedTo, sent)
 }
 
+// release records that an operator has released the subject.
+func (re *record) release(at time.Time) {
+	if !at.After(re.releasedAt) {
+		return
+	}
+	re.releasedAt, re.requests, re.trials, re.probes = at, nil, 0, 0
+	re.completedAt, re.clearedTo = latest(re.completedAt, at), latest(re.clearedTo, at)
+}
+
 // attributed reports whether a crash may be due to the subject.
 func (re *record) attributed(se *endpointCrash) bool { return se.at.After(re.clearedTo) }
 
--- a/internal/daemon/actions.go
+++ b/internal/daemon/actions.go
@@ -312,6 +312,12 @@
 	switch req := req.(type) {
 	case peer.ClaimRequest:
 		return da.claims.DoLocal(ctx, req.Op), nil
+	case peer.QuarantineRequest:
+		return da.quarantine.entriesFor(req), nil
+	case peer.QuarantineNews:
+		return peer.EmptyResponse{}, da.quarantine.apply(req)
+	case peer.TrialRequest:
+		return peer.TrialResponse{Granted: da.quarantine.grant(req.Request)}, nil
 	case peer.RevokeRequest:
 		da.loop.Post(control.Revoked{Group: req.Group, Fence: req.Fence})
 		return peer.EmptyResponse{}, nil
--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -49,7 +49,12 @@
 }
 
 func (da *Daemon) buildCallerServer() {
+	da.quarantine = newQuarantineExchange(da)
 	da.callerServer = &caller.Server{
+		Quarantine:      &da.quarantine.ledger,
+		OnCrash:         da.quarantine.tellCrash,
+		OnCompletion:    da.quarantine.tellCompletion,
+		ClaimProbe:      da.quarantine.claimProbe,
 		Clock:           da.Clock,
 		Log:             da.Log,
 		Pools:           &caller.Pools{Clock: da.Clock, Policy: da.RoutePolicy},
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -72,6 +72,7 @@
 	era          era
 	memberClient endpoint.MemberClient
 	callerServer *caller.Server
+	quarantine   *quarantineExchange
 	journal      *caller.Journal
 	// drainRequested is closed by Drain, once.
 	drainRequested chan struct{}
@@ -109,6 +110,7 @@
 	add(da.loop.run)
 	add(da.node.Run)
 	add(da.claims.Run)
+	add(da.quarantine.run)
 	add(da.serveHTTP(ls.caller, otelhttp.NewHandler(da.callerServer.Handler(), "caller")))
 	add(da.serveHTTP(ls.operator, otelhttp.NewHandler(da.operatorServer().Handler(), "operator")))
 	add(da.serveHTTP(ls.metrics, metricsHandler()))
--- /dev/null
+++ b/internal/daemon/quarantine.go
@@ -0,0 +1,245 @@
+package daemon
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/rotisserie/eris"
+
+	"corianderhub.dev/corianderhub/internal/core/gossip"
+	"corianderhub.dev/corianderhub/internal/core/quarantine"
+	"corianderhub.dev/corianderhub/internal/peer"
+)
+
+const (
+	// quarantineInterval is the time between two comparisons with the entries of another daemon, which
+	// cover lost news. startInterval applies until the first one has succeeded.
+	quarantineInterval = time.Second
+	startInterval      = 50 * time.Millisecond
+	// maxNews bounds the reports in one message and those that wait to be sent. What is dropped, the
+	// comparisons tell if it led to a quarantine.
+	maxNews = 64
+	// maxNewsAge bounds the age of a report that is accepted.
+	maxNewsAge = 15 * time.Minute
+	// maxNewsRequests and maxNewsParts bound the requests of a reported crash and their parts.
+	maxNewsRequests, maxNewsParts = 1024, 16
+	// maxTellers bounds the concurrent calls that tell the news. At 985 daemons and 1 ms a call, news
+	// takes about 30 ms.
+	maxTellers = 32
+	// deciderKey selects the daemon that grants probes and trials.
+	deciderKey = "quarantine/decider"
+)
+
+var (
+	newsDroppedTotal = metrics.NewCounter("corianderhub_quarantine_news_dropped_total")
+	probesTotal      = metrics.GetOrCreateCounter("corianderhub_quarantine_trials_total")
+)
+
+// quarantineExchange shares the crashes of engines, the completions and the quarantined subjects with
+// the other daemons. News go to all of them at once. Each also compares its entries with those of a
+// random other one, and so fetches them when it has just started.
+type quarantineExchange struct {
+	da     *Daemon
+	ledger quarantine.Ledger
+	pauses quarantine.Pauses
+	news   chan any
+	// tellers holds a token for each call that tells news.
+	tellers chan struct{}
+}
+
+func newQuarantineExchange(da *Daemon) *quarantineExchange {
+	return &quarantineExchange{da: da, news: make(chan any, maxNews), tellers: make(chan struct{}, maxTellers)}
+}
+
+// tellCrash queues a crash that this daemon has recorded, to tell the others.
+func (qe *quarantineExchange) tellCrash(en quarantine.Crash) { qe.tell(en) }
+
+// tellCompletion queues a completion that this daemon has recorded.
+func (qe *quarantineExchange) tellCompletion(an quarantine.Completion) { qe.tell(an) }
+
+func (qe *quarantineExchange) tell(event any) {
+	select {
+	case qe.news <- event:
+	default:
+		newsDroppedTotal.Inc()
+	}
+}
+
+// run tells the news and compares entries until ctx ends.
+func (qe *quarantineExchange) run(ctx context.Context) error {
+	next := time.NewTimer(startInterval)
+	defer next.Stop()
+	interval := startInterval
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case event := <-qe.news:
+			qe.broadcast(ctx, qe.collect(event))
+		case <-next.C:
+			qe.ledger.Sweep(qe.da.Clock.Now())
+			if qe.compare(ctx) {
+				interval = quarantineInterval
+			}
+			next.Reset(interval)
+		}
+	}
+}
+
+// collect returns a message with the event and those that wait.
+func (qe *quarantineExchange) collect(event any) peer.QuarantineNews {
+	var msg peer.QuarantineNews
+	now := qe.da.Clock.Now()
+	for num := 1; ; num++ {
+		switch ev := event.(type) {
+		case quarantine.Crash:
+			ev.Age = now.Sub(ev.At)
+			msg.Crashes = append(msg.Crashes, ev)
+		case quarantine.Completion:
+			ev.Age = now.Sub(ev.At)
+			msg.Completions = append(msg.Completions, ev)
+		case quarantine.Entry:
+			msg.Released = append(msg.Released, peer.QuarantineEntries([]quarantine.Entry{ev})...)
+		}
+		if num == maxNews {
+			return msg
+		}
+		select {
+		case event = <-qe.news:
+		default:
+			return msg
+		}
+	}
+}
+
+// broadcast sends the message to all other daemons that are not dead.
+func (qe *quarantineExchange) broadcast(ctx context.Context, msg peer.QuarantineNews) {
+	for _, dm := range qe.others() {
+		select {
+		case qe.tellers <- struct{}{}:
+		case <-ctx.Done():
+			return
+		}
+		go func() {
+			defer func() { <-qe.tellers }()
+			// A daemon that isn't reached learns of quarantined subjects by its comparisons.
+			_ = qe.da.node.Call(ctx, dm.Peer, msg, &peer.EmptyResponse{})
+		}()
+	}
+}
+
+// others returns the other daemons that are not dead.
+func (qe *quarantineExchange) others() []gossip.Daemon {
+	var others []gossip.Daemon
+	for _, dm := range qe.da.View().Daemons {
+		if dm.Name != qe.da.Settings.Name && dm.State != gossip.Dead {
+			others = append(others, dm)
+		}
+	}
+	return others
+}
+
+// compare fetches the entries of a random other daemon if they differ, and reports whether it answered.
+func (qe *quarantineExchange) compare(ctx context.Context) bool {
+	others := qe.others()
+	if len(others) == 0 {
+		return false
+	}
+	dm := others[rand.IntN(len(others))]
+	var an peer.QuarantineResponse
+	if err := qe.da.node.Call(ctx, dm.Peer, peer.QuarantineRequest{Digest: qe.ledger.Digest(qe.da.Clock.Now())}, &an); err != nil {
+		return false
+	}
+	qe.merge(peer.LedgerEntries(an.Entries), "daemon "+dm.Name)
+	return true
+}
+
+// merge adds entries of another daemon or of the store.
+func (qe *quarantineExchange) merge(entries []quarantine.Entry, from string) {
+	qe.da.callerServer.NoteQuarantined(qe.ledger.Merge(entries, qe.da.Clock.Now()), from)
+}
+
+// entriesFor answers a comparison of another daemon.
+func (qe *quarantineExchange) entriesFor(req peer.QuarantineRequest) peer.QuarantineResponse {
+	now := qe.da.Clock.Now()
+	if qe.ledger.Digest(now) == req.Digest {
+		return peer.QuarantineResponse{}
+	}
+	return peer.QuarantineResponse{Entries: peer.QuarantineEntries(qe.ledger.Entries(now))}
+}
+
+// apply records the news of another daemon. It returns an error, and records nothing, if they exceed
+// the bounds.
+func (qe *quarantineExchange) apply(msg peer.QuarantineNews) error {
+	if len(msg.Crashes)+len(msg.Completions)+len(msg.Released) > maxNews {
+		return eris.Errorf("quarantine news: more than %d reports", maxNews)
+	}
+	for _, en := range msg.Crashes {
+		if !validAge(en.Age) || len(en.Requests) > maxNewsRequests {
+			return eris.New("quarantine news: crash too old or with too many requests")
+		}
+		for _, rq := range en.Requests {
+			if len(rq.Parts) > maxNewsParts {
+				return eris.Errorf("quarantine news: request with more than %d parts", maxNewsParts)
+			}
+		}
+	}
+	now := qe.da.Clock.Now()
+	for _, en := range msg.Crashes {
+		en.At = now.Add(-en.Age)
+		qe.da.callerServer.NoteQuarantined(qe.ledger.RecordCrash(en, now), "crash seen by another daemon")
+	}
+	for _, an := range msg.Completions {
+		if validAge(an.Age) {
+			an.At = now.Add(-an.Age)
+			qe.ledger.RecordCompletion(an, now)
+		}
+	}
+	qe.merge(peer.LedgerEntries(msg.Released), "released")
+	return nil
+}
+
+func validAge(age time.Duration) bool { return age >= 0 && age <= maxNewsAge }
+
+// claimProbe reports whether a quarantined request may be sent. The daemon that ranks first of the
+// serving ones decides for all, so that there is one probe or trial at a time. If it can't be
+// reached, the request is refused.
+func (qe *quarantineExchange) claimProbe(ctx context.Context, rq quarantine.Request) bool {
+	now := qe.da.Clock.Now()
+	held := qe.ledger.HeldParts(rq, now)
+	if len(held) == 0 {
+		return false
+	}
+	var serving []gossip.Daemon
+	for _, dm := range qe.da.View().Daemons {
+		if dm.State == gossip.Serving {
+			serving = append(serving, dm)
+		}
+	}
+	first := gossip.Ranked(serving, deciderKey, 1)
+	if len(first) == 0 || first[0].Name == qe.da.Settings.Name {
+		return qe.grant(rq)
+	}
+	if !qe.pauses.MayAsk(held, now) {
+		return false
+	}
+	var an peer.TrialResponse
+	if err := qe.da.node.Call(ctx, first[0].Peer, peer.TrialRequest{Request: rq}, &an); err != nil {
+		qe.da.Log.Info("Quarantine: asking for a trial failed.", "daemon", first[0].Name, "error", err)
+		return false
+	}
+	return an.Granted
+}
+
+// grant decides on a probe or a trial.
+func (qe *quarantineExchange) grant(rq quarantine.Request) bool {
+	now := qe.da.Clock.Now()
+	if len(rq.Parts) > maxNewsParts || !qe.ledger.ClaimProbe(rq, now) && !qe.ledger.ClaimTrial(rq, now) {
+		return false
+	}
+	probesTotal.Inc()
+	qe.da.Log.Info("Quarantine: probe or trial granted.", "content", rq.Content, "parts", rq.Parts)
+	return true
+}
--- a/internal/daemon/quarantine_test.go
+++ b/internal/daemon/quarantine_test.go
@@ -89,6 +89,7 @@
 		t.Errorf("%d engines crashed under one message at %d daemons, want %d to %d", num, daemons, quarantine.CrashThreshold, maxCrashes)
 	}
 	before := crashes.Load()
+	t.Logf("%d engines crashed at %d daemons", before, daemons)
 	sk.addDaemon("late")
 	sk.waitUntil("the new daemon serves", func() bool { return sk.servingGroups(sk.daemons[daemons]) > 0 })
 	sk.waitUntil("the new daemon refuses the message", func() bool {
--- a/internal/entry/trial.go
+++ b/internal/entry/trial.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -11,18 +10,10 @@
 	"corianderhub.dev/corianderhub/internal/core/quarantine"
 )
 
-const (
-	// trialPause is the time after the steward refused a trial of some parts before it is asked for the
-	// same ones again. It bounds the calls of a daemon that refuses many requests.
-	trialPause = 300 * time.Millisecond
-	// trialCallTimeout bounds the call, which the refused caller waits for.
-	trialCallTimeout = 150 * time.Millisecond
-	// maxTrialPauses bounds the sets of parts that are remembered as refused, and with them the
-	// calls to the steward.
-	maxTrialPauses = 32
-)
+// trialCallTimeout bounds the call, which the refused caller waits for.
+const trialCallTimeout = 150 * time.Millisecond
 
-var trialCount = metrics.NewCounter("corianderhub_quarantine_trials_total")
+var trialCount = metrics.GetOrCreateCounter("corianderhub_quarantine_trials_total")
 
 // stewardContact is the address of the steward and when it was last heard.
 type stewardContact struct {
@@ -36,10 +27,7 @@
 type trials struct {
 	da      *Daemon
 	steward atomic.Pointer[stewardContact]
-
-	mu sync.Mutex
-	// askedAt is when the steward was last asked, by the quarantined parts of the request.
-	askedAt map[string]time.Time
+	pauses  quarantine.Pauses
 }
 
 // claim reports whether the request may be sent.
@@ -53,7 +41,7 @@
 		return tl.grant(rq)
 	}
 	st := tl.steward.Load()
-	if st == nil || now.Sub(st.at) >= maxStewardSilence || !tl.mayAsk(held, now) {
+	if st == nil || now.Sub(st.at) >= maxStewardSilence || !tl.pauses.MayAsk(held, now) {
 		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, trialCallTimeout)
@@ -66,32 +54,6 @@
 	return granted
 }
 
-// mayAsk reports whether the steward may be asked for a trial of these parts, and notes it.
-func (tl *trials) mayAsk(held []quarantine.Fingerprint, now time.Time) bool {
-	var key []byte
-	for _, fp := range held {
-		key = append(key, fp[:]...)
-	}
-	tl.mu.Lock()
-	defer tl.mu.Unlock()
-	if now.Sub(tl.askedAt[string(key)]) < trialPause {
-		return false
-	}
-	for old, at := range tl.askedAt {
-		if now.Sub(at) >= trialPause {
-			delete(tl.askedAt, old)
-		}
-	}
-	if len(tl.askedAt) >= maxTrialPauses {
-		return false
-	}
-	if tl.askedAt == nil {
-		tl.askedAt = make(map[string]time.Time)
-	}
-	tl.askedAt[string(key)] = now
-	return true
-}
-
 // grant decides on a trial for all daemons. It refuses all unless this daemon is the steward.
 func (tl *trials) grant(rq quarantine.Request) bool {
 	now := tl.da.Clock.Now()
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -26,6 +26,9 @@
 	kindObservations
 	kindRevoke
 	kindClaim
+	kindQuarantine
+	kindQuarantineNews
+	kindTrial
 )
 
 // PullRequest requests the daemon's document hash, configuration revision and permit
@@ -81,6 +84,9 @@
 func (ObservationsRequest) kind() kind { return kindObservations }
 func (RevokeRequest) kind() kind       { return kindRevoke }
 func (ClaimRequest) kind() kind        { return kindClaim }
+func (QuarantineRequest) kind() kind   { return kindQuarantine }
+func (QuarantineNews) kind() kind      { return kindQuarantineNews }
+func (TrialRequest) kind() kind        { return kindTrial }
 
 // frame is a request on the wire.
 type frame struct {
@@ -124,6 +130,12 @@
 		return decodeAs[RevokeRequest](fr.Body)
 	case kindClaim:
 		return decodeAs[ClaimRequest](fr.Body)
+	case kindQuarantine:
+		return decodeAs[QuarantineRequest](fr.Body)
+	case kindQuarantineNews:
+		return decodeAs[QuarantineNews](fr.Body)
+	case kindTrial:
+		return decodeAs[TrialRequest](fr.Body)
 	}
 	return nil, eris.Errorf("peer request of unknown kind %d", fr.Kind)
 }
--- a/internal/peer/message_test.go
+++ b/internal/peer/message_test.go
@@ -7,7 +7,8 @@
 // For any message of a peer, decoding must not panic, and what it accepts must be encodable with the
 // same kind.
 func FuzzDecode(f *testing.F) {
-	for _, req := range []Request{PullRequest{}, DocsRequest{}, ConfigRequest{}, ObservationsRequest{}, RevokeRequest{}, ClaimRequest{}} {
+	for _, req := range []Request{PullRequest{}, DocsRequest{}, ConfigRequest{}, ObservationsRequest{}, RevokeRequest{}, ClaimRequest{},
+		QuarantineRequest{}, QuarantineNews{}, TrialRequest{}} {
 		raw, err := encode(req)
 		if err != nil {
 			f.Fatal(err)
