steward: stage models before the first request and exchange staged groups

Cause: where the configured shares are wrong, groups of one model reject requests while those of another are idle. An exchange loads weights for 12 to 16 s and needed a mismatch of 1.8, so none happened before second 17.

Change: for engines whose configuration has keeps of at least 1 and two or more models, members of whole groups stage the other model after all groups of the start serve (a third of the VMs, both directions). Exchanges are decided by the demand and the groups that serve, 1.2 s after the first request, several groups at once. Later, the model that is short of groups is staged beside serving first. Other engines: as before.

--- a/internal/core/catalog/config.go
+++ b/internal/core/catalog/config.go
@@ -132,6 +132,9 @@
 	LoadsPerSecond float64
 	// LoadsAtOnce is the number of concurrent loads that run at full speed.
 	LoadsAtOnce int
+	// Keeps is the number of staged models that a host keeps. It is 0 if the configuration does
+	// not set it.
+	Keeps int
 	// FormTime is the time from the order to open a group until the group
 	// serves.
 	FormTime time.Duration
@@ -163,6 +166,9 @@
 // a group of the model. It is never zero.
 func (mo Model) TimeFactor() float64 { return max(mo.Pace, minPace) }
 
+// StagesModels reports whether hosts can hold another model ready beside the one that they serve.
+func (en *Engine) StagesModels() bool { return en.Keeps >= 1 && len(en.Models) >= 2 }
+
 // Model returns the model with that name.
 func (en *Engine) Model(name string) (Model, bool) {
 	for _, mo := range en.Models {
--- a/internal/core/steward/demand.go
+++ b/internal/core/steward/demand.go
@@ -40,8 +40,14 @@
 	if md.busy == nil {
 		md.busy, md.measuredSince, alpha = make(map[string]float64), now, 1
 	}
+	since := now.Sub(md.lastMeasured)
 	md.lastMeasured = now
 	for _, en := range co.services {
+		alpha := alpha
+		if measured := now.Sub(md.measuredSince); en.StagesModels() && measured > 0 {
+			// Until demandSmoothingTime has passed, the first samples would count for too much.
+			alpha = max(alpha, min(1, since.Seconds()/measured.Seconds()))
+		}
 		for _, mo := range en.Models {
 			md.busy[mo.Name] += alpha * (demand[mo.Name].Groups(en, mo) - md.busy[mo.Name])
 		}
--- a/internal/core/steward/dispatch.go
+++ b/internal/core/steward/dispatch.go
@@ -113,6 +113,11 @@
 	if vm == nil || cd.Incarnation.Differs(vm.ep.Incarnation) {
 		return false
 	}
+	if od, ok := cd.Order.(catalog.Stage); ok && (vm.down || cd.initialLoads && !co.InitialLoads) {
+		vm.orderPending, vm.stage = false, nil
+		co.recordEvent(Event{Kind: "stage-dropped", VM: cd.ID, Model: od.Model})
+		return false
+	}
 	if jo, ok := cd.Order.(catalog.Join); vm.down || ok && cd.initialLoads && !co.InitialLoads && !vm.hasWeights(jo.Model) {
 		vm.orderPending = false
 		return false
--- /dev/null
+++ b/internal/core/steward/exchange.go
@@ -0,0 +1,336 @@
+package steward
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"time"
+
+	"corianderhub.dev/corianderhub/internal/core/catalog"
+)
+
+const (
+	// exchangeUtilization is the utilization from which a model gets more groups. From about 0.6
+	// on, latency objectives suffer.
+	exchangeUtilization = 0.5
+	// exchangeInterval is the time between checks, exchangeConfirmTime how long an exchange must
+	// have been worth its cost before it begins. A single slow report does not cause one.
+	exchangeInterval    = 100 * time.Millisecond
+	exchangeConfirmTime = 200 * time.Millisecond
+	// An exchange that reverses another within reversalTime must remove reversalGain of the
+	// congestion, so that the split does not follow waves with periods of some 20 s.
+	reversalTime = 40 * time.Second
+	reversalGain = 0.5
+	// releasedShare is the largest share of a model's serving groups that one decision releases.
+	releasedShare = 0.5
+)
+
+// exchangeState is what the decisions on exchanges for one service depend on beside the groups.
+type exchangeState struct {
+	// to is the model that has been short of groups since wantedSince; negative if there is none.
+	to          int
+	wantedSince time.Time
+	// lastTo is the model that last received groups, at lastAt.
+	lastTo string
+	lastAt time.Time
+	// stagedTo is the model that was last staged during traffic, at stagedAt.
+	stagedTo string
+	stagedAt time.Time
+}
+
+func (co *Core) exchangeStateOf(service string) *exchangeState {
+	if co.exchanges[service] == nil {
+		co.exchanges[service] = &exchangeState{to: -1}
+	}
+	return co.exchanges[service]
+}
+
+// exchangePlan is a set of blocks that change to one model together.
+type exchangePlan struct {
+	from, to int
+	blocks   []*stageBlock
+	released float64
+	formed   float64
+	// gain is the reduction of the congestion, averaged over rebalanceHorizon, relative to the
+	// congestion without the exchange.
+	gain float64
+}
+
+// followDemand exchanges groups whose VMs have another model on their hosts for groups of that
+// model, if it is busier. Where a model is short of groups and no such group is left, it stages the
+// model first. A model without any group is loaded at once.
+func (co *Core) followDemand(service string, en *catalog.Engine, doms []*domain, now time.Time) []Call {
+	if now.Before(co.rebalanceAt) {
+		return nil
+	}
+	co.rebalanceAt = now.Add(exchangeInterval)
+	co.updateWeightSource(en, now)
+	if !co.hasMeasuredDemand(en) {
+		co.exchangeLoading(service, en, doms, now)
+		return nil
+	}
+	st := co.exchangeStateOf(service)
+	su, serving := co.demandOn(service, en, now), co.servingGroups(service, en, now)
+	plan := co.bestPlan(service, en, su, serving, now)
+	if plan == nil {
+		st.to = -1
+		co.exchangeLoading(service, en, doms, now)
+		return co.stageForDemand(service, en, su, serving, now)
+	}
+	if st.to != plan.to {
+		st.to, st.wantedSince = plan.to, now
+	}
+	if now.Sub(st.wantedSince) < exchangeConfirmTime {
+		return nil
+	}
+	co.exchange(en, plan, su, now)
+	st.to, st.lastTo, st.lastAt = -1, en.Models[plan.to].Name, now
+	co.rebalanceAt = now.Add(rebalanceCooldown)
+	co.demand.useMeasuredUntil = now.Add(measuredHoldTime)
+	return nil
+}
+
+// exchange releases the groups of a plan and reserves their VMs for the other model.
+func (co *Core) exchange(en *catalog.Engine, plan *exchangePlan, su serviceUtilization, now time.Time) {
+	to, why := en.Models[plan.to].Name, plan.describe(en, su)
+	for _, bl := range plan.blocks {
+		for _, gr := range bl.groups {
+			gr.reassigned = true
+			co.recordEvent(Event{Kind: "group-rebalanced", Group: gr.name, Model: gr.model, Members: gr.members, Reason: "for " + to + ": " + why})
+		}
+		for _, vm := range bl.vms {
+			vm.targetModel = to
+		}
+	}
+}
+
+// describe returns the figures that decided on a plan, for logs.
+func (ep *exchangePlan) describe(en *catalog.Engine, su serviceUtilization) string {
+	text := fmt.Sprintf("%.0f groups for %.0f, gain %.2f;", ep.released, ep.formed, ep.gain)
+	return text + su.describe(en)
+}
+
+// describe returns the demand on and the groups of each model, for logs.
+func (su serviceUtilization) describe(en *catalog.Engine) string {
+	text := ""
+	for mi, mo := range en.Models {
+		text += fmt.Sprintf(" %s: demand %.2f, groups %.0f, utilization %.2f", mo.Name, su.busy[mi], su.groups[mi], su.utilization(mi, su.groups[mi]))
+	}
+	return text
+}
+
+// serves reports whether a group accepts requests: it is complete and open, does not drain, and its
+// members are neither unresponsive nor reported as stalled.
+func (co *Core) serves(gr *group, now time.Time) bool {
+	if gr.spare() || gr.dissolving || gr.reassigned || !gr.drainingSince.IsZero() || co.groupEvacuated(gr) || !co.complete(gr) {
+		return false
+	}
+	if co.vms[gr.members[0]].ep.Member.State != catalog.Open || now.Sub(gr.stallReportedAt) < stallReportTTL && !gr.confirmedHealthy {
+		return false
+	}
+	return !slices.ContainsFunc(gr.members, func(id string) bool { return co.vms[id].down || !co.vms[id].registered })
+}
+
+// servingGroups returns the number of groups of each model that serve.
+func (co *Core) servingGroups(service string, en *catalog.Engine, now time.Time) []float64 {
+	serving := make([]float64, len(en.Models))
+	for _, gr := range co.groups {
+		if gr.service != service || !co.serves(gr, now) {
+			continue
+		}
+		for mi, mo := range en.Models {
+			if mo.Name == gr.model {
+				serving[mi]++
+			}
+		}
+	}
+	return serving
+}
+
+// demandOn returns the demand on each model and the number of groups that serve or will: those
+// being formed, and those that VMs reserved or loading for the model suffice for. Groups that are
+// stalled or incomplete do not count; after their loss is confirmed, their VMs do.
+func (co *Core) demandOn(service string, en *catalog.Engine, now time.Time) serviceUtilization {
+	su := serviceUtilization{busy: co.busy(en), groups: co.servingGroups(service, en, now)}
+	planned := make(map[string]bool)
+	for _, gr := range co.groups {
+		if gr.service != service || gr.planned.IsZero() || gr.dissolving || gr.spare() {
+			continue
+		}
+		forming := !co.complete(gr) || co.vms[gr.members[0]].ep.Member.State != catalog.Open
+		for _, id := range gr.members {
+			planned[id] = true
+		}
+		for mi, mo := range en.Models {
+			if forming && mo.Name == gr.model && !gr.reassigned && !co.groupEvacuated(gr) {
+				su.groups[mi]++
+			}
+		}
+	}
+	for dm, num := range co.idleVMs(service, planned) {
+		for mi, mo := range en.Models {
+			if mo.Name == dm.model {
+				su.groups[mi] += float64(num / mo.Size)
+			}
+		}
+	}
+	return su
+}
+
+// idleVMs counts, by domain and model, the VMs that belong to no group and hold or load the model,
+// and those that are reserved for it.
+func (co *Core) idleVMs(service string, planned map[string]bool) map[domainModel]int {
+	idle := make(map[domainModel]int)
+	for id, vm := range co.vms {
+		if vm.ep.Service != service || vm.down || vm.ep.Leaving || co.evacuated(vm) {
+			continue
+		}
+		mb := vm.ep.Member
+		switch {
+		case vm.targetModel != "":
+			idle[domainModel{vm.ep.Domain, vm.targetModel}]++
+		case !planned[id] && (mb == nil || isSpare(mb.Group)):
+			idle[domainModel{vm.ep.Domain, vm.lastModel}]++
+		}
+	}
+	return idle
+}
+
+// bestPlan returns the plan with the largest gain, or nil if none gains enough.
+func (co *Core) bestPlan(service string, en *catalog.Engine, su serviceUtilization, serving []float64, now time.Time) *exchangePlan {
+	var best *exchangePlan
+	for to, mo := range en.Models {
+		if su.utilization(to, su.groups[to]) < exchangeUtilization {
+			continue
+		}
+		for from := range en.Models {
+			if from == to {
+				continue
+			}
+			blocks := slices.DeleteFunc(co.stageBlocks(service, en, from, to, now), func(bl *stageBlock) bool { return !bl.staged(mo.Name) })
+			plan := co.planFor(en, su, serving, from, to, blocks)
+			if plan != nil && plan.gain >= co.requiredGain(service, mo.Name, now) && (best == nil || plan.gain > best.gain) {
+				best = plan
+			}
+		}
+	}
+	return best
+}
+
+// requiredGain returns the fraction of the congestion that an exchange for the model must remove.
+func (co *Core) requiredGain(service, model string, now time.Time) float64 {
+	st := co.exchangeStateOf(service)
+	if st.lastTo != "" && st.lastTo != model && now.Sub(st.lastAt) < reversalTime {
+		return reversalGain
+	}
+	return minRebalanceGain
+}
+
+// planFor returns the number of blocks of one model whose exchange for another gains most, or nil
+// if none gains. It adds blocks one by one as long as each gains by itself.
+func (co *Core) planFor(en *catalog.Engine, su serviceUtilization, serving []float64, from, to int, blocks []*stageBlock) *exchangePlan {
+	var best *exchangePlan
+	part := min(1, (en.Models[to].WarmLoadTime+en.FormTime+typicalDrainTime).Seconds()/rebalanceHorizon.Seconds())
+	most := max(1, math.Floor(releasedShare*serving[from]))
+	plan := exchangePlan{from: from, to: to}
+	for i, bl := range blocks {
+		plan.blocks = blocks[:i+1]
+		plan.released += float64(len(bl.groups))
+		plan.formed += float64(len(bl.vms) / en.Models[to].Size)
+		if plan.released > max(most, float64(len(bl.groups))) || serving[from] < plan.released+1 {
+			break
+		}
+		gain, step := su.gain(plan, part), minRebalanceGain/2
+		if best != nil && gain < best.gain+step*(1-best.gain) || best == nil && gain <= 0 {
+			break
+		}
+		found := plan
+		found.gain = gain
+		best = &found
+	}
+	return best
+}
+
+// gain returns the fraction of the congestion that a plan removes. For the given part of the
+// horizon the released groups are missing and the new ones do not serve yet.
+func (su serviceUtilization) gain(plan exchangePlan, part float64) float64 {
+	before := su.congestion(nil)
+	during, after := make([]float64, len(su.busy)), make([]float64, len(su.busy))
+	during[plan.from], after[plan.from], after[plan.to] = -plan.released, -plan.released, plan.formed
+	if before <= 0 {
+		return 0
+	}
+	return 1 - (part*su.congestion(during)+(1-part)*su.congestion(after))/before
+}
+
+// stageForDemand stages a model that is short of groups on the VMs of a block of another model,
+// which keeps serving meanwhile.
+func (co *Core) stageForDemand(service string, en *catalog.Engine, su serviceUtilization, serving []float64, now time.Time) []Call {
+	if co.InitialLoads {
+		return nil
+	}
+	st := co.exchangeStateOf(service)
+	room := min(stagingRoom(en)-co.stageLoads(service), en.LoadsAtOnce-co.loadsInFlight(service)-co.pendingLoads(service)-co.stageLoads(service))
+	if room <= 0 || co.exchangeUnderWay(service) {
+		return nil
+	}
+	bl, plan := co.bestBlockToStage(service, en, su, serving, now)
+	if bl == nil {
+		return nil
+	}
+	model := en.Models[bl.to].Name
+	if st.stagedTo != "" && st.stagedTo != model && now.Sub(st.stagedAt) < reversalTime {
+		return nil
+	}
+	calls := co.orderStages(bl, en, room, plan.describe(en, su), now)
+	if len(calls) > 0 {
+		st.stagedTo, st.stagedAt = model, now
+	}
+	return calls
+}
+
+// stagingRoom returns the number of loads that staging may have in progress.
+func stagingRoom(en *catalog.Engine) int { return int(stagingLoadShare * float64(en.LoadsAtOnce)) }
+
+// bestBlockToStage returns the block whose exchange gains most although its VMs have to load the
+// other model first. Blocks with staged VMs come first, so one block is completed before the next.
+func (co *Core) bestBlockToStage(service string, en *catalog.Engine, su serviceUtilization, serving []float64, now time.Time) (*stageBlock, *exchangePlan) {
+	var best *stageBlock
+	var bestPlan *exchangePlan
+	for to, mo := range en.Models {
+		if su.utilization(to, su.groups[to]) < exchangeUtilization {
+			continue
+		}
+		for from := range en.Models {
+			if from == to || serving[from] < 2 {
+				continue
+			}
+			blocks := slices.DeleteFunc(stageable(co.stageBlocks(service, en, from, to, now)), func(bl *stageBlock) bool { return bl.staged(mo.Name) })
+			if len(blocks) == 0 {
+				continue
+			}
+			plan := co.planFor(en, su, serving, from, to, blocks[:1])
+			if plan == nil {
+				continue
+			}
+			// The gain begins only after the loads, of which stagingRoom run at once.
+			rounds := math.Ceil(float64(len(blocks[0].vms)-blocks[0].have) / float64(max(1, stagingRoom(en))))
+			plan.gain *= 1 - min(1, max(1, rounds)*mo.LoadTime.Seconds()/rebalanceHorizon.Seconds())
+			if plan.gain >= co.requiredGain(service, mo.Name, now) && (bestPlan == nil || plan.gain > bestPlan.gain) {
+				best, bestPlan = blocks[0], plan
+			}
+		}
+	}
+	return best, bestPlan
+}
+
+// exchangeUnderWay reports whether a group drains to make room for another model or VMs that are
+// reserved for one have not joined it yet.
+func (co *Core) exchangeUnderWay(service string) bool {
+	for _, vm := range co.vms {
+		if vm.ep.Service == service && vm.targetModel != "" && !vm.down {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/core/steward/form.go
+++ b/internal/core/steward/form.go
@@ -38,6 +38,11 @@
 		co.dropInfeasibleTargets(service, en)
 		calls = append(calls, co.formWarm(service, en, doms, now)...)
 		calls = append(calls, co.startLoads(service, en, doms, now)...)
+		if en.StagesModels() {
+			calls = append(calls, co.stageModels(service, en, now)...)
+			calls = append(calls, co.followDemand(service, en, doms, now)...)
+			continue
+		}
 		co.rebalance(service, en, doms, now)
 	}
 	return calls
--- a/internal/core/steward/loads.go
+++ b/internal/core/steward/loads.go
@@ -26,7 +26,7 @@
 	calls = append(calls, co.loadStaged(service, doms, now)...)
 	room := len(co.vms)
 	if !co.InitialLoads {
-		room = en.LoadsAtOnce - co.loadsInFlight(service)
+		room = en.LoadsAtOnce - co.loadsInFlight(service) - co.stageLoads(service)
 	}
 	for room > 0 {
 		ch := co.bestLoad(service, en, doms, now)
--- a/internal/core/steward/outcomes.go
+++ b/internal/core/steward/outcomes.go
@@ -17,6 +17,9 @@
 	}
 	vm.orderPending = false
 	vm.lastOrderAt = now
+	if _, ok := cd.Order.(catalog.Stage); ok && out == Refused {
+		vm.failStage(now)
+	}
 	switch out {
 	case Accepted:
 		vm.failures = 0
@@ -57,7 +60,10 @@
 		vm.ep.Member = nil
 		vm.idleSince = now
 	case catalog.Stage:
-		vm.pollBy(now.Add(loadPollInterval))
+		if so := vm.stage; so != nil {
+			so.startBy(now)
+			vm.pollBy(so.dueAt)
+		}
 	}
 }
 
--- a/internal/core/steward/rebalance.go
+++ b/internal/core/steward/rebalance.go
@@ -46,6 +46,12 @@
 	}
 	co.rebalanceAt = now.Add(rebalanceInterval)
 	co.updateWeightSource(en, now)
+	co.exchangeLoading(service, en, doms, now)
+}
+
+// exchangeLoading makes the exchange with the largest gain, whose VMs load the other model while
+// they do not serve.
+func (co *Core) exchangeLoading(service string, en *catalog.Engine, doms []*domain, now time.Time) {
 	ex := co.bestExchange(service, en, doms)
 	if ex == nil {
 		return
@@ -104,7 +110,7 @@
 	before := su.congestion(nil)
 	var best *exchange
 	for to, mo := range en.Models {
-		needed := su.groups[to] == 0 || co.demand.useMeasured && su.utilization(to, su.groups[to]) >= highUtilization
+		needed := su.groups[to] == 0 || !en.StagesModels() && co.demand.useMeasured && su.utilization(to, su.groups[to]) >= highUtilization
 		if !needed || co.exchangeInProgress(service, mo.Name) {
 			continue
 		}
--- a/internal/core/steward/reports.go
+++ b/internal/core/steward/reports.go
@@ -50,7 +50,10 @@
 	vm.reported, vm.down, vm.failures, vm.urgent, vm.uncertain, vm.orderRefused = true, false, 0, false, false, false
 	vm.lastAnsweredPoll, vm.inconclusive = sentAt, 0
 	vm.setLoadedModel(vm.ep.Loaded)
-	if vm.ep.Loaded == "" && vm.ep.Member == nil && !vm.ep.HasStaged(vm.lastModel) {
+	if vm.ep.Loaded != "" {
+		vm.memoryModel = vm.ep.Loaded
+	}
+	if vm.ep.Loaded == "" && vm.ep.Member == nil && !vm.ep.HasStaged(vm.lastModel) && !co.inMemory(vm) {
 		// The load was aborted before the weights were in memory.
 		vm.lastModel = ""
 	}
--- a/internal/core/steward/simulation_test.go
+++ b/internal/core/steward/simulation_test.go
@@ -27,6 +27,8 @@
 	// lostOrderResponses and lateOrders are the shares of orders whose response is lost or
 	// that are carried out late.
 	lostOrderResponses, lateOrders float64
+	// ignoredStages is the share of stage orders that are accepted and not carried out.
+	ignoredStages float64
 	// storeDown is set while the store is unavailable and changed entries do not reach the
 	// steward.
 	storeDown bool
@@ -245,6 +247,10 @@
 		si.after(orderTimeout, func() { si.core.HandleOutcome(cd, Unanswered, si.now) })
 		return
 	}
+	if _, ok := cd.Order.(catalog.Stage); ok && si.rnd.Float64() < si.ignoredStages {
+		si.after(si.callTime(), func() { si.core.HandleOutcome(cd, Accepted, si.now) })
+		return
+	}
 	status := si.fleet.Order(cd.ID, cd.Order, cd.IfOrders, si.now)
 	if status == 0 || si.rnd.Float64() < si.lostOrderResponses {
 		si.after(orderTimeout, func() { si.core.HandleOutcome(cd, Unanswered, si.now) })
--- a/internal/core/steward/steward.go
+++ b/internal/core/steward/steward.go
@@ -155,6 +155,13 @@
 	urgent bool
 	// idleSince is when the VM was first seen or last left a group.
 	idleSince time.Time
+	// memoryModel is the last model that the VM itself reported to have in memory.
+	memoryModel string
+	// stage is the order to stage a model that is under way; nil if there is none. stageFailures
+	// counts the orders that had no effect, and stageRetryAt is when the next may be sent.
+	stage         *stageOrder
+	stageFailures int
+	stageRetryAt  time.Time
 }
 
 // hasWeights reports whether the VM has the model's weights in memory or staged on its host,
@@ -253,7 +260,11 @@
 	// rebalanceAt is when to check next whether groups of one model should be exchanged for
 	// groups of another.
 	rebalanceAt time.Time
-	events      []Event
+	// stagingAt is when to check next which models to stage.
+	stagingAt time.Time
+	// exchanges is the state of the exchanges of staged groups, by service.
+	exchanges map[string]*exchangeState
+	events    []Event
 }
 
 // Event is a change to report to operators in the log.
@@ -272,7 +283,7 @@
 // New returns the state of a steward that takes over with the given term.
 func New(term int64, now time.Time) *Core {
 	return &Core{Term: term, services: make(map[string]*catalog.Engine), vms: make(map[string]*vm),
-		groups: make(map[groupKey]*group), incompleteGroups: make(map[groupKey]bool), unresponsiveAt: make(map[string]time.Time), unwitnessed: make(map[string]bool),
+		groups: make(map[groupKey]*group), incompleteGroups: make(map[groupKey]bool), unresponsiveAt: make(map[string]time.Time), unwitnessed: make(map[string]bool), exchanges: make(map[string]*exchangeState),
 		startedAt: now, loads: loadLimiter{refilledAt: now}}
 }
 
--- a/internal/core/steward/view.go
+++ b/internal/core/steward/view.go
@@ -45,6 +45,9 @@
 	// Serving, Forming and Broken count groups, Spares, Down and Stranded count VMs. Broken
 	// groups are being dissolved. Stranded VMs are up but belong to no group.
 	Serving, Forming, Broken, Spares, Down, Stranded int
+	// Staged counts the VMs of groups whose host has another model than the group's. Staging
+	// counts the VMs with an order to stage a model under way.
+	Staged, Staging int
 	// ByModel is the number of serving groups of each model.
 	ByModel map[string]int
 	// Busy is the measured demand on each model, in groups; nil until requests have been
@@ -68,6 +71,12 @@
 		}
 	}
 	for _, vm := range co.vms {
+		if vm.stage != nil {
+			st.Staging++
+		}
+		if vm.hasOtherStaged() {
+			st.Staged++
+		}
 		switch {
 		case vm.down:
 			st.Down++
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -34,6 +34,8 @@
 		{`corianderhub_groups{state="broken"}`, stewards(func(st steward.Stats) int { return st.Broken })},
 		{`corianderhub_vms{state="spare"}`, stewards(func(st steward.Stats) int { return st.Spares })},
 		{`corianderhub_vms{state="stranded"}`, stewards(func(st steward.Stats) int { return st.Stranded })},
+		{`corianderhub_vms{state="staged"}`, stewards(func(st steward.Stats) int { return st.Staged })},
+		{`corianderhub_vms{state="staging"}`, stewards(func(st steward.Stats) int { return st.Staging })},
 		{`corianderhub_vms{state="down"}`, stewards(func(st steward.Stats) int { return st.Down })},
 		{"corianderhub_knowledge_age_seconds", func() float64 { return da.control.age(da.Clock.Now()).Seconds() }},
 		{"corianderhub_following_store", func() float64 { return boolGauge(da.control.follows()) }},
