Correct the estimates of load by what servers state

The package occupancy keeps, for each group, a correction: the difference between the leader's count and the known requests at the same moment, smoothed and decaying. Daemons exchange the newest reading of each group (Work, key 4). The estimate of level and of predictions contains the correction and is never below the daemon's own requests. The cost of plain endpoints contains what others run there. Predictions for full groups no longer count waiting requests as decoding. Reports of other daemons now expire also while no heartbeat arrives at all.

--- a/internal/core/dispatch/endpoints.go
+++ b/internal/core/dispatch/endpoints.go
@@ -56,6 +56,7 @@
 	failureRateAt time.Time
 	latency       time.Duration
 	avoidUntil    time.Time
+	others        othersLoad
 }
 
 // Update applies a view. Endpoints that remain keep their measurements. An endpoint with a new
@@ -88,11 +89,12 @@
 	defer pl.mu.Unlock()
 	var best *PlainEndpoint
 	var bestCost float64
+	meanOthers := pl.meanOthers(service, now)
 	for _, ep := range pl.services[service] {
 		if ep.leaving || slices.Contains(exclude, ep) || !pl.Backpressure.Accepts(ep.Instance(), now) {
 			continue
 		}
-		if co := pl.cost(ep, now); best == nil || co < bestCost {
+		if co := pl.cost(ep, meanOthers, now); best == nil || co < bestCost {
 			best, bestCost = ep, co
 		}
 	}
@@ -117,10 +119,11 @@
 	return waitTime(pl.Backpressure, instances, now)
 }
 
-// cost returns the cost of sending a request to the endpoint, in waiting requests. The random term
-// spreads the requests of daemons with the same information.
-func (pl *PlainTable) cost(ep *PlainEndpoint, now time.Time) float64 {
-	co := float64(ep.openRequests) + ep.failureRate(now)*failurePenalty + float64(ep.latency)/float64(latencyUnit) + rand.Float64()
+// cost returns the cost of sending a request to the endpoint, in waiting requests. meanOthers is the
+// mean number of other daemons' requests at the endpoints of the service. The random term spreads the
+// requests of daemons with the same information.
+func (pl *PlainTable) cost(ep *PlainEndpoint, meanOthers float64, now time.Time) float64 {
+	co := float64(ep.openRequests) + ep.othersAt(meanOthers, now) + ep.failureRate(now)*failurePenalty + float64(ep.latency)/float64(latencyUnit) + rand.Float64()
 	if ep.DataCenter != pl.DataCenter {
 		co += remotePenalty
 	}
--- a/internal/core/dispatch/group.go
+++ b/internal/core/dispatch/group.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"corianderhub.dev/corianderhub/internal/core/catalog"
+	"corianderhub.dev/corianderhub/internal/core/occupancy"
 )
 
 // Group is a group in the view together with this daemon's estimate of its load. The embedded part
@@ -21,6 +22,8 @@
 	// unreported is the estimated number of requests that the other daemons have sent since their
 	// last reports.
 	unreported float64
+	// account corrects the estimate by the load that the leader states in its responses.
+	account occupancy.Account
 	// inView is false once the group has left the view.
 	inView bool
 	// stalled is set while the group emits nothing. A stalled group gets no new requests.
--- a/internal/core/dispatch/passsim_test.go
+++ b/internal/core/dispatch/passsim_test.go
@@ -61,7 +61,9 @@
 
 // passGroup is a group with the requests in its slots and those that wait for one.
 type passGroup struct {
-	until             time.Time
+	until time.Time
+	// slowness is the factor by which passes take longer than the engine's description says; 0 means 1.
+	slowness          float64
 	decoding, waiting []*passRequest
 }
 
@@ -205,7 +207,7 @@
 		context += rq.prompt + int64(rq.events*pw.engine.Stride)
 	}
 	pass := passTime(pw.engine, len(gr.decoding), context) + prefillTime(pw.engine, prefill)
-	gr.until = pw.now.Add(scale(pass, pw.model.Pace))
+	gr.until = pw.now.Add(scale(pass, pw.model.Pace*max(1, gr.slowness)))
 }
 
 // emit makes a request emit an event and reports whether its answer is complete.
--- a/internal/core/dispatch/peers.go
+++ b/internal/core/dispatch/peers.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"corianderhub.dev/corianderhub/internal/core/catalog"
+	"corianderhub.dev/corianderhub/internal/core/occupancy"
 )
 
 // maxPeerLoadAge is the age at which the work reported by another daemon is discarded.
@@ -22,6 +23,8 @@
 	// Demand is the demand for each model. It is not relayed: only the steward uses it, and each
 	// daemon reports its own to the steward.
 	Demand map[string]catalog.Demand `cbor:"3,keyasint,omitempty"`
+	// Readings holds recent loads that groups' leaders have stated, the newest of each group.
+	Readings map[string]occupancy.Shared `cbor:"4,keyasint,omitempty"`
 }
 
 // peerWork is the work reported by another daemon, with the time of the report.
@@ -38,11 +41,27 @@
 	if ta.peers == nil {
 		return
 	}
+	ta.endBlindness()
 	ta.replacePeerWork(relayedPeer, Work{})
 	ta.replacePeerWork(peer, wo)
 	ta.peers[peer] = peerWork{wo, now}
 	delete(ta.peers, relayedPeer)
-	if now.Sub(ta.expiredAt) > maxPeerLoadAge/4 {
+	ta.expirePeers(now)
+	ta.recordEstimates(now)
+	ta.applyPeerReadings(peer, wo.Readings, now)
+}
+
+// endBlindness resets the corrections if there was no report of another daemon so far: they stand for
+// the requests that the reports will now tell.
+func (ta *Table) endBlindness() {
+	if len(ta.peers) == 0 {
+		ta.resetAccounts()
+	}
+}
+
+// expirePeers deletes expired reports from time to time.
+func (ta *Table) expirePeers(now time.Time) {
+	if len(ta.peers) > 0 && now.Sub(ta.expiredAt) > maxPeerLoadAge/4 {
 		ta.expiredAt = now
 		ta.sumPeers(now)
 	}
@@ -82,9 +101,12 @@
 	if ta.peers == nil {
 		return
 	}
+	ta.endBlindness()
 	clear(ta.peers)
 	ta.peers[relayedPeer] = peerWork{wo, now}
 	ta.sumPeers(now)
+	ta.recordEstimates(now)
+	ta.applyPeerReadings(relayedPeer, wo.Readings, now)
 }
 
 // sumPeers recomputes the sums over all other daemons and deletes expired reports.
@@ -93,6 +115,7 @@
 		gr.peerLoad = Load{}
 	}
 	clear(ta.peerRates)
+	known := len(ta.peers)
 	for peer, pe := range ta.peers {
 		if now.Sub(pe.at) > maxPeerLoadAge {
 			delete(ta.peers, peer)
@@ -100,13 +123,17 @@
 		}
 		ta.addPeerWork(pe.Work)
 	}
+	if known > 0 && len(ta.peers) == 0 {
+		ta.resetAccounts()
+	}
 }
 
 // OwnWork returns the work of this daemon.
 func (ta *Table) OwnWork(now time.Time) Work {
 	ta.mu.Lock()
 	defer ta.mu.Unlock()
-	wo := Work{Loads: make(map[string]Load, len(ta.groups)), Rates: ta.rates.all(now), Demand: ta.ownDemand(now)}
+	wo := Work{Loads: make(map[string]Load, len(ta.groups)), Rates: ta.rates.all(now), Demand: ta.ownDemand(now),
+		Readings: ta.sharedReadings("", true, now)}
 	for name, gr := range ta.groups {
 		if gr.ownLoad.Requests > 0 {
 			wo.Loads[name] = gr.ownLoad
@@ -121,7 +148,7 @@
 	ta.mu.Lock()
 	defer ta.mu.Unlock()
 	reported := ta.peers[peer]
-	wo := Work{Loads: make(map[string]Load, len(ta.groups)), Rates: ta.rates.all(now)}
+	wo := Work{Loads: make(map[string]Load, len(ta.groups)), Rates: ta.rates.all(now), Readings: ta.sharedReadings(peer, false, now)}
 	for name, gr := range ta.groups {
 		if lo := gr.ownLoad.plus(gr.peerLoad).minus(reported.Loads[name]); lo.Requests > 0 {
 			wo.Loads[name] = lo
--- a/internal/core/dispatch/pick.go
+++ b/internal/core/dispatch/pick.go
@@ -26,6 +26,10 @@
 	Prediction
 	// Running is the estimated number of other requests at the group.
 	Running float64
+	// Correction is the part of the estimate that results from the load that servers state, ReadingAge
+	// the age of the newest such statement of the group; 0 if there is none.
+	Correction float64
+	ReadingAge time.Duration
 	// Idle is set if at least half of the group's slots are estimated to be free.
 	Idle bool
 	// MeetsObjective is set if the request is expected to meet its objective.
@@ -45,6 +49,7 @@
 	ta.mu.Lock()
 	defer ta.mu.Unlock()
 	if ta.rates == nil {
+		// Update has not been called yet.
 		ta.rates, ta.estimatedUntil, ta.demands = make(arrivals), make(map[string]time.Time), make(demands)
 	}
 	if !ne.Resumed {
@@ -66,6 +71,7 @@
 	}
 	best := choose(cands, ta.random())
 	ch.Prediction, ch.MeetsObjective, ch.Running = best.Prediction, best.fits, best.running
+	ch.Correction, ch.ReadingAge = best.gr.account.Correction(now, best.gr.answerTime()), best.gr.readingAge(now)
 	ch.Idle = best.running < float64(best.gr.engine.Slots)/2
 	if overloaded := !ne.Resumed && ta.random() < left; overloaded || !best.fits && !admissible(best, ne) {
 		ch.RetryAfter = max(retryFull, best.FirstEvent-ne.Objective)
@@ -90,7 +96,7 @@
 		if !gr.accepts(ne) || !ta.Backpressure.Accepts(gr.leader(), now) {
 			continue
 		}
-		le, remoteCost := ta.level(gr), ta.remoteCost(gr)
+		le, remoteCost := ta.level(gr, now), ta.remoteCost(gr)
 		if ne.late() && !ne.FinalAttempt {
 			le.room -= lateReserve * float64(gr.engine.Slots)
 		}
--- a/internal/core/dispatch/predict.go
+++ b/internal/core/dispatch/predict.go
@@ -46,9 +46,14 @@
 // of the current pass, half of it on average, and for the whole next one.
 func predict(en *catalog.Engine, mo catalog.Model, slowness float64, lo Load, prompt int64) Prediction {
 	pace := mo.TimeFactor() * max(slowness, 1)
-	steps := passTime(en, lo.Requests+1, lo.ContextTokens+prompt)
+	// Requests beyond the slots wait and take no part in a pass.
+	decoding := lo.Requests
+	if en.Slots > 0 {
+		decoding = min(decoding, en.Slots)
+	}
+	steps := passTime(en, decoding+1, lo.ContextTokens+prompt)
 	prefill := prefillTime(en, lo.PrefillTokens+prompt)
-	current := passTime(en, lo.Requests, lo.ContextTokens)
+	current := passTime(en, decoding, lo.ContextTokens)
 	pass := scale(steps+prefill, pace)
 	pr := Prediction{FirstEvent: scale(current, pace)/2 + pass, Pass: pass, Full: lo.Requests >= en.Slots}
 	if lo.Requests == 0 {
--- a/internal/core/dispatch/table.go
+++ b/internal/core/dispatch/table.go
@@ -47,6 +47,8 @@
 	firstRequestAt time.Time
 	// moves holds the requests of groups that broke recently.
 	moves moves
+	// readings is set once a server has stated its load.
+	readings bool
 	// expiredAt is when expired reports of other daemons were last removed.
 	expiredAt time.Time
 }
@@ -96,6 +98,7 @@
 		ta.peers = make(map[string]peerWork)
 		ta.peerRates = make(map[string]float32)
 		ta.residuals = make(residuals)
+		ta.rates, ta.estimatedUntil, ta.demands = make(arrivals), make(map[string]time.Time), make(demands)
 	}
 	for _, gr := range ta.groups {
 		gr.inView = false
--- a/internal/core/dispatch/waterfill.go
+++ b/internal/core/dispatch/waterfill.go
@@ -33,6 +33,7 @@
 // estimatePeers advances to now the estimates of the requests that the other daemons have sent to a
 // model's groups since their last reports.
 func (ta *Table) estimatePeers(model string, now time.Time) {
+	ta.expirePeers(now)
 	var groups []*Group
 	var unavailable []bool
 	for _, gr := range ta.byName {
@@ -53,7 +54,7 @@
 		step := min(since, estimateStep)
 		levels := make([]level, len(groups))
 		for i, gr := range groups {
-			levels[i] = ta.level(gr)
+			levels[i] = ta.level(gr, now)
 			if unavailable[i] {
 				levels[i].room = 0
 			}
@@ -74,19 +75,30 @@
 	room float64
 }
 
-// level estimates a group's load: the requests that this daemon sent, plus those that the others
-// reported minus the ones that have ended since, plus those that they are expected to have sent
-// since.
-func (ta *Table) level(gr *Group) level {
-	answer := max(minAnswerTime, answerTime(gr.engine, gr.ownLoad.plus(gr.peerLoad), gr.model.TimeFactor()*gr.slowness()))
-	remaining := max(0, 1-ta.reportDelay.Seconds()/answer.Seconds())
+// level estimates a group's load, corrected by the load that its leader states. The correction never
+// lowers the estimate below the requests that this daemon itself has at the group.
+func (ta *Table) level(gr *Group, now time.Time) level {
+	answer := gr.answerTime()
 	slots := float64(gr.engine.Slots)
 	return level{
-		load: float64(gr.ownLoad.Requests) + float64(gr.peerLoad.Requests)*remaining + gr.unreported,
+		load: max(float64(gr.ownLoad.Requests), ta.uncorrected(gr, answer)+gr.account.Correction(now, answer)),
 		room: slots - unreportedMargin*unreportedDeviation(slots, ta.reportDelay, answer),
 	}
 }
 
+// uncorrected estimates a group's load: the requests that this daemon sent, plus those that the
+// others reported minus the ones that have ended since, plus those that they are expected to have
+// sent since. answer is the group's mean answer time.
+func (ta *Table) uncorrected(gr *Group, answer time.Duration) float64 {
+	remaining := max(0, 1-ta.reportDelay.Seconds()/answer.Seconds())
+	return float64(gr.ownLoad.Requests) + float64(gr.peerLoad.Requests)*remaining + gr.unreported
+}
+
+// answerTime returns the mean duration of an answer of the group under its present load.
+func (gr *Group) answerTime() time.Duration {
+	return max(minAnswerTime, answerTime(gr.engine, gr.ownLoad.plus(gr.peerLoad), gr.model.TimeFactor()*gr.slowness()))
+}
+
 // unreportedMargin is the headroom left in each group, in standard deviations of the unreported
 // change of its load.
 const unreportedMargin = 0.6
--- a/internal/front/relay.go
+++ b/internal/front/relay.go
@@ -91,6 +91,6 @@
 	st.sv.Table.RecordAnswer(st.choice.Group, st.events, st.sv.Clock.Now())
 	st.log.Info("front: answered.", "outcome", "whole", "status", http.StatusOK, "sends", st.sends, "events", st.events,
 		"group", st.choice.Group.Name, "first-ms", st.firstEvent.Milliseconds(), "predicted-ms", st.choice.FirstEvent.Milliseconds(),
-		"fits", st.choice.MeetsObjective, "running", int(st.choice.Running), "waited-ms", st.waited.Milliseconds(), "pause-ms", st.maxPause.Milliseconds(), "ms", st.sv.Clock.Now().Sub(st.arrived).Milliseconds())
+		"fits", st.choice.MeetsObjective, "running", int(st.choice.Running), "correction", int(st.choice.Correction), "reading-ms", st.choice.ReadingAge.Milliseconds(), "waited-ms", st.waited.Milliseconds(), "pause-ms", st.maxPause.Milliseconds(), "ms", st.sv.Clock.Now().Sub(st.arrived).Milliseconds())
 	st.count("passed-2xx")
 }
--- a/internal/front/response_header.go
+++ b/internal/front/response_header.go
@@ -15,7 +15,7 @@
 var limitChanges = metrics.NewCounter("corianderhub_endpoint_limit_changes_total")
 
 // ApplyResponseHeader applies what the header of a response to a request says about its endpoint:
-// rate limit, back-off and shutdown. sent is the time when the request was sent.
+// rate limit, back-off, shutdown and load. sent is the time when the request was sent.
 func (sv *Server) ApplyResponseHeader(li catalog.Instance, rsp *http.Response, sent time.Time) {
 	// A refusal may be generated before the server itself sees the request, so a missing
 	// limit does not withdraw the current one.
@@ -24,6 +24,7 @@
 	}
 	sv.applyRetryAfter(li, rsp, sent)
 	sv.applyLeaving(li, rsp)
+	sv.applyLoad(li, rsp)
 }
 
 // applyLeaving marks the endpoint as leaving if the response says that it stops soon.
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -68,6 +68,8 @@
 	inFlight atomic.Int64
 	received atomic.Int64
 	waits    dispatch.WaitEstimator
+	// invalidLoads holds the endpoints whose invalid load was logged.
+	invalidLoads loggedOnce
 	// firstUnconfigured is when the first request arrived without a configuration, in Unix
 	// nanoseconds.
 	firstUnconfigured atomic.Int64
