Refuse the least urgent requests first where a model gets several ranks

Cause: admission control did not know the rank of a request.

Change: daemons measure and sum the arrivals and sends of each model by rank (Work, key 5). With one rank, the draw is unchanged. Choice carries the inputs of the decision.

--- a/internal/core/dispatch/peers.go
+++ b/internal/core/dispatch/peers.go
@@ -22,6 +22,8 @@
 	// Demand is the demand for each model. It is not relayed: only the steward uses it, and each
 	// daemon reports its own to the steward.
 	Demand map[string]catalog.Demand `cbor:"3,keyasint,omitempty"`
+	// Ranks is the rate of requests for each model by rank.
+	Ranks rankRates `cbor:"5,keyasint,omitempty"`
 }
 
 // peerWork is the work reported by another daemon, with the time of the report.
@@ -40,7 +42,7 @@
 	}
 	ta.replacePeerWork(relayedPeer, Work{})
 	ta.replacePeerWork(peer, wo)
-	ta.peers[peer] = peerWork{wo, now}
+	ta.peers[peer], ta.reportedAt = peerWork{wo, now}, now
 	delete(ta.peers, relayedPeer)
 	if now.Sub(ta.expiredAt) > maxPeerLoadAge/4 {
 		ta.expiredAt = now
@@ -59,6 +61,7 @@
 	for model, perSecond := range before.Rates {
 		ta.peerRates[model] -= perSecond
 	}
+	ta.peerRanks.add(before.Ranks, -1)
 	ta.addPeerWork(wo)
 }
 
@@ -72,6 +75,7 @@
 	for model, perSecond := range wo.Rates {
 		ta.peerRates[model] += perSecond
 	}
+	ta.peerRanks.add(wo.Ranks, 1)
 }
 
 // ApplyRelayedWork records the combined work of all other daemons. It replaces the reports of single
@@ -83,7 +87,7 @@
 		return
 	}
 	clear(ta.peers)
-	ta.peers[relayedPeer] = peerWork{wo, now}
+	ta.peers[relayedPeer], ta.reportedAt = peerWork{wo, now}, now
 	ta.sumPeers(now)
 }
 
@@ -93,6 +97,7 @@
 		gr.peerLoad = Load{}
 	}
 	clear(ta.peerRates)
+	clear(ta.peerRanks)
 	for peer, pe := range ta.peers {
 		if now.Sub(pe.at) > maxPeerLoadAge {
 			delete(ta.peers, peer)
@@ -106,7 +111,7 @@
 func (ta *Table) OwnWork(now time.Time) Work {
 	ta.mu.Lock()
 	defer ta.mu.Unlock()
-	wo := Work{Loads: make(map[string]Load, len(ta.groups)), Rates: ta.rates.all(now), Demand: ta.ownDemand(now)}
+	wo := Work{Loads: make(map[string]Load, len(ta.groups)), Rates: ta.rates.all(now), Demand: ta.ownDemand(now), Ranks: ta.rankCounters.all(now)}
 	for name, gr := range ta.groups {
 		if gr.ownLoad.Requests > 0 {
 			wo.Loads[name] = gr.ownLoad
@@ -132,5 +137,9 @@
 			wo.Rates[model] += others
 		}
 	}
+	wo.Ranks = ta.rankCounters.all(now)
+	wo.Ranks.add(ta.peerRanks, 1)
+	wo.Ranks.add(reported.Ranks, -1)
+	wo.Ranks.trim()
 	return wo
 }
--- a/internal/core/dispatch/pick.go
+++ b/internal/core/dispatch/pick.go
@@ -4,6 +4,8 @@
 	"context"
 	"slices"
 	"time"
+
+	"corianderhub.dev/corianderhub/internal/core/admit"
 )
 
 // candidate is a group with the prediction for the request.
@@ -36,6 +38,21 @@
 	AllLimited bool
 	// RetryAfter is the suggested time before a retry if Group is nil.
 	RetryAfter time.Duration
+	// Rank is the request's rank. Excess is the fraction of the requests for the model that exceeds
+	// the room of its groups for this rank, FreeSlots the estimated room of all these groups.
+	Rank      int
+	Excess    float64
+	FreeSlots float64
+	// SumsAge is the time since the last report of other daemons, or negative if there was none.
+	SumsAge time.Duration
+}
+
+// excess is the fraction of the concurrent requests for a model that exceeds the room of its groups.
+type excess struct {
+	// all is the fraction without the room reserved for more urgent ranks, rank that with it.
+	all, rank float64
+	// free is the sum of the groups' room for the rank, in requests.
+	free float64
 }
 
 // Pick selects the group for a request and counts the request there. If it refuses the request,
@@ -46,16 +63,21 @@
 	defer ta.mu.Unlock()
 	if ta.rates == nil {
 		ta.rates, ta.estimatedUntil, ta.demands = make(arrivals), make(map[string]time.Time), make(demands)
+		ta.rankCounters = make(rankCounters)
 	}
+	ne.Rank = min(admit.NumRanks-1, max(0, ne.Rank))
+	var counter *rankCounter
 	if !ne.Resumed {
 		ta.rates.add(ne.Model, now)
+		counter = ta.rankCounters.offer(ne, now)
 	}
 	if !ne.Resumed && !ne.late() && len(ne.Exclude) == 0 {
 		ta.demands.recordRequest(ne.Model, ne.Prompt, now)
 	}
 	ta.estimatePeers(ne.Model, now)
-	cands, left := ta.candidates(ne, now)
-	ch := Choice{Groups: len(cands)}
+	ranks := ta.ranksOf(ne.Model, now)
+	cands, ex := ta.candidates(ne, ranks.Reserve(ne.Rank), now)
+	ch := Choice{Groups: len(cands), Rank: ne.Rank, Excess: ex.rank, FreeSlots: ex.free, SumsAge: ta.sumsAge(now)}
 	if len(cands) == 0 {
 		ch.RetryAfter = ta.waitTime(ne, now)
 		ch.AllLimited = ch.RetryAfter > 0
@@ -67,23 +89,41 @@
 	best := choose(cands, ta.random())
 	ch.Prediction, ch.MeetsObjective, ch.Running = best.Prediction, best.fits, best.running
 	ch.Idle = best.running < float64(best.gr.engine.Slots)/2
-	if overloaded := !ne.Resumed && ta.random() < left; overloaded || !best.fits && !admissible(best, ne) {
+	if ta.overloaded(ne, ex, &ranks) || !best.fits && !admissible(best, ne) {
 		ch.RetryAfter = max(retryFull, best.FirstEvent-ne.Objective)
 		return ch, nil
 	}
 	ch.Group = best.gr
+	if counter != nil {
+		counter.sent[ne.Rank].add(now)
+	}
 	return ch, ta.start(best, ne, cancel, now)
 }
 
+// overloaded draws whether a request is refused because the requests for its model exceed the room of
+// the groups. Where the requests have more than one rank, the less urgent ones are refused first.
+func (ta *Table) overloaded(ne Request, ex excess, ranks *admit.Ranks) bool {
+	switch {
+	case ne.Resumed:
+		return false
+	case !ranks.Mixed():
+		return ta.random() < ex.all
+	case ex.all >= 1:
+		// Without weights, all daemons would choose the same group.
+		return true
+	}
+	return ta.random() < ranks.Refusal(ne.Rank, ex.rank)
+}
+
 // admissible reports whether a request that misses its objective is sent nevertheless: a late answer
 // is still useful to its caller, but the request must not delay all other requests.
 func admissible(ca candidate, ne Request) bool {
 	return !ca.Full && ca.FirstEvent < ne.MaxWait && ca.Pass <= ne.MaxPause
 }
 
-// candidates returns the groups that accept the request, and the fraction of the concurrent requests
-// for its model that exceeds the room of these groups.
-func (ta *Table) candidates(ne Request, now time.Time) ([]candidate, float64) {
+// candidates returns the groups that accept the request, and the excess of the concurrent requests
+// for its model. reserve is the fraction of the slots that the request leaves to more urgent ones.
+func (ta *Table) candidates(ne Request, reserve float64, now time.Time) ([]candidate, excess) {
 	var cands []candidate
 	var levels []level
 	for _, gr := range ta.byName {
@@ -118,7 +158,18 @@
 		ca.FirstEvent += ta.residuals.forModel(ne.Model)
 		ca.fits = !ca.Full && ca.FirstEvent <= limit && ca.Pass <= scale(ne.MaxPause, pauseMargin)
 	}
-	return cands, left / (concurrent + 1)
+	ex := excess{all: left / (concurrent + 1), rank: left / (concurrent + 1)}
+	if reserve > 0 {
+		for i := range levels {
+			levels[i].room -= reserve * float64(cands[i].gr.engine.Slots)
+		}
+		_, left = fill(levels, concurrent+1)
+		ex.rank = left / (concurrent + 1)
+	}
+	for _, le := range levels {
+		ex.free += max(0, le.room-le.load)
+	}
+	return cands, ex
 }
 
 // accepts reports whether the request may be sent to the group, limits of its leader aside.
--- a/internal/core/dispatch/table.go
+++ b/internal/core/dispatch/table.go
@@ -32,6 +32,11 @@
 	// daemons, both by model and per second.
 	rates     arrivals
 	peerRates map[string]float32
+	// rankCounters measures the requests at this daemon by model and rank, peerRanks is the sum of
+	// the rates at the other daemons. reportedAt is when the last report of one was received.
+	rankCounters rankCounters
+	peerRanks    rankRates
+	reportedAt   time.Time
 	// demands is the demand for each model at this daemon.
 	demands demands
 	// estimatedUntil is the time of the last estimate of the others' requests, by model.
@@ -65,6 +70,10 @@
 	MaxWait time.Duration
 	// FinalAttempt is set for a late request that cannot be delayed any further.
 	FinalAttempt bool
+	// Rank is the urgency of the request, from 0, the most urgent, to 9. Workspace is the name of its
+	// caller's workspace, empty if there is none.
+	Rank      int
+	Workspace string
 	// Resumed is set for a request whose caller has received a part of the answer.
 	Resumed bool
 	// Exclude lists the groups that the request was already sent to.
@@ -95,6 +104,7 @@
 		ta.groups = make(map[string]*Group)
 		ta.peers = make(map[string]peerWork)
 		ta.peerRates = make(map[string]float32)
+		ta.peerRanks = make(rankRates)
 		ta.residuals = make(residuals)
 	}
 	for _, gr := range ta.groups {
--- a/internal/core/dispatch/waterfill.go
+++ b/internal/core/dispatch/waterfill.go
@@ -58,7 +58,7 @@
 				levels[i].room = 0
 			}
 		}
-		shares, _ := fill(levels, perSecond*step.Seconds())
+		shares := ta.fillRanks(model, groups, levels, perSecond, step)
 		decay := math.Exp(-step.Seconds() / ta.reportDelay.Seconds())
 		for i, gr := range groups {
 			gr.unreported = (gr.unreported + shares[i]) * decay
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -198,7 +198,11 @@
 // dispatchRequest returns the request and its current latency limits, as Pick expects them.
 func (st *stream) dispatchRequest(now time.Time) dispatch.Request {
 	ne := dispatch.Request{Service: st.service, Model: st.model, Prompt: st.prompt, MaxPause: st.route.PauseObjective,
-		Objective: st.route.Objective - st.waited - now.Sub(st.arrived) - callerDelay, MaxWait: min(maxLateWait, st.remaining()), Resumed: st.started, Exclude: st.tried}
+		Objective: st.route.Objective - st.waited - now.Sub(st.arrived) - callerDelay, MaxWait: min(maxLateWait, st.remaining()), Resumed: st.started, Exclude: st.tried,
+		Rank: st.priority()}
+	if st.workspace != nil {
+		ne.Workspace = st.workspace.Name
+	}
 	if st.started {
 		// The caller already has the first event, so the objective is now a short gap.
 		ne.Objective = st.route.PauseObjective
