--- a/internal/core/dispatch/peers.go
+++ b/internal/core/dispatch/peers.go
@@ -25,6 +25,8 @@
 	Demand map[string]catalog.Demand `cbor:"3,keyasint,omitempty"`
 	// Readings holds recent loads that groups' leaders have stated, the newest of each group.
 	Readings map[string]occupancy.Shared `cbor:"4,keyasint,omitempty"`
+	// Ranks is the rate of requests for each model by rank.
+	Ranks rankRates `cbor:"5,keyasint,omitempty"`
 }
 
 // peerWork is the work reported by another daemon, with the time of the report.
@@ -44,7 +46,7 @@
 	ta.endBlindness()
 	ta.replacePeerWork(relayedPeer, Work{})
 	ta.replacePeerWork(peer, wo)
-	ta.peers[peer] = peerWork{wo, now}
+	ta.peers[peer], ta.reportedAt = peerWork{wo, now}, now
 	delete(ta.peers, relayedPeer)
 	ta.expirePeers(now)
 	ta.recordEstimates(now)
@@ -78,6 +80,7 @@
 	for model, perSecond := range before.Rates {
 		ta.peerRates[model] -= perSecond
 	}
+	ta.peerRanks.add(before.Ranks, -1)
 	ta.addPeerWork(wo)
 }
 
@@ -91,6 +94,7 @@
 	for model, perSecond := range wo.Rates {
 		ta.peerRates[model] += perSecond
 	}
+	ta.peerRanks.add(wo.Ranks, 1)
 }
 
 // ApplyRelayedWork records the combined work of all other daemons. It replaces the reports of single
@@ -103,7 +107,7 @@
 	}
 	ta.endBlindness()
 	clear(ta.peers)
-	ta.peers[relayedPeer] = peerWork{wo, now}
+	ta.peers[relayedPeer], ta.reportedAt = peerWork{wo, now}, now
 	ta.sumPeers(now)
 	ta.recordEstimates(now)
 	ta.applyPeerReadings(relayedPeer, wo.Readings, now)
@@ -116,6 +120,7 @@
 	}
 	clear(ta.peerRates)
 	known := len(ta.peers)
+	clear(ta.peerRanks)
 	for peer, pe := range ta.peers {
 		if now.Sub(pe.at) > maxPeerLoadAge {
 			delete(ta.peers, peer)
@@ -133,7 +138,7 @@
 	ta.mu.Lock()
 	defer ta.mu.Unlock()
 	wo := Work{Loads: make(map[string]Load, len(ta.groups)), Rates: ta.rates.all(now), Demand: ta.ownDemand(now),
-		Readings: ta.sharedReadings("", true, now)}
+		Readings: ta.sharedReadings("", true, now), Ranks: ta.rankCounters.all(now)}
 	for name, gr := range ta.groups {
 		if gr.ownLoad.Requests > 0 {
 			wo.Loads[name] = gr.ownLoad
@@ -159,5 +164,9 @@
 			wo.Rates[model] += others
 		}
 	}
+	wo.Ranks = ta.rankCounters.all(now)
+	wo.Ranks.add(ta.peerRanks, 1)
+	wo.Ranks.add(reported.Ranks, -1)
+	wo.Ranks.trim()
 	return wo
 }
