Create the maps of measured requests in one place

Cause: after the merge of load accounting and of admission by rank, Update created some of the maps that Pick creates, and the first request wrote to a map that did not exist.

--- a/internal/core/dispatch/pick.go
+++ b/internal/core/dispatch/pick.go
@@ -65,11 +65,7 @@
 func (ta *Table) Pick(ne Request, cancel context.CancelCauseFunc, now time.Time) (Choice, *Ticket) {
 	ta.mu.Lock()
 	defer ta.mu.Unlock()
-	if ta.rates == nil {
-		// Update has not been called yet.
-		ta.rates, ta.estimatedUntil, ta.demands = make(arrivals), make(map[string]time.Time), make(demands)
-		ta.rankCounters = make(rankCounters)
-	}
+	ta.initMeasurements()
 	ne.Rank = min(admit.NumRanks-1, max(0, ne.Rank))
 	var counter *rankCounter
 	if !ne.Resumed {
--- a/internal/core/dispatch/table.go
+++ b/internal/core/dispatch/table.go
@@ -98,6 +98,14 @@
 	ta.reportDelay = delay
 }
 
+// initMeasurements creates the maps of measured requests. Requests may arrive before the first view.
+func (ta *Table) initMeasurements() {
+	if ta.rates == nil {
+		ta.rates, ta.estimatedUntil, ta.demands = make(arrivals), make(map[string]time.Time), make(demands)
+		ta.rankCounters = make(rankCounters)
+	}
+}
+
 // Update applies a view. Groups that remain keep their measured state.
 func (ta *Table) Update(vi *catalog.View, cfg *catalog.Config, now time.Time) {
 	ta.mu.Lock()
@@ -108,7 +116,7 @@
 		ta.peerRates = make(map[string]float32)
 		ta.peerRanks = make(rankRates)
 		ta.residuals = make(residuals)
-		ta.rates, ta.estimatedUntil, ta.demands = make(arrivals), make(map[string]time.Time), make(demands)
+		ta.initMeasurements()
 	}
 	for _, gr := range ta.groups {
 		gr.inView = false
