Let refused requests wait for a slot of their daemon, off by default

Cause: a request that finds no capacity is refused although an answer of the same daemon may end within its objective. Asking again counts as an arrival and overfills groups.

Change: admit.WaitQueues orders waiting requests by resumed streams, rank and deadline, in at most 1 MB. Ticket.EndAt hands the slot of a complete answer to the first one that fits the group, without a draw. A request for which the daemon's own rate of ends gives no slot in time is refused at once. Table.BoundedWait switches it; internal/entry sets it to off.

--- a/internal/core/dispatch/group.go
+++ b/internal/core/dispatch/group.go
@@ -132,6 +132,11 @@
 	if ti.done {
 		return
 	}
+	ti.end()
+}
+
+// end implements End. The caller holds mu and has checked done.
+func (ti *Ticket) end() {
 	ti.done = true
 	gr := ti.Group
 	gr.ownLoad.Requests--
--- a/internal/core/dispatch/overload_test.go
+++ b/internal/core/dispatch/overload_test.go
@@ -190,7 +190,7 @@
 			still = append(still, rr)
 			continue
 		}
-		rr.ticket.End()
+		rr.ticket.EndAt(cw.now)
 	}
 	gr.running = still
 	for len(gr.running) < gr.slots && len(gr.waiting) > 0 {
--- a/internal/core/dispatch/pick.go
+++ b/internal/core/dispatch/pick.go
@@ -45,6 +45,9 @@
 	FreeSlots float64
 	// SumsAge is the time since the last report of other daemons, or negative if there was none.
 	SumsAge time.Duration
+	// Waiter is set if Group is nil and the request waits for a slot. The caller must call EndWait
+	// when the request's Wake was called, after Waiter.Limit, or when the request is canceled.
+	Waiter *Waiter
 }
 
 // excess is the fraction of the concurrent requests for a model that exceeds the room of its groups.
@@ -56,7 +59,7 @@
 }
 
 // Pick selects the group for a request and counts the request there. If it refuses the request,
-// Choice.Group and the Ticket are nil. cancel is called with ErrStalled if the request has to
+// Choice.Group and the Ticket are nil; the request waits if Choice.Waiter is set. cancel is called with ErrStalled if the request has to
 // continue at another group.
 func (ta *Table) Pick(ne Request, cancel context.CancelCauseFunc, now time.Time) (Choice, *Ticket) {
 	ta.mu.Lock()
@@ -87,10 +90,10 @@
 		return ch, nil
 	}
 	best := choose(cands, ta.random())
-	ch.Prediction, ch.MeetsObjective, ch.Running = best.Prediction, best.fits, best.running
-	ch.Idle = best.running < float64(best.gr.engine.Slots)/2
+	ch.describe(best)
 	if ta.overloaded(ne, ex, &ranks) || !best.fits && !admissible(best, ne) {
 		ch.RetryAfter = max(retryFull, best.FirstEvent-ne.Objective)
+		ch.Waiter = ta.wait(best, ch, ne, cancel, now)
 		return ch, nil
 	}
 	ch.Group = best.gr
@@ -100,6 +103,12 @@
 	return ch, ta.start(best, ne, cancel, now)
 }
 
+// describe sets the fields about the group that the request is, or would be, sent to.
+func (ch *Choice) describe(ca candidate) {
+	ch.Prediction, ch.MeetsObjective, ch.Running = ca.Prediction, ca.fits, ca.running
+	ch.Idle = ca.running < float64(ca.gr.engine.Slots)/2
+}
+
 // overloaded draws whether a request is refused because the requests for its model exceed the room of
 // the groups. Where the requests have more than one rank, the less urgent ones are refused first.
 func (ta *Table) overloaded(ne Request, ex excess, ranks *admit.Ranks) bool {
@@ -137,10 +146,6 @@
 		cands = append(cands, candidate{gr: gr, running: le.load})
 		levels = append(levels, level{le.load + remoteCost, le.room + remoteCost})
 	}
-	limit := ne.Objective
-	if ne.late() {
-		limit = ne.MaxWait
-	}
 	moving := ta.moves.forModel(ne.Model, now)
 	concurrent := max(0, float64(ta.peerRates[ne.Model]))*concurrentWindow.Seconds() + moving
 	if moving > 0 {
@@ -153,10 +158,7 @@
 		lo := ca.gr.ownLoad.plus(ca.gr.peerLoad)
 		lo.Requests = int(ca.running + shares[i]*concurrent/(concurrent+1))
 		lo.PrefillTokens += int64(shares[i] * moving / (concurrent + 1) * float64(ne.Prompt))
-		ca.Prediction = predict(ca.gr.engine, ca.gr.model, ca.gr.slowness(), lo, ne.Prompt)
-		ca.baseline = ca.FirstEvent
-		ca.FirstEvent += ta.residuals.forModel(ne.Model)
-		ca.fits = !ca.Full && ca.FirstEvent <= limit && ca.Pass <= scale(ne.MaxPause, pauseMargin)
+		ta.predict(ca, ne, lo)
 	}
 	ex := excess{all: left / (concurrent + 1), rank: left / (concurrent + 1)}
 	if reserve > 0 {
@@ -172,6 +174,18 @@
 	return cands, ex
 }
 
+// predict sets the prediction of a candidate for the request at load lo.
+func (ta *Table) predict(ca *candidate, ne Request, lo Load) {
+	limit := ne.Objective
+	if ne.late() {
+		limit = ne.MaxWait
+	}
+	ca.Prediction = predict(ca.gr.engine, ca.gr.model, ca.gr.slowness(), lo, ne.Prompt)
+	ca.baseline = ca.FirstEvent
+	ca.FirstEvent += ta.residuals.forModel(ne.Model)
+	ca.fits = !ca.Full && ca.FirstEvent <= limit && ca.Pass <= scale(ne.MaxPause, pauseMargin)
+}
+
 // accepts reports whether the request may be sent to the group, limits of its leader aside.
 func (gr *Group) accepts(ne Request) bool {
 	if !gr.inView || gr.draining || gr.stalled {
--- a/internal/core/dispatch/ranks_test.go
+++ b/internal/core/dispatch/ranks_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -21,6 +22,19 @@
 	// group.
 	offered, started [admit.NumRanks]int
 	peak             int
+	// waits lists the requests that wait for a slot, waited counts those that got one.
+	waits  []pendingWait
+	waited int
+	// loads counts the simulation steps by the number of requests at a group above its slots.
+	steps, over int
+}
+
+// pendingWait is a request that waits for a slot until its time is over or Wake is called.
+type pendingWait struct {
+	wa    *Waiter
+	since time.Time
+	until time.Time
+	woken *bool
 }
 
 // newRankSim returns a simulation of 60 daemons and 12 groups whose reports a steward relays.
@@ -53,8 +67,13 @@
 		for _, name := range rs.names {
 			gr := rs.groups[name]
 			rs.peak = max(rs.peak, gr.size())
+			rs.steps++
+			if gr.size() > gr.slots {
+				rs.over++
+			}
 			rs.run(gr)
 		}
+		rs.endWaits()
 		rs.exchangeReports()
 	}
 }
@@ -65,13 +84,36 @@
 	ne := slotSimRequest()
 	ne.Rank = rank
 	rs.offered[rank]++
+	woken := new(bool)
+	ne.Wake = func() { *woken = true }
 	ch, ti := ta.Pick(ne, ignore, rs.now)
-	if ti == nil {
-		return
+	switch {
+	case ti != nil:
+		rs.start(rank, ti, rs.now)
+	case ch.Waiter != nil:
+		rs.waits = append(rs.waits, pendingWait{ch.Waiter, rs.now, rs.now.Add(ch.Waiter.Limit), woken})
 	}
+}
+
+// start adds a request that arrived at since to its group.
+func (rs *rankSim) start(rank int, ti *Ticket, since time.Time) {
 	rs.started[rank]++
-	gr := rs.groups[ch.Group.Name]
-	gr.waiting = append(gr.waiting, waitingRequest{rs.now, ti, false})
+	gr := rs.groups[ti.Group.Name]
+	gr.waiting = append(gr.waiting, waitingRequest{since, ti, false})
+}
+
+// endWaits ends the waits that are over.
+func (rs *rankSim) endWaits() {
+	rs.waits = slices.DeleteFunc(rs.waits, func(pw pendingWait) bool {
+		if !*pw.woken && rs.now.Before(pw.until) {
+			return false
+		}
+		if ch, ti := pw.wa.ta.EndWait(pw.wa); ti != nil {
+			rs.waited++
+			rs.start(ch.Rank, ti, pw.since)
+		}
+		return true
+	})
 }
 
 // service returns the fraction of a rank's requests that were sent to a group.
--- a/internal/core/dispatch/table.go
+++ b/internal/core/dispatch/table.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"corianderhub.dev/corianderhub/internal/core/admit"
 	"corianderhub.dev/corianderhub/internal/core/backpressure"
 	"corianderhub.dev/corianderhub/internal/core/catalog"
 )
@@ -19,7 +20,11 @@
 	// Backpressure holds the limits that endpoints report; nil means no limits.
 	Backpressure *backpressure.Tracker
 	// Rand is the random source of selections; nil means a randomly seeded one.
-	Rand   *rand.Rand
+	Rand *rand.Rand
+	// BoundedWait makes requests that are refused but can still meet their objective wait for a slot
+	// of this daemon's own requests.
+	BoundedWait bool
+
 	mu     sync.Mutex
 	groups map[string]*Group
 	// byName lists the groups in the order of their names.
@@ -52,6 +57,11 @@
 	firstRequestAt time.Time
 	// moves holds the requests of groups that broke recently.
 	moves moves
+	// waiting holds the requests that wait for a slot, freed the rate at which this daemon's requests
+	// free slots, by model. waitStopped is set once the daemon stops.
+	waiting     admit.WaitQueues[*Waiter]
+	freed       arrivals
+	waitStopped bool
 	// expiredAt is when expired reports of other daemons were last removed.
 	expiredAt time.Time
 }
@@ -74,6 +84,11 @@
 	// caller's workspace, empty if there is none.
 	Rank      int
 	Workspace string
+	// Bytes is the memory that the request takes while it waits for a slot. Wake is called when the
+	// wait is over, without or with a slot; it must not block or call the table. A request without
+	// Wake does not wait.
+	Bytes int64
+	Wake  func()
 	// Resumed is set for a request whose caller has received a part of the answer.
 	Resumed bool
 	// Exclude lists the groups that the request was already sent to.
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -58,6 +58,9 @@
 	// bodyMemoryDivisor is the part of the machine's memory that request and response bodies may
 	// fill. The heap grows to about twice what is in use before it is collected.
 	bodyMemoryDivisor = 4
+	// boundedWait makes requests without a group wait for a slot of this daemon. It is off until a
+	// deployment's runs show that callers are served better with it.
+	boundedWait = false
 	// budgetShare is the share of the retry budget's slack that is divided among all
 	// daemons. The rest covers daemons that restart and lose their counts.
 	budgetShare = 0.5
@@ -163,7 +166,7 @@
 	da.pool = &http1.Pool{Clock: da.Clock, Dial: da.dialer.Dial}
 	da.relay = &relay.Server{Direct: da.dialer.DirectForOthers, IsDaemon: func(ip string) bool { return da.mesh.Knows(ip) }}
 	da.backpressure = &backpressure.Tracker{}
-	da.table = &dispatch.Table{DataCenter: set.DataCenter, Backpressure: da.backpressure}
+	da.table = &dispatch.Table{DataCenter: set.DataCenter, Backpressure: da.backpressure, BoundedWait: boundedWait}
 	da.plain = &dispatch.PlainTable{DataCenter: set.DataCenter, Backpressure: da.backpressure}
 	da.quarantine = &quarantine.Ledger{}
 	conn, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.ParseIP(set.IP), Port: set.InternalPorts[0]})
@@ -339,6 +342,7 @@
 	da.Log.Info("daemon: stopping.", "name", da.Settings.Name, "working", da.front.InFlight())
 	da.stopping.Store(true)
 	da.front.SetStopping()
+	da.table.StopWaiting()
 	da.control.post(da.control.leave)
 	if da.Clock.Sleep(actorCtx, acceptFor) != nil {
 		return nil
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -68,6 +68,8 @@
 		{"corianderhub_requests_in_progress", func() float64 { return float64(da.front.InFlight()) }},
 		{"corianderhub_retry_budget_left", da.minRetryBudget},
 		{`corianderhub_group_requests{of="own"}`, func() float64 { return float64(da.table.Requests(false)) }},
+		{`corianderhub_slot_waiting_requests`, func() float64 { num, _ := da.table.Waiting(); return float64(num) }},
+		{`corianderhub_slot_waiting_bytes`, func() float64 { _, bytes := da.table.Waiting(); return float64(bytes) }},
 		{`corianderhub_group_requests{of="all"}`, func() float64 { return float64(da.table.Requests(true)) }},
 	}
 	for _, ga := range gauges {
--- a/internal/front/metrics.go
+++ b/internal/front/metrics.go
@@ -19,6 +19,7 @@
 	eventPauses      = metrics.NewHistogram("corianderhub_event_pause_seconds")
 	streamResumes    = metrics.NewCounter("corianderhub_stream_resumes_total")
 	lateDelays       = metrics.NewHistogram("corianderhub_late_hold_seconds")
+	slotWaits        = metrics.NewHistogram("corianderhub_slot_wait_seconds")
 	sendCount        = metrics.NewCounter("corianderhub_sends_total")
 	unframedCount    = metrics.NewCounter("corianderhub_unframed_responses_total")
 )
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -139,6 +139,7 @@
 	st.state = verdict.Ran
 	err = st.relay(attemptCtx, ex, ti, ch, sent)
 	if err == nil {
+		ti.EndAt(st.sv.Clock.Now())
 		st.finish(sent)
 		return ch, true
 	}
@@ -188,8 +189,11 @@
 		now := st.sv.Clock.Now()
 		ne := st.dispatchRequest(now)
 		ne.FinalAttempt = !st.started && !until.IsZero() && now.Add(interval).After(until)
-		ch, ti := st.sv.Table.Pick(ne, cancel, now)
-		if ti != nil || now.Add(interval).After(until) || st.sv.Clock.Sleep(ctx, interval) != nil {
+		ch, ti, waited := st.pickOrWait(ctx, ne, cancel, interval)
+		if ti != nil || now.Add(interval).After(until) || ctx.Err() != nil {
+			return ch, ti
+		}
+		if !waited && st.sv.Clock.Sleep(ctx, interval) != nil {
 			return ch, ti
 		}
 	}
@@ -199,7 +203,7 @@
 func (st *stream) dispatchRequest(now time.Time) dispatch.Request {
 	ne := dispatch.Request{Service: st.service, Model: st.model, Prompt: st.prompt, MaxPause: st.route.PauseObjective,
 		Objective: st.route.Objective - st.waited - now.Sub(st.arrived) - callerDelay, MaxWait: min(maxLateWait, st.remaining()), Resumed: st.started, Exclude: st.tried,
-		Rank: st.priority()}
+		Rank: st.priority(), Bytes: int64(len(st.body))}
 	if st.workspace != nil {
 		ne.Workspace = st.workspace.Name
 	}
