--- a/cmd/corianderhub/main.go
+++ b/cmd/corianderhub/main.go
@@ -76,6 +76,7 @@
 		{"status", "show daemons and groups", statusUsage, &statusCommand{ctx: ctx}},
 		{"drain", "stop a daemon gracefully", drainUsage, &drainCommand{ctx: ctx}},
 		{"explain", "explain how a request was handled", explainUsage, &explainCommand{ctx: ctx}},
+		{"quarantine", "list or release what is in quarantine", quarantineUsage, newQuarantineCommand(ctx)},
 		{"keys", "generate TLS keys and tokens", keysUsage, &keysCommand{}},
 		{"version", "print the version", versionUsage, &versionCommand{}},
 		{"help", "print a help page", helpUsage, &helpCommand{}},
--- a/internal/core/quarantine/entry.go
+++ b/internal/core/quarantine/entry.go
@@ -22,6 +22,11 @@
 	ReleasedAt time.Time `json:"released,omitzero"`
 }
 
+// Held reports whether the subject is in quarantine.
+func (en *Entry) Held(now time.Time) bool {
+	return en.Since.After(latest(en.CompletedAt, en.ReleasedAt)) && now.Sub(en.Since) < TTL
+}
+
 // Entries returns the subjects that were quarantined within the last TTL, including those that
 // have completed since, in order of their fingerprints.
 func (le *Ledger) Entries(now time.Time) []Entry {
@@ -39,7 +44,7 @@
 
 // Held returns the entries that are in quarantine.
 func (le *Ledger) Held(now time.Time) []Entry {
-	return slices.DeleteFunc(le.Entries(now), func(en Entry) bool { return !en.Since.After(en.CompletedAt) })
+	return slices.DeleteFunc(le.Entries(now), func(en Entry) bool { return !en.Held(now) })
 }
 
 // Release ends the quarantine of a subject on the order of an operator, and returns its entry and
@@ -51,7 +56,8 @@
 	if re == nil || !re.quarantined(now) {
 		return Entry{}, false
 	}
-	re.release(now)
+	// The latest crash may have been dated by a clock ahead of this one.
+	re.release(latest(now, re.quarantinedAt))
 	return Entry{subject, re.part, re.quarantinedAt, re.completedAt, re.releasedAt}, true
 }
 
--- a/internal/core/quarantine/ledger_test.go
+++ b/internal/core/quarantine/ledger_test.go
@@ -162,3 +162,37 @@
 		}
 	})
 }
+
+// Guards against a release that is undone by the crashes before it, by another ledger that still holds the
+// subject, or that ends the quarantine for good.
+func TestRelease(t *testing.T) {
+	le, other := &Ledger{}, &Ledger{}
+	for i := range CrashThreshold {
+		for _, to := range []*Ledger{le, other} {
+			to.RecordCrash(crash(fmt.Sprint("s", i), 0, "crash"), begin)
+		}
+	}
+	subject, at := fingerprint("crash"), begin.Add(time.Minute)
+	if _, ok := le.Release(fingerprint("other"), at); ok {
+		t.Error("released what is not in quarantine")
+	}
+	before := le.Digest(at)
+	if en, ok := le.Release(subject, at); !ok || en.Held(at) || le.Digest(at) == before {
+		t.Errorf("released %v with entry %v, want a release that changes the digest", ok, en)
+	}
+	for range 2 {
+		le.Merge(other.Entries(at), at)
+		other.Merge(le.Entries(at), at)
+	}
+	for i := range CrashThreshold {
+		for name, to := range map[string]*Ledger{"first": le, "other": other} {
+			if to.Holds(subject, at) {
+				t.Errorf("%s ledger: in quarantine after %d crashes since the release", name, i)
+			}
+			to.RecordCrash(crash(fmt.Sprint("later-", i), 2*time.Minute, "crash"), begin.Add(2*time.Minute))
+		}
+	}
+	if later := begin.Add(2 * time.Minute); !le.Holds(subject, later) || !other.Holds(subject, later) {
+		t.Error("not in quarantine again after as many crashes as before")
+	}
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -171,7 +171,7 @@
 }
 
 func (da *Daemon) operatorServer() *operator.Server {
-	return &operator.Server{State: da, Chain: da.chain, Clock: da.Clock, Log: da.Log, Journal: da.journal,
+	return &operator.Server{State: da, Chain: da.chain, Clock: da.Clock, Log: da.Log, Journal: da.journal, Quarantine: da.quarantine,
 		TokenSHA256: da.Settings.Operator.TokenSHA256}
 }
 
--- a/internal/daemon/quarantine.go
+++ b/internal/daemon/quarantine.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"encoding/json"
+	"errors"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -11,6 +14,8 @@
 	"corianderhub.dev/corianderhub/internal/core/gossip"
 	"corianderhub.dev/corianderhub/internal/core/quarantine"
 	"corianderhub.dev/corianderhub/internal/peer"
+	"corianderhub.dev/corianderhub/internal/platform"
+	"corianderhub.dev/corianderhub/pkg/verdict"
 )
 
 const (
@@ -18,6 +23,9 @@
 	// cover lost news. startInterval applies until the first one has succeeded.
 	quarantineInterval = time.Second
 	startInterval      = 50 * time.Millisecond
+	// releaseInterval is the time between two reads of the stored releases, while something is in
+	// quarantine: 985 daemons make 33 of the 6,000 reads that the store allows a second.
+	releaseInterval = 30 * time.Second
 	// maxNews bounds the reports in one message and those that wait to be sent. What is dropped, the
 	// comparisons tell if it led to a quarantine.
 	maxNews = 64
@@ -72,12 +80,16 @@
 	next := time.NewTimer(startInterval)
 	defer next.Stop()
 	interval := startInterval
+	releases := time.NewTicker(releaseInterval)
+	defer releases.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case event := <-qe.news:
 			qe.broadcast(ctx, qe.collect(event))
+		case <-releases.C:
+			qe.readReleases(ctx)
 		case <-next.C:
 			qe.ledger.Sweep(qe.da.Clock.Now())
 			if qe.compare(ctx) {
@@ -243,3 +255,89 @@
 	qe.da.Log.Info("Quarantine: probe or trial granted.", "content", rq.Content, "parts", rq.Parts)
 	return true
 }
+
+// releasedPrefix precedes a subject's fingerprint in the store's keys of releases.
+const releasedPrefix = "quarantine/released/"
+
+// storedRelease is the value of such a key.
+type storedRelease struct {
+	quarantine.Entry
+	Operator string `json:"operator"`
+	Reason   string `json:"reason"`
+}
+
+// Held implements operator.Quarantine.
+func (qe *quarantineExchange) Held() []quarantine.Entry { return qe.ledger.Held(qe.da.Clock.Now()) }
+
+// Release implements operator.Quarantine. The release is stored first: a daemon that isn't reached by the
+// news reads it there.
+func (qe *quarantineExchange) Release(ctx context.Context, subject quarantine.Fingerprint, operator, reason string) (quarantine.Entry, error) {
+	held := qe.Held()
+	i := slices.IndexFunc(held, func(en quarantine.Entry) bool { return en.Subject == subject })
+	if i < 0 {
+		return quarantine.Entry{}, &verdict.Error{Code: verdict.CodeNoRoute, Verdict: verdict.NotRun, Message: "the subject is not in quarantine at this daemon"}
+	}
+	en := held[i]
+	en.ReleasedAt = qe.da.Clock.Now()
+	if en.ReleasedAt.Before(en.Since) {
+		// The latest crash was dated by a clock ahead of this one.
+		en.ReleasedAt = en.Since
+	}
+	if err := qe.storeRelease(ctx, storedRelease{en, operator, reason}); err != nil {
+		return en, err
+	}
+	qe.merge([]quarantine.Entry{en}, "released")
+	qe.tell(en)
+	return en, nil
+}
+
+// storeRelease writes a release to the store. It returns a *verdict.Error.
+func (qe *quarantineExchange) storeRelease(ctx context.Context, sr storedRelease) error {
+	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
+	defer cancel()
+	raw, err := json.Marshal(sr)
+	if err != nil {
+		return eris.Wrap(err, "encode release")
+	}
+	key := releasedPrefix + sr.Subject.String()
+	before, err := qe.da.platform.Get(ctx, key)
+	if err != nil {
+		return &verdict.Error{Code: verdict.CodePlatform, Verdict: verdict.NotRun, Message: "not released: the store can't be read", Cause: err}
+	}
+	_, err = qe.da.platform.Put(ctx, key, raw, before.Revision, "")
+	switch {
+	case errors.Is(err, platform.ErrUnknown):
+		return &verdict.Error{Code: verdict.CodePlatform, Verdict: verdict.MayHaveRun, Message: "whether the release was stored is unknown; repeat it", Cause: err}
+	case err != nil:
+		return &verdict.Error{Code: verdict.CodePlatform, Verdict: verdict.NotRun, Message: "not released: the release can't be stored", Cause: err}
+	}
+	return nil
+}
+
+// readReleases merges the stored releases while something is in quarantine, and deletes old ones.
+func (qe *quarantineExchange) readReleases(ctx context.Context) {
+	now := qe.da.Clock.Now()
+	if len(qe.ledger.Held(now)) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
+	defer cancel()
+	items, err := qe.da.platform.List(ctx, releasedPrefix)
+	if err != nil {
+		qe.da.Log.Info("Quarantine: reading the stored releases failed.", "error", err)
+		return
+	}
+	for _, it := range items {
+		var sr storedRelease
+		if err := json.Unmarshal(it.Value, &sr); err != nil || releasedPrefix+sr.Subject.String() != it.Key {
+			qe.da.Log.Warn("Quarantine: invalid stored release ignored.", "key", it.Key)
+			continue
+		}
+		if now.Sub(sr.ReleasedAt) >= quarantine.TTL {
+			// Another daemon may have deleted it, or stored a newer one.
+			_ = qe.da.platform.Delete(ctx, it.Key, it.Revision)
+			continue
+		}
+		qe.merge([]quarantine.Entry{sr.Entry}, "store")
+	}
+}
--- a/internal/daemon/quarantine_test.go
+++ b/internal/daemon/quarantine_test.go
@@ -1,8 +1,11 @@
 package daemon
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -10,6 +13,8 @@
 
 	"corianderhub.dev/corianderhub/internal/core/quarantine"
 	"corianderhub.dev/corianderhub/internal/standin"
+	"corianderhub.dev/corianderhub/pkg/admin"
+	"corianderhub.dev/corianderhub/pkg/verdict"
 )
 
 // crashingMessage is a message that crashes engines.
@@ -92,14 +97,75 @@
 	t.Logf("%d engines crashed at %d daemons", before, daemons)
 	sk.addDaemon("late")
 	sk.waitUntil("the new daemon serves", func() bool { return sk.servingGroups(sk.daemons[daemons]) > 0 })
-	sk.waitUntil("the new daemon refuses the message", func() bool {
-		if rsp, _, err := sk.post(daemons, "/v1/chat/completions", chatWith("sound", -1), nil); err != nil || rsp.StatusCode != http.StatusOK {
-			return false
-		}
-		rsp, _, err := sk.post(daemons, "/v1/chat/completions", chatWith(crashingMessage, -1), nil)
-		return err == nil && rsp.StatusCode == http.StatusServiceUnavailable
-	})
+	sk.waitUntil("the new daemon knows the message", func() bool { return len(sk.held(daemons)) > 0 })
+	rsp, _, err := sk.post(daemons, "/v1/chat/completions", chatWith(crashingMessage, -1), nil)
+	if err != nil || rsp.StatusCode != http.StatusServiceUnavailable {
+		t.Errorf("new daemon: got %v, error %v, want 503", rsp, err)
+	}
 	if num := crashes.Load() - before; num > 0 {
 		t.Errorf("%d engines crashed under requests to a new daemon, want none", num)
 	}
 }
+
+// held returns the subjects in quarantine at a daemon, as operators see them.
+func (sk *testSystem) held(daemon int) []string {
+	qu, err := sk.admin(daemon).Quarantine(context.Background())
+	if err != nil {
+		return nil
+	}
+	var subjects []string
+	for _, su := range qu.Subjects {
+		if su.Held {
+			subjects = append(subjects, su.Subject)
+		}
+	}
+	return subjects
+}
+
+// Guards against a release that one daemon forgets, that is accepted with invalid input, or that is reported
+// as done although it can't be stored.
+func TestReleaseOfMessage(t *testing.T) {
+	sk, _ := newCrashingSystem(t, 2, 6)
+	// Only the message that crashes engines is quarantined: sound requests have completed with the other.
+	for num := range quarantine.CrashThreshold {
+		_, _, _ = sk.post(0, "/v1/chat/completions", chatWith("sound", num), nil)
+		_, _, _ = sk.post(0, "/v1/chat/completions", chatWith(crashingMessage, num), nil)
+		time.Sleep(150 * time.Millisecond)
+	}
+	sk.waitUntil("quarantined at both daemons", func() bool { return len(sk.held(0)) > 0 && len(sk.held(1)) > 0 })
+	subject := sk.held(0)[0]
+	ctx := context.Background()
+	for _, tc := range []struct {
+		name string
+		re   admin.Release
+		// key is the one that the problem names, code that of the refusal.
+		key  string
+		code verdict.Code
+	}{
+		{"invalid subject", admin.Release{Subject: "dead", Reason: "fixed"}, "subject", verdict.CodeInvalid},
+		{"no reason", admin.Release{Subject: subject, Reason: " "}, "reason", verdict.CodeInvalid},
+		{"not in quarantine", admin.Release{Subject: strings.Repeat("0", 32), Reason: "fixed"}, "", verdict.CodeNoRoute},
+	} {
+		_, err := sk.admin(1).Release(ctx, tc.re)
+		var re *admin.Refusal
+		if !errors.As(err, &re) || re.Code != tc.code || (len(re.Problems) > 0) != (tc.key != "") || tc.key != "" && re.Problems[0].Key != tc.key {
+			t.Errorf("%s: error %v, want %s with a problem of %q", tc.name, err, tc.code, tc.key)
+		}
+	}
+	sk.platform.SetFaults(standin.PlatformFaults{StoreFaults: standin.StoreFaults{Down: true}})
+	var re *admin.Refusal
+	if _, err := sk.admin(1).Release(ctx, admin.Release{Subject: subject, Reason: "fixed"}); !errors.As(err, &re) || re.Code != verdict.CodePlatform {
+		t.Errorf("without the store: error %v, want %s", err, verdict.CodePlatform)
+	}
+	if len(sk.held(1)) == 0 {
+		t.Error("released although the release can't be stored")
+	}
+	sk.platform.SetFaults(standin.PlatformFaults{})
+	sk.waitUntil("released", func() bool {
+		_, err := sk.admin(1).Release(ctx, admin.Release{Subject: subject, Operator: "ann", Reason: "fixed"})
+		return err == nil
+	})
+	sk.waitUntil("released at both daemons", func() bool {
+		return !slices.Contains(sk.held(0), subject) && !slices.Contains(sk.held(1), subject)
+	})
+}
--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"slices"
 	"strings"
 	"time"
@@ -44,11 +45,14 @@
 	quarantineSyncInterval = 2 * time.Second
 	// maxQuarantinePause bounds that time while the store does not answer.
 	maxQuarantinePause = 8 * time.Second
+	// releaseRetention is how long the store keeps the entry of a released subject. Daemons that
+	// hear no others read it there, at least every maxQuarantinePause.
+	releaseRetention = time.Minute
 	// maxStewardSilence is the time without a steward after which a daemon judges by what it has
 	// seen itself.
 	maxStewardSilence = 3 * time.Second
-	// maxChanges is the number of keys that the store accepts in one transaction.
-	maxChanges = 32
+	// maxChanges bounds the keys of one transaction. The store accepts 32, conditions included.
+	maxChanges = 16
 	// maxLoggedRequests bounds the requests named in one log line.
 	maxLoggedRequests = 40
 )
@@ -64,8 +68,8 @@
 type quarantineControl struct {
 	// announcements are the events that this daemon has seen, oldest first.
 	announcements []announcement
-	// stored are the subjects quarantined in the store.
-	stored map[quarantine.Fingerprint]bool
+	// stored are the entries that the store was found to hold.
+	stored map[quarantine.Fingerprint]storedEntry
 	// nextSync is the time of the next synchronization with the store, pause the time
 	// between attempts while the store does not answer. syncing is set while a
 	// synchronization is in flight.
@@ -76,6 +80,13 @@
 	fetchedAt time.Time
 }
 
+// storedEntry is what is known of an entry in the store: its revision, and when an operator released the
+// subject, or zero.
+type storedEntry struct {
+	revision   int64
+	releasedAt time.Time
+}
+
 // announcement is an event that is sent with some heartbeats: either a crash or a
 // completion. at is the time of the event, until the end of its announcement.
 type announcement struct {
@@ -240,56 +251,63 @@
 		return
 	}
 	qc.syncing = true
-	puts, deletes := ct.quarantineChanges(now)
+	changes, err := ct.quarantineChanges(now)
+	if err != nil {
+		ct.da.Log.Error("control: quarantine entries not stored.", "cause", err.Error())
+	}
 	ct.da.spawn(&ct.wg, func(ctx context.Context) {
-		items, err := ct.syncQuarantine(ctx, puts, deletes)
+		items, err := ct.syncQuarantine(ctx, changes)
 		ct.post(func() { ct.quarantineSynced(items, err) })
 	})
 }
 
-// quarantineChanges returns the entries that the store lacks, and those in the store that
-// are no longer quarantined.
-func (ct *control) quarantineChanges(now time.Time) (puts []quarantine.Entry, deletes []quarantine.Fingerprint) {
+// quarantineChange are writes to the quarantine in the store and the revisions that they require. One that
+// is repeated or takes effect late must not write over the release of an operator.
+type quarantineChange struct {
+	conditions []platform.Condition
+	puts       []platform.Put
+	deletes    []string
+}
+
+// quarantineChanges returns the changes that add the entries which the store lacks, and those that delete
+// the ones no longer in quarantine.
+func (ct *control) quarantineChanges(now time.Time) ([]quarantineChange, error) {
 	held := ct.da.quarantine.Held(now)
-	for fp := range ct.quarantine.stored {
+	var puts, deletes quarantineChange
+	for fp, se := range ct.quarantine.stored {
 		isHeld := slices.ContainsFunc(held, func(en quarantine.Entry) bool { return en.Subject == fp })
-		if !isHeld && len(deletes) < maxChanges {
-			deletes = append(deletes, fp)
+		if !isHeld && now.Sub(se.releasedAt) >= releaseRetention && len(deletes.deletes) < maxChanges {
+			key := quarantinePrefix + fp.String()
+			deletes.deletes = append(deletes.deletes, key)
+			deletes.conditions = append(deletes.conditions, platform.Condition{Key: key, Revision: se.revision})
 		}
 	}
 	for _, en := range held {
-		if !ct.quarantine.stored[en.Subject] && len(puts) < maxChanges {
-			puts = append(puts, en)
+		se, ok := ct.quarantine.stored[en.Subject]
+		if ok && se.releasedAt.IsZero() || len(puts.puts) >= maxChanges {
+			continue
 		}
-	}
-	return puts, deletes
-}
-
-// syncQuarantine writes the changes to the store and returns the items that it holds
-// afterwards.
-func (ct *control) syncQuarantine(ctx context.Context, puts []quarantine.Entry, deletes []quarantine.Fingerprint) ([]platform.Item, error) {
-	var writes []platform.Put
-	for _, en := range puts {
 		raw, err := json.Marshal(en)
 		if err != nil {
 			return nil, eris.Wrap(err, "encode quarantine entry")
 		}
-		writes = append(writes, platform.Put{Key: quarantinePrefix + en.Subject.String(), Value: raw})
-	}
-	var keys []string
-	for _, fp := range deletes {
-		keys = append(keys, quarantinePrefix+fp.String())
+		key := quarantinePrefix + en.Subject.String()
+		puts.puts = append(puts.puts, platform.Put{Key: key, Value: raw})
+		puts.conditions = append(puts.conditions, platform.Condition{Key: key, Revision: se.revision})
 	}
-	// Puts and deletes use separate transactions to stay within the limit of keys. A write
-	// that is repeated or takes effect late is harmless: every daemon would write the
-	// same.
-	if len(writes) > 0 {
-		if _, err := ct.da.store.Txn(ctx, nil, writes, nil); err != nil {
-			return nil, err
+	// Puts and deletes use separate transactions to stay within the limit of keys.
+	return []quarantineChange{puts, deletes}, nil
+}
+
+// syncQuarantine writes the changes to the store and returns the items that it holds
+// afterwards.
+func (ct *control) syncQuarantine(ctx context.Context, changes []quarantineChange) ([]platform.Item, error) {
+	for _, ch := range changes {
+		if len(ch.conditions) == 0 {
+			continue
 		}
-	}
-	if len(keys) > 0 {
-		if _, err := ct.da.store.Txn(ctx, nil, nil, keys); err != nil {
+		// After a conflict, the next synchronization has the new revisions.
+		if _, err := ct.da.store.Txn(ctx, ch.conditions, ch.puts, ch.deletes); err != nil && !errors.Is(err, platform.ErrConflict) {
 			return nil, err
 		}
 	}
@@ -310,7 +328,7 @@
 	}
 	qc.pause = 0
 	qc.nextSync = now.Add(quarantineSyncInterval)
-	qc.stored = make(map[quarantine.Fingerprint]bool, len(items))
+	qc.stored = make(map[quarantine.Fingerprint]storedEntry, len(items))
 	ct.readQuarantine(items)
 }
 
@@ -318,7 +336,7 @@
 func (ct *control) readQuarantine(items []platform.Item) {
 	now := ct.da.Clock.Now()
 	if ct.quarantine.stored == nil {
-		ct.quarantine.stored = make(map[quarantine.Fingerprint]bool)
+		ct.quarantine.stored = make(map[quarantine.Fingerprint]storedEntry)
 	}
 	for _, it := range items {
 		var en quarantine.Entry
@@ -329,7 +347,10 @@
 			}
 			continue
 		}
-		ct.quarantine.stored[en.Subject] = true
+		ct.quarantine.stored[en.Subject] = storedEntry{it.Revision, en.ReleasedAt}
+		if !en.ReleasedAt.IsZero() && ct.da.quarantine.Holds(en.Subject, now) {
+			ct.noteReleased(it.Value)
+		}
 		ct.noteQuarantined(ct.da.quarantine.Merge([]quarantine.Entry{en}, now), fromStore)
 	}
 }
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -56,6 +56,8 @@
 	Log   *slog.Logger
 	// Journal holds the records for the explain API.
 	Journal *caller.Journal
+	// Quarantine lists and releases what engines have crashed on.
+	Quarantine Quarantine
 	// TokenSHA256 is the SHA-256 digest of the operators' token in hex.
 	TokenSHA256 string
 }
@@ -70,6 +72,8 @@
 	mux.HandleFunc("GET /admin/status", se.status)
 	mux.HandleFunc("GET /admin/explain/{id}", se.explain)
 	mux.HandleFunc("POST /admin/drain", se.drain)
+	mux.HandleFunc("GET /admin/quarantine", se.listQuarantine)
+	mux.HandleFunc("POST /admin/quarantine/release", se.releaseQuarantine)
 	return se.authorized(mux)
 }
 
