--- a/internal/core/quarantine/traffic_test.go
+++ b/internal/core/quarantine/traffic_test.go
@@ -30,8 +30,8 @@
 	sent, refused, sentWith, refusedWith int
 	// late counts the requests with a crashing part that were sent, trials those granted by the steward.
 	late, trials int
-	// with are the parts that all requests with a crashing part have. Sound requests have one of them now
-	// and then, but not before the first crash.
+	// with are the parts that all requests with a crashing part have until CrashThreshold, and some of
+	// these requests later. Sound requests have one of them now and then, but not before that.
 	with []string
 }
 
@@ -147,6 +147,9 @@
 	if len(tr.with) == 0 {
 		return []string{tr.usualPart(), part}
 	}
+	if tr.crashes >= CrashThreshold {
+		return append([]string{tr.usualPart(), part}, tr.with[:tr.rnd.IntN(len(tr.with))]...)
+	}
 	return append([]string{tr.usualPart(), part}, tr.with...)
 }
 
