Trials after a start: parts whose entries name the same latest crash

Cause: after a loss of all daemons, ledgers know the entries from the store and no crashes, so no trial was granted until the probe. Change: where a ledger has seen no crash of a part, another quarantined part of the same latest crash counts as one of the same crashes, and is released if the trial crashes.

--- a/internal/core/quarantine/trial.go
+++ b/internal/core/quarantine/trial.go
@@ -27,6 +27,9 @@
 	parts   []*record
 	at      time.Time
 	crashed bool
+	// rivals are the parts that the request lacks and that seem to have been at the same crashes. They are
+	// set where this ledger learned of all of them from others.
+	rivals []*record
 }
 
 // pending reports whether the result of the trial is awaited.
@@ -49,15 +52,18 @@
 	if len(held) == 0 || le.trial.pending(now) {
 		return false
 	}
+	var rivals []*record
 	for _, re := range held {
-		if re.trials >= maxTrials || !le.separates(rq, re, now) {
+		others := le.rivals(rq, re, now)
+		if re.trials >= maxTrials || len(others) == 0 && !le.separates(rq, re, now) {
 			return false
 		}
+		rivals = append(rivals, others...)
 	}
 	for _, re := range held {
 		re.trials++
 	}
-	le.trial = &trial{content: rq.Content, parts: held, at: now}
+	le.trial = &trial{content: rq.Content, parts: held, at: now, rivals: rivals}
 	return true
 }
 
@@ -117,9 +123,32 @@
 	return len(open) == 0 && most >= minCommonCrashes
 }
 
-// noteTrialCrash ends the awaited trial if a crash was during its request.
+// rivals returns the quarantined parts that a request lacks and that were quarantined by the same crash as
+// its part with the record, if this ledger has seen no crash of either. So it is after a start, when the
+// entries come from the store or from another daemon: parts of the same crashes have the same time.
+func (le *Ledger) rivals(rq Request, re *record, now time.Time) []*record {
+	if re.evidence() > 0 || now.Sub(re.quarantinedAt) < trialDelay {
+		return nil
+	}
+	var rivals []*record
+	for fp, other := range le.quarantined {
+		if other.part && other != re && other.quarantined(now) && other.evidence() == 0 && other.quarantinedAt.Equal(re.quarantinedAt) && !slices.Contains(rq.Parts, fp) {
+			rivals = append(rivals, other)
+		}
+	}
+	return rivals
+}
+
+// noteTrialCrash ends the awaited trial if a crash was during its request. It releases the rivals: where
+// their crashes are not known, release has no evidence to do so.
 func (le *Ledger) noteTrialCrash(en Crash) {
 	if le.trial != nil && slices.ContainsFunc(en.Requests, func(rq Request) bool { return rq.Content == le.trial.content }) {
 		le.trial.crashed = true
+		for _, re := range le.trial.rivals {
+			if re.evidence() == 0 {
+				re.completedAt = latest(re.completedAt, re.quarantinedAt)
+			}
+		}
+		le.trial.rivals = nil
 	}
 }
--- a/internal/core/quarantine/trial_test.go
+++ b/internal/core/quarantine/trial_test.go
@@ -102,6 +102,40 @@
 	}
 }
 
+// Guards against trials that end with the daemons: after a start, a ledger knows the entries from the store
+// only, and none of the crashes.
+func TestTrialsAfterRestart(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		guilty string
+		after  [][]string
+		served []bool
+	}{
+		{"sound part first", "b", [][]string{{"a"}, {"a", "c"}, {"b", "a"}, {"other"}, {"c"}}, []bool{true, true, false, false, true}},
+		{"guilty part first", "b", [][]string{{"b"}, {"a"}, {"c"}, {"b"}}, []bool{false, true, true, false}},
+		{"all of them", "b", [][]string{{"a", "b", "c"}, {"c"}}, []bool{false, true}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			before := newBench(tc.guilty)
+			for range 6 {
+				before.send("a", "b", "c")
+			}
+			be := newBench(tc.guilty)
+			be.now = before.now
+			entries := append(before.le.Entries(be.now), Entry{Subject: promptOf("", "other").Parts[0], Part: true, Since: begin})
+			be.le.Merge(entries, be.now)
+			for i, parts := range tc.after {
+				if got := be.send(parts...); got != tc.served[i] {
+					t.Errorf("request %d with %v: served %v, want %v", i, parts, got, tc.served[i])
+				}
+			}
+			if be.crashes > 1 {
+				t.Errorf("%d crashes, want one at most", be.crashes)
+			}
+		})
+	}
+}
+
 // Guards against a part that is fixed and stays refused, since a trial found it guilty: the next probe
 // must end its quarantine.
 func TestPartFixedAfterTrial(t *testing.T) {
