Compute levels once per estimate; test of the estimate at capacity

The estimate of the others' requests computed each group's answer time in each step of 10 ms; the correction would have added an exponential to it. The base of each level is now computed once.

--- a/internal/core/dispatch/readings.go
+++ b/internal/core/dispatch/readings.go
@@ -23,12 +23,12 @@
 	}
 	ta.readings = true
 	ta.estimatePeers(gr.Model, now)
-	answer := gr.answerTime()
-	diff := float64(re.Requests()) - ta.uncorrected(gr, answer)
+	lb := ta.levelBase(gr, now)
+	diff := float64(re.Requests()) - lb.own - lb.reported - gr.unreported
 	if refused {
 		diff++
 	}
-	err := LoadError{diff, diff - gr.account.Correction(now, answer)}
+	err := LoadError{diff, diff - lb.correction}
 	gr.account.Add(occupancy.Known{Requests: re.Requests(), AsOf: now, LearnedAt: now, Own: true}, ta.loadState(gr), now)
 	return err, true
 }
--- a/internal/core/dispatch/readings_test.go
+++ b/internal/core/dispatch/readings_test.go
@@ -151,89 +151,78 @@
 	}
 }
 
+// addUnknown adds requests that no daemon knows of.
+func (fs *faultSim) addUnknown(names []string, num int) {
+	for _, name := range names {
+		for range num {
+			rq := fs.request(0)
+			rq.answer, rq.events = 370, 1
+			rq.ticket = &Ticket{Group: rq.ta.groups[name], ta: rq.ta, done: true}
+			fs.groups[name].waiting = append(fs.groups[name].waiting, rq)
+		}
+	}
+}
+
 // quantile returns the value below which the given part of the values is.
 func quantile(values []float64, part float64) float64 {
 	sorted := slices.Sorted(slices.Values(values))
 	return sorted[int(part*float64(len(sorted)-1))]
 }
 
-// reset clears what was counted.
-func (fs *faultSim) reset() {
+// measure advances the simulation and returns what was counted meanwhile.
+func (fs *faultSim) measure(t *testing.T, step func()) (median, high, inTime float64) {
 	fs.uncorrected, fs.corrected, fs.overfull, fs.most, fs.fresh = nil, nil, 0, 0, outcomes{}
-}
-
-func (fs *faultSim) inTime() float64 { return float64(fs.fresh.inTime) / float64(fs.fresh.sent) }
-
-func (fs *faultSim) report(t *testing.T) {
+	step()
+	median, high, inTime = quantile(fs.corrected, 0.5), quantile(fs.corrected, 0.9), float64(fs.fresh.inTime)/float64(fs.fresh.sent)
 	t.Logf("readings %v: error of the estimate at the choice %.1f (median) and %.1f (90th percentile), without the correction %.1f and %.1f; "+
-		"%d of %d choices of a full group while another had room; at most %d requests at a group; %.3f in time, %d refused", fs.readings,
-		quantile(fs.corrected, 0.5), quantile(fs.corrected, 0.9), quantile(fs.uncorrected, 0.5), quantile(fs.uncorrected, 0.9),
-		fs.overfull, len(fs.corrected), fs.most, fs.inTime(), fs.fresh.refused)
+		"%d of %d choices of a full group while another had room; at most %d requests at a group; %.3f in time, %d refused", fs.readings, median, high,
+		quantile(fs.uncorrected, 0.5), quantile(fs.uncorrected, 0.9), fs.overfull, len(fs.corrected), fs.most, inTime, fs.fresh.refused)
+	return median, high, inTime
 }
 
-// Sixty daemons whose reports are 100 to 200 ms old send to 18 groups. Daemons are killed while their
-// requests run on, a tenth of the requests run on after their daemon has ended them, and three groups
-// are slow. Guards against estimates that lack these requests, and against a correction that makes all
-// daemons send to the groups that read low.
+// Sixty daemons whose reports are 100 to 200 ms old send to 18 groups. First two groups get 40 requests
+// each that no daemon knows of. Then daemons are killed while their requests run on, a tenth of the
+// requests run on after their daemon has ended them, and three groups are slow. Guards against choosing
+// full groups while others have room, against estimates that lack requests, and against a correction
+// that makes all daemons send to the groups that read low.
 func TestLoadEstimateUnderFaults(t *testing.T) {
-	sims := make(map[bool]*faultSim)
-	for _, readings := range []bool{false, true} {
-		fs := newFaultSim(1, 60, 18)
-		fs.readings = readings
-		fs.run(0.9*fs.capacity(), 3*time.Second)
-		fs.slowGroups(3, 1.5)
-		fs.runOn = 0.1
-		fs.reset()
-		for i := range 4 {
-			fs.kill(7 + 3*i)
-			fs.run(0.9*fs.capacity(), 2*time.Second)
-		}
-		fs.report(t)
-		sims[readings] = fs
-	}
-	base, fs := sims[false], sims[true]
-	if got, want := quantile(fs.corrected, 0.5), 0.8*quantile(base.corrected, 0.5); got > want {
-		t.Errorf("median error %.1f, want at most %.1f: 0.8 times that without readings", got, want)
+	type result struct {
+		overfull, most       int
+		median, high, inTime float64
 	}
-	if got, want := quantile(fs.corrected, 0.9), 0.9*quantile(base.corrected, 0.9); got > want {
-		t.Errorf("90th percentile of the error %.1f, want at most %.1f: 0.9 times that without readings", got, want)
-	}
-	if fs.most > base.most+4 || fs.inTime() < base.inTime()-0.01 {
-		t.Errorf("at most %d requests at a group and %.3f in time, without readings %d and %.3f", fs.most, fs.inTime(), base.most, base.inTime())
-	}
-}
-
-// Two groups get 40 requests each that no daemon knows of. Guards against choosing these groups while
-// others have room, and against avoiding them when the requests have ended.
-func TestOverfullGroupIsAvoided(t *testing.T) {
-	sims := make(map[bool]*faultSim)
-	for _, readings := range []bool{false, true} {
-		fs := newFaultSim(2, 60, 18)
-		fs.readings = readings
+	var results [2]result
+	for i := range results {
+		fs, re := newFaultSim(2, 60, 18), &results[i]
+		fs.readings = i == 1
 		fs.run(0.6*fs.capacity(), 3*time.Second)
-		for i := range 80 {
-			rq := fs.request(0)
-			rq.answer = 370
-			rq.ticket = &Ticket{Group: rq.ta.groups[fs.names[i%2]], ta: rq.ta, done: true}
-			rq.events = 1
-			gr := fs.groups[fs.names[i%2]]
-			gr.waiting = append(gr.waiting, rq)
-		}
+		fs.addUnknown(fs.names[:2], 40)
 		fs.run(0.6*fs.capacity(), 400*time.Millisecond)
-		fs.reset()
-		fs.run(0.6*fs.capacity(), 2*time.Second)
-		fs.report(t)
-		sims[readings] = fs
+		fs.measure(t, func() { fs.run(0.6*fs.capacity(), 2*time.Second) })
+		re.overfull = fs.overfull
+		fs.run(0.6*fs.capacity(), 3*time.Second)
+		if num := len(fs.groups[fs.names[0]].decoding); num < 10 {
+			t.Errorf("%d requests at a group after the unknown ones have ended, want it to be used again", num)
+		}
+		fs.run(fs.capacity(), 2*time.Second)
+		fs.slowGroups(3, 1.5)
+		fs.runOn = 0.1
+		re.median, re.high, re.inTime = fs.measure(t, func() {
+			for i := range 4 {
+				fs.kill(7 + 3*i)
+				fs.run(fs.capacity(), 2*time.Second)
+			}
+		})
+		re.most = fs.most
 	}
-	if got, base := sims[true].overfull, sims[false].overfull; base < 20 || got > base/2 {
-		t.Errorf("%d choices of a full group with readings, want at most half of the %d without, and those at least 20", got, base)
+	base, got := results[0], results[1]
+	if base.overfull < 20 || got.overfull > base.overfull/2 {
+		t.Errorf("%d choices of a full group with readings, want at most half of the %d without, and those at least 20", got.overfull, base.overfull)
 	}
-	fs := sims[true]
-	fs.run(0.6*fs.capacity(), 3*time.Second)
-	for _, name := range fs.names[:2] {
-		if gr := fs.groups[name]; len(gr.decoding) < 10 {
-			t.Errorf("%d requests at %s after the unknown ones have ended, want it to be used again", len(gr.decoding), name)
-		}
+	if got.median > 0.8*base.median || got.high > 0.9*base.high {
+		t.Errorf("error %.1f and %.1f with readings, want at most 0.8 and 0.9 times those without, %.1f and %.1f", got.median, got.high, base.median, base.high)
+	}
+	if got.most > base.most+4 || got.inTime < base.inTime-0.01 {
+		t.Errorf("at most %d requests at a group and %.3f in time, without readings %d and %.3f", got.most, got.inTime, base.most, base.inTime)
 	}
 }
 
--- a/internal/core/dispatch/waterfill.go
+++ b/internal/core/dispatch/waterfill.go
@@ -50,14 +50,20 @@
 	from := ta.estimatedUntil[model]
 	ta.estimatedUntil[model] = now
 	since := min(now.Sub(from), estimateHorizonDelays*ta.reportDelay)
+	if since <= 0 {
+		return
+	}
+	bases, levels := make([]levelBase, len(groups)), make([]level, len(groups))
+	for i, gr := range groups {
+		bases[i] = ta.levelBase(gr, now)
+		if unavailable[i] {
+			bases[i].room = 0
+		}
+	}
 	for ; since > 0; since -= estimateStep {
 		step := min(since, estimateStep)
-		levels := make([]level, len(groups))
 		for i, gr := range groups {
-			levels[i] = ta.level(gr, now)
-			if unavailable[i] {
-				levels[i].room = 0
-			}
+			levels[i] = bases[i].level(gr.unreported)
 		}
 		shares, _ := fill(levels, perSecond*step.Seconds())
 		decay := math.Exp(-step.Seconds() / ta.reportDelay.Seconds())
@@ -78,20 +84,36 @@
 // level estimates a group's load, corrected by the load that its leader states. The correction never
 // lowers the estimate below the requests that this daemon itself has at the group.
 func (ta *Table) level(gr *Group, now time.Time) level {
-	answer := gr.answerTime()
-	slots := float64(gr.engine.Slots)
-	return level{
-		load: max(float64(gr.ownLoad.Requests), ta.uncorrected(gr, answer)+gr.account.Correction(now, answer)),
-		room: slots - unreportedMargin*unreportedDeviation(slots, ta.reportDelay, answer),
-	}
+	return ta.levelBase(gr, now).level(gr.unreported)
+}
+
+// levelBase is what a group's level is computed from, besides the requests that the other daemons have
+// sent since their reports.
+type levelBase struct {
+	// own is the number of requests that this daemon sent, reported the one that the others reported
+	// minus those that have ended since.
+	own, reported float64
+	// correction is the correction by the load that the leader states.
+	correction float64
+	room       float64
+}
+
+// level returns the level if the others have sent that many requests since their reports.
+func (lb levelBase) level(unreported float64) level {
+	return level{load: lb.own + max(0, lb.reported+unreported+lb.correction), room: lb.room}
 }
 
-// uncorrected estimates a group's load: the requests that this daemon sent, plus those that the
-// others reported minus the ones that have ended since, plus those that they are expected to have
-// sent since. answer is the group's mean answer time.
-func (ta *Table) uncorrected(gr *Group, answer time.Duration) float64 {
+// levelBase returns the base of a group's level at now.
+func (ta *Table) levelBase(gr *Group, now time.Time) levelBase {
+	answer := gr.answerTime()
 	remaining := max(0, 1-ta.reportDelay.Seconds()/answer.Seconds())
-	return float64(gr.ownLoad.Requests) + float64(gr.peerLoad.Requests)*remaining + gr.unreported
+	slots := float64(gr.engine.Slots)
+	return levelBase{
+		own:        float64(gr.ownLoad.Requests),
+		reported:   float64(gr.peerLoad.Requests) * remaining,
+		correction: gr.account.Correction(now, answer),
+		room:       slots - unreportedMargin*unreportedDeviation(slots, ta.reportDelay, answer),
+	}
 }
 
 // answerTime returns the mean duration of an answer of the group under its present load.
