--- a/internal/core/dispatch/waterfill.go
+++ b/internal/core/dispatch/waterfill.go
@@ -34,8 +34,7 @@
 // model's groups since their last reports.
 func (ta *Table) estimatePeers(model string, now time.Time) {
 	ta.expirePeers(now)
-	var groups []*Group
-	var unavailable []bool
+	groups, unavailable := make([]*Group, 0, len(ta.byName)), make([]bool, 0, len(ta.byName))
 	for _, gr := range ta.byName {
 		if gr.Model == model && gr.inView {
 			groups = append(groups, gr)
--- a/internal/core/occupancy/history.go
+++ b/internal/core/occupancy/history.go
@@ -16,7 +16,8 @@
 // history holds the recent values of the known requests at a group, so that a reading can be compared
 // with the ones at the moment of the reading.
 type history struct {
-	samples [historySamples]sample
+	// samples is allocated with the first one, to keep groups small where servers state no load.
+	samples []sample
 	// next is the index of the next sample to write, count the number of valid ones.
 	next, count int
 }
@@ -31,6 +32,9 @@
 	if hi.count > 0 && now.Sub(hi.newest(0).at) < historyInterval {
 		return
 	}
+	if hi.samples == nil {
+		hi.samples = make([]sample, historySamples)
+	}
 	hi.samples[hi.next] = sample{now, parts}
 	hi.next = (hi.next + 1) % historySamples
 	hi.count = min(historySamples, hi.count+1)
--- a/internal/core/occupancy/reading.go
+++ b/internal/core/occupancy/reading.go
@@ -20,7 +20,7 @@
 const MaxAge = 2 * time.Second
 
 // Shared is a reading as daemons send it to each other, many times a second, hence the compact
-// encoding as an array.
+// encoding as an array. Its length cannot change: daemons of another version would drop the heartbeat.
 type Shared struct {
 	_ struct{} `cbor:",toarray"`
 	// Requests is the number of running and waiting requests.
--- a/internal/mesh/intervals_test.go
+++ b/internal/mesh/intervals_test.go
@@ -14,6 +14,7 @@
 	"corianderhub.dev/corianderhub/internal/core/backpressure"
 	"corianderhub.dev/corianderhub/internal/core/catalog"
 	"corianderhub.dev/corianderhub/internal/core/dispatch"
+	"corianderhub.dev/corianderhub/internal/core/occupancy"
 	"corianderhub.dev/corianderhub/internal/core/quarantine"
 )
 
@@ -190,7 +191,8 @@
 	own := map[string]dispatch.Load{"a": {Requests: 3}}
 	en := heartbeatEncoder{be: Heartbeat{IP: "10.0.0.1"}, wo: Work{Own: dispatch.Work{Loads: own},
 		Except: func(ip string) dispatch.Work {
-			return dispatch.Work{Loads: map[string]dispatch.Load{ip: {Requests: 1}}, Rates: map[string]float32{"linden": 2.5}}
+			return dispatch.Work{Loads: map[string]dispatch.Load{ip: {Requests: 1}}, Rates: map[string]float32{"linden": 2.5},
+				Readings: map[string]occupancy.Shared{ip: {Requests: 3, AgeMillis: 40}}}
 		}}}
 	tests := []struct {
 		work WorkOf
@@ -213,6 +215,9 @@
 		if be.WorkOf != tc.work || len(be.Work.Loads) != len(tc.want) {
 			t.Errorf("datagram has work of %v with loads %v, want %v", be.WorkOf, be.Work.Loads, tc.want)
 		}
+		if re := be.Work.Readings[peerIP(1)]; (tc.work == WorkRelayed) != (re.Requests == 3 && re.AgeMillis == 40) {
+			t.Errorf("datagram has work of %v with readings %v", be.WorkOf, be.Work.Readings)
+		}
 		for name, lo := range tc.want {
 			if be.Work.Loads[name] != lo {
 				t.Errorf("load of %s: %v, want %v", name, be.Work.Loads[name], lo)
