--- a/internal/core/occupancy/account.go
+++ b/internal/core/occupancy/account.go
@@ -84,7 +84,7 @@
 	ac.pending = Known{}
 	then, known := ac.history.partsAt(re.AsOf, st.Known, now)
 	later, _ := ac.history.partsAt(re.AsOf.Add(st.Delay), st.Known, now)
-	if !known {
+	if !known || now.Sub(re.AsOf) > MaxAge {
 		return
 	}
 	requests := min(re.Requests, maxSlotsFactor*max(1, st.Slots))
