--- a/internal/core/dispatch/readings.go
+++ b/internal/core/dispatch/readings.go
@@ -23,12 +23,12 @@
 	}
 	ta.readings = true
 	ta.estimatePeers(gr.Model, now)
-	answer := gr.answerTime()
-	diff := float64(re.Requests()) - ta.uncorrected(gr, answer)
+	lb := ta.levelBase(gr, now)
+	diff := float64(re.Requests()) - lb.own - lb.reported - gr.unreported
 	if refused {
 		diff++
 	}
-	err := LoadError{diff, diff - gr.account.Correction(now, answer)}
+	err := LoadError{diff, diff - lb.correction}
 	gr.account.Add(occupancy.Known{Requests: re.Requests(), AsOf: now, LearnedAt: now, Own: true}, ta.loadState(gr), now)
 	return err, true
 }
@@ -75,6 +75,15 @@
 	}
 }
 
+// withdrawReport adapts the corrections when the report of a daemon expires.
+func (ta *Table) withdrawReport(wo Work, now time.Time) {
+	for name, lo := range wo.Loads {
+		if gr := ta.groups[name]; gr != nil {
+			gr.account.Withdraw(float64(lo.Requests), gr.answerTime(), now)
+		}
+	}
+}
+
 // resetAccounts drops all corrections, which are differences from an estimate with other reports.
 func (ta *Table) resetAccounts() {
 	for _, gr := range ta.groups {
