Spread each model's groups over data centres where one may be lost

Cause: the plan of the start decides on each domain alone and put 8 of 12 groups of the model of 6 into one data centre.

Change: where the settings say that a data centre may be lost, pairs of domains exchange splits so that as many groups of each model as possible remain after the loss of any data centre. The numbers of groups stay the same, so nothing changes while all data centres serve.

--- a/internal/core/steward/form.go
+++ b/internal/core/steward/form.go
@@ -132,7 +132,11 @@
 		}
 	}
 	var calls []Call
-	for i, sp := range planSplits(sizes, co.weightedSizes(en)) {
+	plan := planSplits(sizes, co.weightedSizes(en))
+	if co.SpreadDataCenters {
+		plan = spreadSplits(plan, sizes, co.dataCentersOf(doms), co.weightedSizes(en))
+	}
+	for i, sp := range plan {
 		for mi, num := range sp {
 			for range num / en.Models[mi].Size {
 				calls = append(calls, co.formGroup(service, en.Models[mi], doms[i], now)...)
--- a/internal/core/steward/steward.go
+++ b/internal/core/steward/steward.go
@@ -225,9 +225,12 @@
 	// InitialLoads is set until callers have sent the first requests. Until then loads are not
 	// rate-limited.
 	InitialLoads bool
-	services     map[string]*catalog.Engine
-	vms          map[string]*vm
-	groups       map[groupKey]*group
+	// SpreadDataCenters is set if the deployment must be able to lose a data centre. The groups of
+	// each model are then spread over the data centres.
+	SpreadDataCenters bool
+	services          map[string]*catalog.Engine
+	vms               map[string]*vm
+	groups            map[groupKey]*group
 	// sortedIDs caches the VM IDs in order; idsChanged is set when it may be out of date.
 	sortedIDs  []string
 	idsChanged bool
