Schedule the returns of requests refused for lack of capacity

Cause: a refusal named a fixed delay of 1 s and jitter, so callers came back while the groups were still full, and retries had no claim to a slot: most of them were refused a second time.

Change: a calendar per model promises at most this daemon's part of the expected free capacity and names a time between 1 s and a third of the time left. Requests that return then have precedence, as far as the daemons together promised it (dispatch.Work, key 7). Switch: Table.ScheduleReturns, set in internal/entry.

Tests of admit and dispatch pass with -race.

--- /dev/null
+++ b/internal/core/admit/calendar_test.go
@@ -0,0 +1,150 @@
+package admit
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func newCalendar(seed uint64) *Calendar {
+	return &Calendar{Random: rand.New(rand.NewPCG(seed, 1)).Float64}
+}
+
+// Guards against promises outside of the time in which a caller returns, and against more promises
+// for a slice than its capacity.
+func TestPromises(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		cr := newCalendar(rapid.Uint64().Draw(t, "seed"))
+		now := time.Unix(1000, rapid.Int64Range(0, int64(time.Second)).Draw(t, "offset"))
+		ca := Capacity{Finish: rapid.Float64Range(0, 500).Draw(t, "finish"), New: rapid.Float64Range(0, 900).Draw(t, "new"),
+			Daemons: rapid.IntRange(0, 985).Draw(t, "daemons")}
+		const least = time.Second
+		for range rapid.IntRange(1, 200).Draw(t, "refusals") {
+			most := time.Duration(rapid.IntRange(0, 6000).Draw(t, "most")) * time.Millisecond
+			rank := rapid.IntRange(-1, 12).Draw(t, "rank")
+			pr := cr.Promise("model", rank, now, least, most, ca)
+			if pr.Delay < least || pr.Delay > max(least, most) {
+				t.Fatalf("delay %v, want between %v and %v", pr.Delay, least, most)
+			}
+			now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "pause")) * time.Millisecond)
+		}
+		for _, sl := range cr.forModel("model").slices {
+			if most := ca.free() * sliceLength.Seconds(); sl.promised > most+1e-6 {
+				t.Fatalf("%.3f returns promised in a slice, want at most %.3f", sl.promised, most)
+			}
+		}
+	})
+}
+
+// refuseAtOnce refuses requests at one moment, the same number at each daemon, and returns the number
+// of returns in each slice after the least delay, and the number of promises. known is the number of
+// daemons that each of them knows.
+func refuseAtOnce(requests int, known []int) (perSlice []int, reserved int) {
+	now := time.Unix(1000, 0)
+	const least, most = time.Second, 2400 * time.Millisecond
+	perSlice = make([]int, (most-least)/sliceLength+1)
+	for num, daemons := range known {
+		cr := newCalendar(uint64(num))
+		for range requests / len(known) {
+			pr := cr.Promise("model", 0, now, least, most, Capacity{Finish: 250, New: 150, Daemons: daemons})
+			perSlice[(pr.Delay-least)/sliceLength]++
+			if pr.Reserved {
+				reserved++
+			}
+		}
+	}
+	return perSlice, reserved
+}
+
+// After a loss of all daemons, all calendars are empty and callers come at once. Guards against
+// daemons that each promise the same first moment, or all capacity: 100 requests per second are free.
+func TestEmptyCalendars(t *testing.T) {
+	known := make([]int, 60)
+	for i := range known {
+		known[i] = len(known)
+	}
+	perSlice, reserved := refuseAtOnce(120, known)
+	if reserved < 110 {
+		t.Errorf("%d returns reserved, want at least 110 of the 140 that are free", reserved)
+	}
+	for num, returns := range perSlice {
+		if returns > 20 {
+			t.Errorf("%d callers return in slice %d, want at most 20 where 10 are free", returns, num)
+		}
+	}
+	perSlice, reserved = refuseAtOnce(1200, known)
+	if reserved > 170 {
+		t.Errorf("%d returns reserved, want at most the 140 that are free and 20%%", reserved)
+	}
+	for num, returns := range perSlice {
+		if returns > 450 {
+			t.Errorf("%d of 1200 callers return in slice %d, want them spread", returns, num)
+		}
+	}
+}
+
+// Guards against a daemon whose number of daemons is outdated: one that takes itself for the only one
+// promises at most the whole free capacity once more, and its returns are spread as well.
+func TestOutdatedDaemonCount(t *testing.T) {
+	known := make([]int, 60)
+	for i := range known {
+		known[i] = len(known)
+	}
+	known[7] = 1
+	perSlice, reserved := refuseAtOnce(12000, known)
+	if reserved > 2*140*6/5 {
+		t.Errorf("%d returns reserved, want at most twice the 140 that are free and 20%%", reserved)
+	}
+	for num, returns := range perSlice[:5] {
+		if returns > 40 {
+			t.Errorf("%d callers return in slice %d, want at most 40 where 10 are free", returns, num)
+		}
+	}
+}
+
+// Guards against less urgent ranks that take all free capacity: a more urgent rank finds a part of
+// each slice free.
+func TestUrgentRank(t *testing.T) {
+	cr, now := newCalendar(1), time.Unix(1000, 0)
+	promise := func(rank int) bool {
+		return cr.Promise("model", rank, now, time.Second, 2500*time.Millisecond, Capacity{Finish: 100, New: 80, Daemons: 1}).Reserved
+	}
+	promise(0)
+	for range 100 {
+		promise(1)
+	}
+	reserved := 0
+	for range 20 {
+		if promise(0) {
+			reserved++
+		}
+	}
+	if reserved < 4 {
+		t.Errorf("%d returns of the urgent rank reserved, want at least 4 of the 30 that are free", reserved)
+	}
+}
+
+// Guards against returns that are due being told in another second than they were promised for.
+func TestDue(t *testing.T) {
+	cr, now := newCalendar(1), time.Unix(1000, 0)
+	for range 50 {
+		cr.Promise("model", 0, now, time.Second, 2*time.Second, Capacity{Finish: 20, Daemons: 1})
+	}
+	for _, tc := range []struct {
+		after time.Duration
+		want  float64
+	}{{0, 0}, {1500 * time.Millisecond, 20}, {3 * time.Second, 0}, {time.Minute, 0}} {
+		if due, _ := cr.Due("model", now.Add(tc.after)); due < tc.want-1e-6 || due > tc.want+1e-6 {
+			t.Errorf("%.2f returns due after %v, want %.0f", due, tc.after, tc.want)
+		}
+	}
+	cr.RecordReturn("model", now)
+	if _, came := cr.Due("model", now.Add(900*time.Millisecond)); came != 1 {
+		t.Errorf("%.0f returns came in the last second, want 1", came)
+	}
+	if _, came := cr.Due("model", now.Add(1100*time.Millisecond)); came != 0 {
+		t.Errorf("%.0f returns came in the last second, want 0", came)
+	}
+}
--- a/internal/core/dispatch/overload_test.go
+++ b/internal/core/dispatch/overload_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -29,10 +30,18 @@
 	// refused the first attempts without a group, sent all requests with one, and refusedTwice the
 	// retries without one.
 	inTime, late, refused, sent, refusedTwice int
-	// retryRefused makes callers whose first attempt was refused retry once; retries holds the retry
-	// times.
+	// retryRefused makes callers whose first attempt was refused retry once, after the time that
+	// retryDelay returns, or after slotSimRetryDelay if it is nil. retries holds the retry times in
+	// order.
 	retryRefused bool
-	retries      []time.Time
+	retryDelay   func(Choice) time.Duration
+	retries      []slotSimRetry
+}
+
+// slotSimRetry is a retry with the time that its caller will have waited.
+type slotSimRetry struct {
+	at     time.Time
+	waited time.Duration
 }
 
 // delayedReport is a daemon's load report and its time of delivery.
@@ -73,6 +82,8 @@
 	slotSimMaxWait = 120 * time.Millisecond
 	// slotSimRetryDelay is the time from a refusal to the retry.
 	slotSimRetryDelay = 1250 * time.Millisecond
+	// slotSimTimeout is the callers' timeout from their first attempt.
+	slotSimTimeout = 7 * time.Second
 )
 
 func newSlotSim(seed uint64, daemons, groups int) *slotSim {
@@ -141,11 +152,12 @@
 	due := 0.0
 	for end := cw.now.Add(dur); cw.now.Before(end); cw.now = cw.now.Add(slotSimStep) {
 		for due += perSecond * slotSimStep.Seconds(); due >= 1; due-- {
-			cw.arrive(false)
+			cw.arrive(0)
 		}
-		for len(cw.retries) > 0 && !cw.retries[0].After(cw.now) {
+		for len(cw.retries) > 0 && !cw.retries[0].at.After(cw.now) {
+			waited := cw.retries[0].waited
 			cw.retries = cw.retries[1:]
-			cw.arrive(true)
+			cw.arrive(waited)
 		}
 		for _, name := range cw.names {
 			cw.run(cw.groups[name])
@@ -159,13 +171,13 @@
 		MaxPause: 200 * time.Millisecond, MaxWait: time.Second}
 }
 
-// arrive sends a request to a random daemon. retry marks a second attempt.
-func (cw *slotSim) arrive(retry bool) {
+// arrive sends a request to a random daemon. waited is how long the caller of a retry has waited, 0
+// for a first attempt.
+func (cw *slotSim) arrive(waited time.Duration) {
 	ta := cw.daemons[cw.rnd.IntN(len(cw.daemons))]
-	ne := slotSimRequest()
-	if retry {
-		ne.Objective -= slotSimRetryDelay
-	}
+	ne, retry := slotSimRequest(), waited > 0
+	ne.Objective -= waited
+	ne.Waited, ne.Left = waited, slotSimTimeout-waited
 	ch, ti := ta.Pick(ne, ignore, cw.now)
 	switch {
 	case ti != nil:
@@ -177,11 +189,25 @@
 	default:
 		cw.refused++
 		if cw.retryRefused {
-			cw.retries = append(cw.retries, cw.now.Add(slotSimRetryDelay))
+			cw.retryAfter(ch)
 		}
 	}
 }
 
+// retryAfter schedules the retry of a refused caller.
+func (cw *slotSim) retryAfter(ch Choice) {
+	delay := slotSimRetryDelay
+	if cw.retryDelay != nil {
+		delay = cw.retryDelay(ch)
+	}
+	re := slotSimRetry{cw.now.Add(delay), delay}
+	at, _ := slices.BinarySearchFunc(cw.retries, re, func(one, other slotSimRetry) int {
+		// Retries at the same time stay in the order of the refusals.
+		return cmp.Or(one.at.Compare(other.at), -1)
+	})
+	cw.retries = slices.Insert(cw.retries, at, re)
+}
+
 // run ends the requests that are done and starts waiting ones in their slots.
 func (cw *slotSim) run(gr *slotQueue) {
 	still := gr.running[:0]
--- a/internal/core/dispatch/peers.go
+++ b/internal/core/dispatch/peers.go
@@ -22,6 +22,8 @@
 	// Demand is the demand for each model. It is not relayed: only the steward uses it, and each
 	// daemon reports its own to the steward.
 	Demand map[string]catalog.Demand `cbor:"3,keyasint,omitempty"`
+	// Returns is the rate of returning requests for each model.
+	Returns map[string]Returns `cbor:"7,keyasint,omitempty"`
 }
 
 // peerWork is the work reported by another daemon, with the time of the report.
@@ -59,6 +61,9 @@
 	for model, perSecond := range before.Rates {
 		ta.peerRates[model] -= perSecond
 	}
+	for model, re := range before.Returns {
+		ta.peerReturns[model] = ta.peerReturns[model].minus(re)
+	}
 	ta.addPeerWork(wo)
 }
 
@@ -72,6 +77,9 @@
 	for model, perSecond := range wo.Rates {
 		ta.peerRates[model] += perSecond
 	}
+	for model, re := range wo.Returns {
+		ta.peerReturns[model] = ta.peerReturns[model].plus(re)
+	}
 }
 
 // ApplyRelayedWork records the combined work of all other daemons. It replaces the reports of single
@@ -93,6 +101,7 @@
 		gr.peerLoad = Load{}
 	}
 	clear(ta.peerRates)
+	clear(ta.peerReturns)
 	for peer, pe := range ta.peers {
 		if now.Sub(pe.at) > maxPeerLoadAge {
 			delete(ta.peers, peer)
@@ -106,7 +115,7 @@
 func (ta *Table) OwnWork(now time.Time) Work {
 	ta.mu.Lock()
 	defer ta.mu.Unlock()
-	wo := Work{Loads: make(map[string]Load, len(ta.groups)), Rates: ta.rates.all(now), Demand: ta.ownDemand(now)}
+	wo := Work{Loads: make(map[string]Load, len(ta.groups)), Rates: ta.rates.all(now), Demand: ta.ownDemand(now), Returns: ta.ownReturns(now)}
 	for name, gr := range ta.groups {
 		if gr.ownLoad.Requests > 0 {
 			wo.Loads[name] = gr.ownLoad
@@ -121,7 +130,7 @@
 	ta.mu.Lock()
 	defer ta.mu.Unlock()
 	reported := ta.peers[peer]
-	wo := Work{Loads: make(map[string]Load, len(ta.groups)), Rates: ta.rates.all(now)}
+	wo := Work{Loads: make(map[string]Load, len(ta.groups)), Rates: ta.rates.all(now), Returns: ta.ownReturns(now)}
 	for name, gr := range ta.groups {
 		if lo := gr.ownLoad.plus(gr.peerLoad).minus(reported.Loads[name]); lo.Requests > 0 {
 			wo.Loads[name] = lo
@@ -132,5 +141,10 @@
 			wo.Rates[model] += others
 		}
 	}
+	for model, re := range ta.peerReturns {
+		if others := re.minus(reported.Returns[model]); others.Due > minReturns || others.Came > minReturns {
+			wo.Returns[model] = wo.Returns[model].plus(others)
+		}
+	}
 	return wo
 }
--- a/internal/core/dispatch/pick.go
+++ b/internal/core/dispatch/pick.go
@@ -34,8 +34,11 @@
 	// for the model but the limits reported by their leaders currently reject requests at all of them.
 	Groups     int
 	AllLimited bool
-	// RetryAfter is the suggested time before a retry if Group is nil.
-	RetryAfter time.Duration
+	// RetryAfter is the suggested time before a retry if Group is nil. If Scheduled is set, it is
+	// already spread over the callers and must not be extended. Reserved is set if capacity is set
+	// aside for the request at that time.
+	RetryAfter          time.Duration
+	Scheduled, Reserved bool
 }
 
 // Pick selects the group for a request and counts the request there. If it refuses the request,
@@ -69,6 +72,7 @@
 	ch.Idle = best.running < float64(best.gr.engine.Slots)/2
 	if overloaded := !ne.Resumed && ta.random() < left; overloaded || !best.fits && !admissible(best, ne) {
 		ch.RetryAfter = max(retryFull, best.FirstEvent-ne.Objective)
+		ta.promise(&ch, ne, now)
 		return ch, nil
 	}
 	ch.Group = best.gr
@@ -86,14 +90,13 @@
 func (ta *Table) candidates(ne Request, now time.Time) ([]candidate, float64) {
 	var cands []candidate
 	var levels []level
+	reserve := ta.reserve(ne, now)
 	for _, gr := range ta.byName {
 		if !gr.accepts(ne) || !ta.Backpressure.Accepts(gr.leader(), now) {
 			continue
 		}
 		le, remoteCost := ta.level(gr), ta.remoteCost(gr)
-		if ne.late() && !ne.FinalAttempt {
-			le.room -= lateReserve * float64(gr.engine.Slots)
-		}
+		le.room -= reserve * float64(gr.engine.Slots)
 		cands = append(cands, candidate{gr: gr, running: le.load})
 		levels = append(levels, level{le.load + remoteCost, le.room + remoteCost})
 	}
--- /dev/null
+++ b/internal/core/dispatch/returns_test.go
@@ -0,0 +1,144 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"corianderhub.dev/corianderhub/internal/core/catalog"
+)
+
+// burstResult counts the requests of a simulated burst as shares of all first attempts.
+type burstResult struct{ refused, refusedTwice, inTime, late float64 }
+
+// burst simulates daemons that receive 0.6 times the capacity, 1.7 times the capacity for three
+// seconds, and 0.6 again, with callers that retry once.
+func burst(seed uint64, daemons int, schedule bool, delay func(cw *slotSim, ch Choice) time.Duration) burstResult {
+	cw := newSlotSim(seed, daemons, 12)
+	for _, ta := range cw.daemons {
+		ta.ScheduleReturns = schedule
+		ta.SetDaemonCount(daemons)
+	}
+	cw.retryRefused = true
+	cw.retryDelay = func(ch Choice) time.Duration { return delay(cw, ch) }
+	for _, ph := range []struct {
+		times float64
+		dur   time.Duration
+	}{{0.6, 3 * time.Second}, {1.7, 3 * time.Second}, {0.6, 6 * time.Second}} {
+		cw.simulate(ph.times*cw.capacity(), ph.dur)
+	}
+	all := (0.6*9 + 1.7*3) * cw.capacity()
+	return burstResult{float64(cw.refused) / all, float64(cw.refusedTwice) / all, float64(cw.inTime) / all, float64(cw.late) / all}
+}
+
+// Guards against callers that return while the groups are still full, and against returns that
+// displace first attempts: with scheduled returns, fewer requests are refused twice than with the
+// fixed delay of 1 s, with or without jitter, and nearly as many first attempts are in time.
+func TestBurstWithScheduledReturns(t *testing.T) {
+	const daemons, seeds = 60, 2
+	mean := func(schedule bool, delay func(cw *slotSim, ch Choice) time.Duration) (sum burstResult) {
+		for seed := range uint64(seeds) {
+			re := burst(seed+1, daemons, schedule, delay)
+			sum.refused += re.refused / seeds
+			sum.refusedTwice += re.refusedTwice / seeds
+			sum.inTime += re.inTime / seeds
+			sum.late += re.late / seeds
+		}
+		return sum
+	}
+	fixed := mean(false, func(*slotSim, Choice) time.Duration { return retryFull })
+	jitter := mean(false, func(cw *slotSim, _ Choice) time.Duration { return scale(retryFull, 1+0.5*cw.rnd.Float64()) })
+	scheduled := mean(true, func(_ *slotSim, ch Choice) time.Duration { return ch.RetryAfter })
+	t.Logf("refused, refused twice, in time, late: fixed delay %.3f, with jitter %.3f, scheduled %.3f", fixed, jitter, scheduled)
+	if most := 0.85 * min(fixed.refusedTwice, jitter.refusedTwice); scheduled.refusedTwice > most {
+		t.Errorf("%.3f of the requests refused twice, want at most %.3f", scheduled.refusedTwice, most)
+	}
+	if least := jitter.inTime - 0.03; scheduled.inTime < least {
+		t.Errorf("%.3f of the requests in time, want at least %.3f", scheduled.inTime, least)
+	}
+}
+
+// returningRequest returns a request whose caller has waited that long.
+func returningRequest(waited time.Duration) Request {
+	ne := testRequest()
+	ne.Objective, ne.Waited, ne.Left = ne.Objective-waited, waited, 6*time.Second
+	return ne
+}
+
+// Guards against precedence for callers that return early, for more returns than were promised, and
+// for promises beyond half of the capacity, as of daemons that know an outdated number of daemons.
+func TestPrecedenceOfReturns(t *testing.T) {
+	const early, kept = 600 * time.Millisecond, 1100 * time.Millisecond
+	tests := []struct {
+		name     string
+		waited   time.Duration
+		peers    Returns
+		schedule bool
+		// least and most bound the mean fraction of the slots that are held back.
+		least, most float64
+	}{
+		{"off", kept, Returns{Due: 5, Came: 5}, false, lateReserve, lateReserve},
+		{"early", early, Returns{Due: 5, Came: 5}, true, lateReserve, lateReserve},
+		{"kept", kept, Returns{Due: 5, Came: 3}, true, 0, 0},
+		{"twice as many as promised", kept, Returns{Due: 5, Came: 9}, true, 0.4 * unreservedLate * lateReserve, 0.6 * unreservedLate * lateReserve},
+		{"none promised", kept, Returns{Came: 5}, true, unreservedLate * lateReserve, unreservedLate * lateReserve},
+		{"first attempt", 0, Returns{Due: 5, Came: 5}, true, 0.001, lateReserve},
+		{"first attempt, too many promised", 0, Returns{Due: 1e6}, true, 0.001, lateReserve},
+		{"first attempt, none promised", 0, Returns{}, true, 0, 0},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			const tries = 400
+			mean := 0.0
+			for range tries {
+				ta := table(group("one", "here"))
+				ta.ScheduleReturns = tc.schedule
+				ta.ApplyPeerWork("peer", Work{Returns: map[string]Returns{"large": tc.peers}}, begin)
+				mean += ta.reserve(returningRequest(tc.waited), begin) / tries
+			}
+			if tolerance := 1e-9; mean < tc.least-tolerance || mean > tc.most+tolerance {
+				t.Errorf("%.4f of the slots held back, want %.4f to %.4f", mean, tc.least, tc.most)
+			}
+		})
+	}
+	ta := table(group("one", "here"))
+	ta.ApplyPeerWork("peer", Work{Returns: map[string]Returns{"large": {Due: 1e6}}}, begin)
+	if re := ta.dueReturns("large", 20, begin); re.Due != 20*maxReturnShare {
+		t.Errorf("%.1f returns per second honoured, want half of the capacity", re.Due)
+	}
+}
+
+// Guards against returns that are counted twice or lost when the steward relays them, and against
+// those of a daemon that is gone.
+func TestRelayedReturns(t *testing.T) {
+	ta := table(group("one", "here"))
+	ta.ScheduleReturns = true
+	ta.ApplyPeerWork("one", Work{Returns: map[string]Returns{"large": {Due: 3, Came: 1}}}, begin)
+	ta.ApplyPeerWork("two", Work{Returns: map[string]Returns{"large": {Due: 4}}}, begin)
+	ta.calendar.RecordReturn("large", begin)
+	if got, want := ta.WorkExcept("two", begin).Returns["large"], (Returns{Due: 3, Came: 2}); got != want {
+		t.Errorf("relayed returns %v, want %v", got, want)
+	}
+	ta.ApplyRelayedWork(Work{Returns: map[string]Returns{"large": {Due: 5}}}, begin)
+	if got, want := ta.dueReturns("large", 100, begin), (Returns{Due: 5, Came: 1}); got != want {
+		t.Errorf("returns %v, want %v", got, want)
+	}
+	ta.ApplyPeerWork("two", Work{}, begin.Add(2*maxPeerLoadAge))
+	if got := ta.dueReturns("large", 100, begin.Add(2*maxPeerLoadAge)).Due; got != 0 {
+		t.Errorf("%.1f returns due after their reports expired, want 0", got)
+	}
+}
+
+func BenchmarkPickScheduled(b *testing.B) {
+	var groups []catalog.Group
+	for i := range 40 {
+		groups = append(groups, group(fmt.Sprint("group-", i), "here"))
+	}
+	ta := table(groups...)
+	ta.ScheduleReturns = true
+	for b.Loop() {
+		if _, ti := ta.Pick(returningRequest(2*time.Second), ignore, begin); ti != nil {
+			ti.End()
+		}
+	}
+}
--- a/internal/core/dispatch/table.go
+++ b/internal/core/dispatch/table.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"corianderhub.dev/corianderhub/internal/core/admit"
 	"corianderhub.dev/corianderhub/internal/core/backpressure"
 	"corianderhub.dev/corianderhub/internal/core/catalog"
 )
@@ -19,7 +20,11 @@
 	// Backpressure holds the limits that endpoints report; nil means no limits.
 	Backpressure *backpressure.Tracker
 	// Rand is the random source of selections; nil means a randomly seeded one.
-	Rand   *rand.Rand
+	Rand *rand.Rand
+	// ScheduleReturns makes refusals for lack of capacity name a reserved time to return, and gives
+	// precedence to the requests that return then.
+	ScheduleReturns bool
+
 	mu     sync.Mutex
 	groups map[string]*Group
 	// byName lists the groups in the order of their names.
@@ -32,6 +37,10 @@
 	// daemons, both by model and per second.
 	rates     arrivals
 	peerRates map[string]float32
+	// calendar holds the return times that this daemon promised, peerReturns the returning requests
+	// at the other daemons, by model.
+	calendar    admit.Calendar
+	peerReturns map[string]Returns
 	// demands is the demand for each model at this daemon.
 	demands demands
 	// estimatedUntil is the time of the last estimate of the others' requests, by model.
@@ -61,6 +70,9 @@
 	Objective time.Duration
 	// MaxPause is the longest acceptable pause between events.
 	MaxPause time.Duration
+	// Waited is how long the caller has waited since its first attempt, Left the time until its
+	// timeout; 0 if unknown.
+	Waited, Left time.Duration
 	// MaxWait is the longest wait for the first event after which the answer is still useful.
 	MaxWait time.Duration
 	// FinalAttempt is set for a late request that cannot be delayed any further.
@@ -95,6 +107,7 @@
 		ta.groups = make(map[string]*Group)
 		ta.peers = make(map[string]peerWork)
 		ta.peerRates = make(map[string]float32)
+		ta.peerReturns = make(map[string]Returns)
 		ta.residuals = make(residuals)
 	}
 	for _, gr := range ta.groups {
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -149,6 +149,10 @@
 	da.group.Add(func() error { return fn(actorCtx) }, func(error) { cancel() })
 }
 
+// scheduleReturns enables reserved return times in refusals for lack of capacity; see
+// docs/design/retry-scheduling.md.
+const scheduleReturns = true
+
 // build creates the daemon's components and opens the UDP socket for heartbeats.
 func (da *Daemon) build() error {
 	set := da.Settings
@@ -163,7 +167,7 @@
 	da.pool = &http1.Pool{Clock: da.Clock, Dial: da.dialer.Dial}
 	da.relay = &relay.Server{Direct: da.dialer.DirectForOthers, IsDaemon: func(ip string) bool { return da.mesh.Knows(ip) }}
 	da.backpressure = &backpressure.Tracker{}
-	da.table = &dispatch.Table{DataCenter: set.DataCenter, Backpressure: da.backpressure}
+	da.table = &dispatch.Table{DataCenter: set.DataCenter, Backpressure: da.backpressure, ScheduleReturns: scheduleReturns}
 	da.plain = &dispatch.PlainTable{DataCenter: set.DataCenter, Backpressure: da.backpressure}
 	da.quarantine = &quarantine.Ledger{}
 	conn, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.ParseIP(set.IP), Port: set.InternalPorts[0]})
--- a/internal/front/forward.go
+++ b/internal/front/forward.go
@@ -103,7 +103,17 @@
 	reason string
 	// retryAfter is the delay after which the caller may retry; 0 if a retry is useless.
 	retryAfter time.Duration
-	cause      error
+	// exact is set if retryAfter is a reserved time to return, which jitter must not change.
+	exact bool
+	cause error
+}
+
+// delay returns the retry delay that a caller with the given request ID is told.
+func (re *refusal) delay(id string) time.Duration {
+	if re.exact {
+		return re.retryAfter
+	}
+	return time.Duration(float64(re.retryAfter) * (1 + retryAfterJitter*float64(hash(id)%1000)/1000))
 }
 
 const (
@@ -132,8 +142,7 @@
 		header.Set(platform.HeaderRequestID, ca.id)
 	}
 	if re.retryAfter > 0 {
-		wait := re.retryAfter.Seconds() * (1 + retryAfterJitter*float64(hash(ca.id)%1000)/1000)
-		header.Set(platform.HeaderRetryAfter, strconv.FormatFloat(wait, 'f', 3, 64))
+		header.Set(platform.HeaderRetryAfter, strconv.FormatFloat(re.delay(ca.id).Seconds(), 'f', 3, 64))
 	}
 	body := re.reason + "\n"
 	header.Set("Content-Length", strconv.Itoa(len(body)))
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -49,6 +49,8 @@
 	// between two events. choice is the last chosen group with its prediction.
 	firstEvent, maxPause time.Duration
 	choice               dispatch.Choice
+	// refusedBy is the choice that named no group; zero if there is none.
+	refusedBy dispatch.Choice
 	// state is the verdict over all attempts.
 	state verdict.Verdict
 	// final is a response without events, to be forwarded unchanged.
@@ -198,7 +200,8 @@
 // dispatchRequest returns the request and its current latency limits, as Pick expects them.
 func (st *stream) dispatchRequest(now time.Time) dispatch.Request {
 	ne := dispatch.Request{Service: st.service, Model: st.model, Prompt: st.prompt, MaxPause: st.route.PauseObjective,
-		Objective: st.route.Objective - st.waited - now.Sub(st.arrived) - callerDelay, MaxWait: min(maxLateWait, st.remaining()), Resumed: st.started, Exclude: st.tried}
+		Objective: st.route.Objective - st.waited - now.Sub(st.arrived) - callerDelay, MaxWait: min(maxLateWait, st.remaining()), Resumed: st.started, Exclude: st.tried,
+		Waited: st.waited, Left: st.remaining()}
 	if st.started {
 		// The caller already has the first event, so the objective is now a short gap.
 		ne.Objective = st.route.PauseObjective
@@ -292,6 +295,7 @@
 
 // endNoGroup ends a request for which no group is available.
 func (st *stream) endNoGroup(ch dispatch.Choice) {
+	st.refusedBy = ch
 	reason := "full"
 	switch {
 	case ch.AllLimited:
@@ -327,7 +331,7 @@
 		st.count("broken-" + reason)
 		panic(http.ErrAbortHandler)
 	case st.state == verdict.NotRun:
-		st.refuse(refusal{status: http.StatusServiceUnavailable, reason: reason, retryAfter: retryAfter, cause: st.cause})
+		st.refuse(refusal{status: http.StatusServiceUnavailable, reason: reason, retryAfter: retryAfter, exact: st.refusedBy.Scheduled, cause: st.cause})
 	case st.final != nil:
 		st.call.writeResponse(st.final)
 	case reason == "timeout":
