Show operators why requests are refused and the state of evacuations

Cause: the log line of a refusal did not name the estimates that decided it, no metric told whose requests are refused, and nothing told since when a data centre has been evacuated.

Result: tests of front, explain, evacuation and the tests of entry on evacuations, metrics and heartbeats pass.

--- a/internal/core/dispatch/pick.go
+++ b/internal/core/dispatch/pick.go
@@ -39,6 +39,13 @@
 	// aside for the request at that time.
 	RetryAfter          time.Duration
 	Scheduled, Reserved bool
+	// Excess is the fraction of the present requests for the model that exceeds the capacity of its
+	// groups, FreeSlots the estimated number of free slots at them, and SumsAge the age of the oldest
+	// report of other daemons in these estimates, negative without any. They are set if the request
+	// is refused though there are groups.
+	Excess    float64
+	FreeSlots float64
+	SumsAge   time.Duration
 }
 
 // Pick selects the group for a request and counts the request there. If it refuses the request,
@@ -73,6 +80,7 @@
 	if overloaded := !ne.Resumed && ta.random() < left; overloaded || !best.fits && !admissible(best, ne) {
 		ch.RetryAfter = max(retryFull, best.FirstEvent-ne.Objective)
 		ta.promise(&ch, ne, now)
+		ta.recordInputs(&ch, cands, left, now)
 		return ch, nil
 	}
 	ch.Group = best.gr
--- a/internal/core/dispatch/returns.go
+++ b/internal/core/dispatch/returns.go
@@ -124,6 +124,20 @@
 	return max(0, total-came-float64(ta.peerReturns[model].Came))
 }
 
+// Returns returns the returning requests of all models at all daemons, for metrics.
+func (ta *Table) Returns(now time.Time) Returns {
+	ta.mu.Lock()
+	defer ta.mu.Unlock()
+	var all Returns
+	for _, re := range ta.ownReturns(now) {
+		all = all.plus(re)
+	}
+	for _, re := range ta.peerReturns {
+		all = all.plus(re)
+	}
+	return all
+}
+
 // ownReturns returns the returns at this daemon by model.
 func (ta *Table) ownReturns(now time.Time) map[string]Returns {
 	all := make(map[string]Returns)
--- a/internal/core/dispatch/returns_test.go
+++ b/internal/core/dispatch/returns_test.go
@@ -123,6 +123,9 @@
 	if got, want := ta.dueReturns("large", 100, begin), (Returns{Due: 5, Came: 1}); got != want {
 		t.Errorf("returns %v, want %v", got, want)
 	}
+	if got, want := ta.Returns(begin), (Returns{Due: 5, Came: 1}); got != want {
+		t.Errorf("returns of all models %v, want %v", got, want)
+	}
 	ta.ApplyPeerWork("two", Work{}, begin.Add(2*maxPeerLoadAge))
 	if got := ta.dueReturns("large", 100, begin.Add(2*maxPeerLoadAge)).Due; got != 0 {
 		t.Errorf("%.1f returns due after their reports expired, want 0", got)
--- a/internal/core/evacuation/evacuation.go
+++ b/internal/core/evacuation/evacuation.go
@@ -115,8 +115,9 @@
 type Tracker struct {
 	mu    sync.Mutex
 	order Order
-	// endedAt is when this process learned that an evacuation had ended, by data centre.
-	endedAt map[string]time.Time
+	// begunAt and endedAt are when this process learned that an evacuation had begun or ended, by
+	// data centre.
+	begunAt, endedAt map[string]time.Time
 	// shown is what the store shows, era its era and eraSince when this process first read it
 	// in that era. settled is set once shown is in force as a whole.
 	shown    Order
@@ -163,11 +164,13 @@
 		if !tr.order.Has(dc) {
 			begun = append(begun, dc)
 			delete(tr.endedAt, dc)
+			tr.recordBegin(dc, now)
 		}
 	}
 	for _, dc := range tr.order.DataCenters {
 		if !next.Has(dc) {
 			ended = append(ended, dc)
+			delete(tr.begunAt, dc)
 			tr.recordEnd(dc, now)
 		}
 	}
@@ -175,6 +178,13 @@
 	return begun, ended
 }
 
+func (tr *Tracker) recordBegin(dataCenter string, now time.Time) {
+	if tr.begunAt == nil {
+		tr.begunAt = make(map[string]time.Time)
+	}
+	tr.begunAt[dataCenter] = now
+}
+
 func (tr *Tracker) recordEnd(dataCenter string, now time.Time) {
 	if tr.endedAt == nil {
 		tr.endedAt = make(map[string]time.Time)
@@ -182,6 +192,24 @@
 	tr.endedAt[dataCenter] = now
 }
 
+// Evacuation is a data centre that is evacuated.
+type Evacuation struct {
+	DataCenter string
+	// Since is when this process learned of the evacuation. The operators may have ordered it before.
+	Since time.Time
+}
+
+// InForce returns the evacuations in force, sorted by data centre.
+func (tr *Tracker) InForce() []Evacuation {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	var all []Evacuation
+	for _, dc := range tr.order.DataCenters {
+		all = append(all, Evacuation{dc, tr.begunAt[dc]})
+	}
+	return all
+}
+
 // EndedAt returns when this process learned that the last evacuation of the data centre had
 // ended. The second value is false if it has seen none end, or if the data centre is evacuated.
 func (tr *Tracker) EndedAt(dataCenter string) (time.Time, bool) {
--- a/internal/core/evacuation/evacuation_test.go
+++ b/internal/core/evacuation/evacuation_test.go
@@ -161,6 +161,11 @@
 	if _, ok := tr.EndedAt("hall-a"); ok {
 		t.Error("an evacuation that was ordered again counts as ended")
 	}
+	// A later repetition of the order must not move its begin.
+	tr.Apply(Order{Revision: 11, DataCenters: []string{"hall-a"}}, at.Add(time.Minute))
+	if diff := cmp.Diff([]Evacuation{{"hall-a", at}}, tr.InForce()); diff != "" {
+		t.Errorf("evacuations in force (-want +got):\n%s", diff)
+	}
 }
 
 func TestWith(t *testing.T) {
--- a/internal/entry/evacuate.go
+++ b/internal/entry/evacuate.go
@@ -84,3 +84,17 @@
 		ct.sendHeartbeat(heartbeatExtra{to: mesh.ToEveryone})
 	}
 }
+
+// maxLoggedEvacuations bounds the lines of logEvacuations.
+const maxLoggedEvacuations = 16
+
+// logEvacuations logs the state of each evacuation. It is called once per totalsInterval.
+func (ct *control) logEvacuations(now time.Time) {
+	for num, ev := range ct.evacuation.InForce() {
+		if num == maxLoggedEvacuations {
+			return
+		}
+		ct.da.Log.Info("control: evacuation in force.", "data-center", ev.DataCenter, "since", ev.Since.UTC(),
+			"for-ms", now.Sub(ev.Since).Milliseconds(), "requests-left", ct.da.requestsIn(ev.DataCenter))
+	}
+}
--- a/internal/entry/evacuate_test.go
+++ b/internal/entry/evacuate_test.go
@@ -104,6 +104,39 @@
 	}
 }
 
+// Guards against an evacuation whose begin and remaining requests operators can see neither in the
+// metrics nor in the log, and against a state that stays after its end.
+func TestStateOfEvacuation(t *testing.T) {
+	sk := newStack(t, 1)
+	ru := sk.daemons[0]
+	state := func() string {
+		var out strings.Builder
+		ru.da.writeEvacuations(&out)
+		return out.String()
+	}
+	begin := time.Now().Truncate(time.Second)
+	sk.de.Evacuate(otherDataCenter)
+	sk.untilEvacuated(ru, otherDataCenter)
+	labels := `{data_center="` + otherDataCenter + `"} `
+	if got := state(); !strings.Contains(got, "corianderhub_evacuated_requests"+labels+"0") {
+		t.Errorf("no number of requests in %q", got)
+	}
+	_, text, _ := strings.Cut(state(), "corianderhub_evacuated_since_seconds"+labels)
+	var since int64
+	if _, err := fmt.Sscan(text, &since); err != nil || since < begin.Unix() || since > time.Now().Unix() {
+		t.Errorf("evacuated since %d (%v), want a time after %d", since, err, begin.Unix())
+	}
+	ru.da.control.post(func() { ru.da.control.logEvacuations(ru.da.Clock.Now()) })
+	sk.until("the evacuation is logged", func() bool {
+		return strings.Contains(sk.log.String(), "evacuation in force.\" data-center="+otherDataCenter)
+	})
+	sk.de.EndEvacuation(otherDataCenter)
+	sk.untilEvacuated(ru)
+	if got := state(); got != "" {
+		t.Errorf("metrics after the end of the evacuation: %q, want none", got)
+	}
+}
+
 // Guards against a stream that is broken off because its group's data centre is evacuated.
 func TestEvacuationLetsStreamsEnd(t *testing.T) {
 	sk := newStack(t, 2)
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -67,6 +67,8 @@
 		{"corianderhub_body_bytes_held", func() float64 { return float64(da.front.Memory.Held()) }},
 		{"corianderhub_requests_in_progress", func() float64 { return float64(da.front.InFlight()) }},
 		{"corianderhub_retry_budget_left", da.minRetryBudget},
+		{`corianderhub_returns_per_second{state="due"}`, func() float64 { return float64(da.table.Returns(da.Clock.Now()).Due) }},
+		{`corianderhub_returns_per_second{state="came"}`, func() float64 { return float64(da.table.Returns(da.Clock.Now()).Came) }},
 		{`corianderhub_group_requests{of="own"}`, func() float64 { return float64(da.table.Requests(false)) }},
 		{`corianderhub_group_requests{of="all"}`, func() float64 { return float64(da.table.Requests(true)) }},
 	}
@@ -120,10 +122,18 @@
 }
 
 // writeEvacuations writes, for each evacuated data centre, the requests of this daemon that still
-// run there.
+// run there, and when it learned of the evacuation.
 func (da *Daemon) writeEvacuations(w io.Writer) {
-	for _, dc := range da.control.evacuation.Order().DataCenters {
-		num := da.table.RequestsIn(dc) + da.plain.RequestsIn(dc)
-		metrics.WriteGaugeUint64(w, `corianderhub_evacuated_requests{data_center=`+strconv.Quote(dc)+`}`, uint64(num))
+	evacuations := da.control.evacuation.InForce()
+	for _, ev := range evacuations {
+		metrics.WriteGaugeUint64(w, `corianderhub_evacuated_requests{data_center=`+strconv.Quote(ev.DataCenter)+`}`, uint64(da.requestsIn(ev.DataCenter)))
 	}
+	for _, ev := range evacuations {
+		metrics.WriteGaugeUint64(w, `corianderhub_evacuated_since_seconds{data_center=`+strconv.Quote(ev.DataCenter)+`}`, uint64(ev.Since.Unix()))
+	}
+}
+
+// requestsIn returns the number of this daemon's requests that run in a data centre.
+func (da *Daemon) requestsIn(dataCenter string) int {
+	return da.table.RequestsIn(dataCenter) + da.plain.RequestsIn(dataCenter)
 }
--- a/internal/entry/totals.go
+++ b/internal/entry/totals.go
@@ -12,7 +12,7 @@
 // readers of the log without access to the metrics.
 const totalsInterval = 10 * time.Second
 
-// logTotals logs the process's nonzero counters. The cost of one line
+// logTotals logs the process's nonzero counters and the evacuations in force. The cost of one line
 // per totalsInterval is negligible compared with that of the process's requests.
 func (ct *control) logTotals(now time.Time) {
 	if now.Before(ct.nextTotals) {
@@ -21,6 +21,7 @@
 	ct.nextTotals = now.Add(totalsInterval)
 	ct.da.Log.Info("control: totals.", append([]any{"age-ms", ct.age(now).Milliseconds(),
 		"uptime-s", int(now.Sub(ct.startedAt).Seconds())}, counters()...)...)
+	ct.logEvacuations(now)
 }
 
 // counters returns the names and values of the project's nonzero counters as attributes of
--- a/internal/explain/request.go
+++ b/internal/explain/request.go
@@ -116,7 +116,9 @@
 	messageRestored        = "store: restored from a copy."
 	messageEvacuated       = "control: data centre evacuated."
 	messageEvacuationEnded = "control: evacuation ended."
-	messageUnreached       = "control: endpoints not reached."
+	// messageEvacuationInForce is logged every 10 s, with the requests left in the data centre.
+	messageEvacuationInForce = "control: evacuation in force."
+	messageUnreached         = "control: endpoints not reached."
 )
 
 // evacuations returns the indexes of the lines by which the sources learned of evacuations that
@@ -157,6 +159,7 @@
 	{"store", "store: regained.", "prefix"},
 	{"group", "control: group stands still.", "group"},
 	{"evacuation", messageEvacuated, "data-center"},
+	{"evacuation", messageEvacuationInForce, "data-center"},
 	{"evacuation", messageEvacuationEnded, "data-center"},
 	{"cold", "control: cold endpoints.", ""},
 	{"endpoint", "control: endpoint leaves.", "endpoint"},
@@ -230,6 +233,9 @@
 			text += ", " + reason
 		}
 		texts = append(texts, text+" at "+li.Source+", "+li.Get("ms")+" ms after it came")
+		if inputs := refusalInputs(&li); inputs != "" {
+			texts = append(texts, inputs)
+		}
 		if li.Get("outcome") == "whole" || li.Get("outcome") == "passed" && li.Get("status") == "200" {
 			continue
 		}
@@ -238,6 +244,21 @@
 	return texts
 }
 
+// refusalInputs describes what decided a refusal and when its caller was told to return, or returns ""
+// if the line does not name it, as in logs of earlier releases.
+func refusalInputs(li *Line) string {
+	var inputs []string
+	for _, key := range []string{"groups", "excess", "free-slots", "sums-age-ms", "reserved", "retry-after-ms", "route", "workspace", "rank"} {
+		if val := li.Get(key); val != "" {
+			inputs = append(inputs, key+" "+val)
+		}
+	}
+	if li.Get("outcome") != "refused" || len(inputs) == 0 {
+		return ""
+	}
+	return "decided by: " + strings.Join(inputs, ", ")
+}
+
 // causes describes up to maxCauses distinct causes that the lines name, newest
 // first. The last line must be the one that records the request's outcome.
 func causes(lines []Line, id string) []string {
--- a/internal/explain/request_test.go
+++ b/internal/explain/request_test.go
@@ -97,6 +97,8 @@
 		{"daemon cut off from endpoints", `time=2026-05-01T10:00:00Z level=INFO msg="control: endpoints not reached." count=53 through-others=50 before=0
 time=2026-05-01T10:00:02Z level=INFO msg="front: answered." request=ab outcome=refused status=503 reason=endpoints-refused sends=0 ms=0`,
 			[]string{"one did not reach 53 endpoints, 50 of which other daemons reached"}},
+		{"overload", `time=2026-05-01T10:00:02Z level=INFO msg="front: answered." request=ab outcome=refused status=503 reason=full sends=0 waited-ms=0 ms=0 route=draft rank=1 workspace=nursery groups=9 excess=0.41 free-slots=3.2 reserved=true sums-age-ms=85 retry-after-ms=2133`,
+			[]string{"decided by: groups 9, excess 0.41, free-slots 3.2, sums-age-ms 85, reserved true, retry-after-ms 2133, route draft, workspace nursery, rank 1"}},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -127,7 +129,10 @@
 time=2026-05-01T10:00:02Z level=INFO msg="control: configuration in force." version=9
 time=2026-05-01T10:00:03Z level=WARN msg="store: lost." prefix=op/ cause=reset
 time=2026-05-01T10:00:04Z level=INFO msg="control: group stands still." group=g1
-time=2026-05-01T10:00:20Z level=INFO msg="control: configuration in force." version=12`
+time=2026-05-01T10:00:06Z level=INFO msg="control: data centre evacuated." data-center=hall-a
+time=2026-05-01T10:00:16Z level=INFO msg="control: evacuation in force." data-center=hall-a requests-left=3
+time=2026-05-01T10:00:20Z level=INFO msg="control: configuration in force." version=12
+time=2026-05-01T10:00:25Z level=INFO msg="control: evacuation ended." data-center=hall-a`
 	lines, _, err := Read("one", strings.NewReader(log))
 	if err != nil {
 		t.Fatal(err)
@@ -138,8 +143,8 @@
 		want   []string
 	}{
 		{5, []string{"daemon: started.", "control: configuration in force. 9", "store: lost.", "control: group stands still."}},
-		{18, []string{"daemon: started.", "control: configuration in force. 9", "store: lost."}},
-		{30, []string{"daemon: started.", "store: lost.", "control: configuration in force. 12"}},
+		{18, []string{"daemon: started.", "control: configuration in force. 9", "store: lost.", "control: evacuation in force."}},
+		{30, []string{"daemon: started.", "store: lost.", "control: configuration in force. 12", "control: evacuation ended."}},
 	}
 	for _, tc := range tests {
 		var got []string
--- a/internal/front/metrics.go
+++ b/internal/front/metrics.go
@@ -20,5 +20,8 @@
 	streamResumes    = metrics.NewCounter("corianderhub_stream_resumes_total")
 	lateDelays       = metrics.NewHistogram("corianderhub_late_hold_seconds")
 	sendCount        = metrics.NewCounter("corianderhub_sends_total")
+	reservedReturns  = metrics.NewCounter(`corianderhub_returns_promised_total{reserved="yes"}`)
+	spreadReturns    = metrics.NewCounter(`corianderhub_returns_promised_total{reserved="no"}`)
+	refusedAgain     = metrics.NewCounter("corianderhub_refused_again_total")
 	unframedCount    = metrics.NewCounter("corianderhub_unframed_responses_total")
 )
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -68,6 +68,7 @@
 	inFlight atomic.Int64
 	received atomic.Int64
 	waits    dispatch.WaitEstimator
+	refusals refusalCounts
 	// firstUnconfigured is when the first request arrived without a configuration, in Unix
 	// nanoseconds.
 	firstUnconfigured atomic.Int64
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -49,8 +49,8 @@
 	// between two events. choice is the last chosen group with its prediction.
 	firstEvent, maxPause time.Duration
 	choice               dispatch.Choice
-	// refusedBy is the choice that named no group; zero if there is none.
-	refusedBy dispatch.Choice
+	// refusedBy is the choice that named no group; nil if there is none.
+	refusedBy *dispatch.Choice
 	// state is the verdict over all attempts.
 	state verdict.Verdict
 	// final is a response without events, to be forwarded unchanged.
@@ -295,7 +295,7 @@
 
 // endNoGroup ends a request for which no group is available.
 func (st *stream) endNoGroup(ch dispatch.Choice) {
-	st.refusedBy = ch
+	st.refusedBy = &ch
 	reason := "full"
 	switch {
 	case ch.AllLimited:
@@ -331,7 +331,8 @@
 		st.count("broken-" + reason)
 		panic(http.ErrAbortHandler)
 	case st.state == verdict.NotRun:
-		st.refuse(refusal{status: http.StatusServiceUnavailable, reason: reason, retryAfter: retryAfter, exact: st.refusedBy.Scheduled, cause: st.cause})
+		st.refuse(refusal{status: http.StatusServiceUnavailable, reason: reason, retryAfter: retryAfter, exact: st.refusedBy != nil && st.refusedBy.Scheduled,
+			choice: st.refusedBy, cause: st.cause})
 	case st.final != nil:
 		st.call.writeResponse(st.final)
 	case reason == "timeout":
