Keep the jitter on refusals of callers with little time left

Cause: a caller that has less than 3 s left got exactly 1 s, so all such callers of a moment would return together.

Change: without a range of delays nothing is scheduled and the former delay applies.

--- a/internal/core/dispatch/returns.go
+++ b/internal/core/dispatch/returns.go
@@ -98,14 +98,15 @@
 }
 
 // promise sets the retry time of a request that is refused because all groups are full, if returns
-// are scheduled. A caller retries once, so nothing is reserved for one that has returned already.
+// are scheduled and the caller has time for more than the least delay. A caller retries once, so
+// nothing is reserved for one that has returned already.
 func (ta *Table) promise(ch *Choice, ne Request, now time.Time) {
-	if !ta.ScheduleReturns || ne.Left <= 0 {
+	most := ne.Left / maxWaitDivisor
+	if !ta.ScheduleReturns || most <= retryFull {
 		return
 	}
-	most := ne.Left / maxWaitDivisor
 	if ne.returning() {
-		ch.RetryAfter, ch.Scheduled = max(retryFull, most), true
+		ch.RetryAfter, ch.Scheduled = most, true
 		return
 	}
 	if ta.calendar.Random == nil {
--- a/internal/core/dispatch/returns_test.go
+++ b/internal/core/dispatch/returns_test.go
@@ -124,6 +124,35 @@
 	}
 }
 
+// Guards against delays that exceed a third of the time left, and against a fixed delay without jitter
+// for callers that have too little time for a schedule.
+func TestDelayOfRefusedRequests(t *testing.T) {
+	tests := []struct {
+		name            string
+		left, waited    time.Duration
+		schedule, exact bool
+	}{
+		{"off", 6 * time.Second, 0, false, false},
+		{"scheduled", 6 * time.Second, 0, true, true},
+		{"returned before", 4500 * time.Millisecond, 1500 * time.Millisecond, true, true},
+		{"too little time", 2900 * time.Millisecond, 0, true, false},
+		{"unknown time", 0, 0, true, false},
+	}
+	for _, tc := range tests {
+		ta := table(group("one", "here"))
+		ta.ScheduleReturns = tc.schedule
+		for ti := new(Ticket); ti != nil; {
+			_, ti = ta.Pick(Request{Service: "engine", Model: "large", Resumed: true, MaxWait: time.Hour, MaxPause: time.Hour, Objective: time.Hour}, ignore, begin)
+		}
+		ne := returningRequest(tc.waited)
+		ne.Left = tc.left
+		ch, _ := ta.Pick(ne, ignore, begin)
+		if ch.Scheduled != tc.exact || ch.RetryAfter < retryFull || tc.exact && ch.RetryAfter > tc.left/maxWaitDivisor {
+			t.Errorf("%s: delay %v, scheduled %v", tc.name, ch.RetryAfter, ch.Scheduled)
+		}
+	}
+}
+
 // Guards against returns that are counted twice or lost when the steward relays them, and against
 // those of a daemon that is gone.
 func TestRelayedReturns(t *testing.T) {
