--- a/internal/core/dispatch/peers.go
+++ b/internal/core/dispatch/peers.go
@@ -27,6 +27,8 @@
 	Readings map[string]occupancy.Shared `cbor:"4,keyasint,omitempty"`
 	// Ranks is the rate of requests for each model by rank.
 	Ranks rankRates `cbor:"5,keyasint,omitempty"`
+	// Returns is the rate of returning requests for each model.
+	Returns map[string]Returns `cbor:"7,keyasint,omitempty"`
 }
 
 // peerWork is the work reported by another daemon, with the time of the report.
@@ -81,6 +83,9 @@
 		ta.peerRates[model] -= perSecond
 	}
 	ta.peerRanks.add(before.Ranks, -1)
+	for model, re := range before.Returns {
+		ta.peerReturns[model] = ta.peerReturns[model].minus(re)
+	}
 	ta.addPeerWork(wo)
 }
 
@@ -95,6 +100,9 @@
 		ta.peerRates[model] += perSecond
 	}
 	ta.peerRanks.add(wo.Ranks, 1)
+	for model, re := range wo.Returns {
+		ta.peerReturns[model] = ta.peerReturns[model].plus(re)
+	}
 }
 
 // ApplyRelayedWork records the combined work of all other daemons. It replaces the reports of single
@@ -121,6 +129,7 @@
 	clear(ta.peerRates)
 	known := len(ta.peers)
 	clear(ta.peerRanks)
+	clear(ta.peerReturns)
 	for peer, pe := range ta.peers {
 		if now.Sub(pe.at) > maxPeerLoadAge {
 			delete(ta.peers, peer)
@@ -139,7 +148,7 @@
 	ta.mu.Lock()
 	defer ta.mu.Unlock()
 	wo := Work{Loads: make(map[string]Load, len(ta.groups)), Rates: ta.rates.all(now), Demand: ta.ownDemand(now),
-		Readings: ta.sharedReadings("", true, now), Ranks: ta.rankCounters.all(now)}
+		Readings: ta.sharedReadings("", true, now), Ranks: ta.rankCounters.all(now), Returns: ta.ownReturns(now)}
 	for name, gr := range ta.groups {
 		if gr.ownLoad.Requests > 0 {
 			wo.Loads[name] = gr.ownLoad
@@ -154,7 +163,7 @@
 	ta.mu.Lock()
 	defer ta.mu.Unlock()
 	reported := ta.peers[peer]
-	wo := Work{Loads: make(map[string]Load, len(ta.groups)), Rates: ta.rates.all(now), Readings: ta.sharedReadings(peer, false, now)}
+	wo := Work{Loads: make(map[string]Load, len(ta.groups)), Rates: ta.rates.all(now), Readings: ta.sharedReadings(peer, false, now), Returns: ta.ownReturns(now)}
 	for name, gr := range ta.groups {
 		if lo := gr.ownLoad.plus(gr.peerLoad).minus(reported.Loads[name]); lo.Requests > 0 {
 			wo.Loads[name] = lo
@@ -169,5 +178,10 @@
 	wo.Ranks.add(ta.peerRanks, 1)
 	wo.Ranks.add(reported.Ranks, -1)
 	wo.Ranks.trim()
+	for model, re := range ta.peerReturns {
+		if others := re.minus(reported.Returns[model]); others.Due > minReturns || others.Came > minReturns {
+			wo.Returns[model] = wo.Returns[model].plus(others)
+		}
+	}
 	return wo
 }
--- a/internal/core/dispatch/pick.go
+++ b/internal/core/dispatch/pick.go
@@ -40,8 +40,11 @@
 	// for the model but the limits reported by their leaders currently reject requests at all of them.
 	Groups     int
 	AllLimited bool
-	// RetryAfter is the suggested time before a retry if Group is nil.
-	RetryAfter time.Duration
+	// RetryAfter is the suggested time before a retry if Group is nil. If Scheduled is set, it is
+	// already spread over the callers and must not be extended. Reserved is set if capacity is set
+	// aside for the request at that time.
+	RetryAfter          time.Duration
+	Scheduled, Reserved bool
 	// Rank is the request's rank. Excess is the fraction of the requests for the model that exceeds
 	// the room of its groups for this rank, FreeSlots the estimated room of all these groups.
 	Rank      int
@@ -95,6 +98,7 @@
 	ch.Correction, ch.ReadingAge = best.gr.account.Correction(now, best.gr.answerTime()), best.gr.readingAge(now)
 	if ta.overloaded(ne, ex, &ranks) || !best.fits && !admissible(best, ne) {
 		ch.RetryAfter = max(retryFull, best.FirstEvent-ne.Objective)
+		ta.promise(&ch, ne, now)
 		ch.Waiter = ta.wait(best, ch, ne, cancel, now)
 		return ch, nil
 	}
@@ -137,14 +141,13 @@
 func (ta *Table) candidates(ne Request, reserve float64, now time.Time) ([]candidate, excess) {
 	var cands []candidate
 	var levels []level
+	lateReserved := ta.reserve(ne, now)
 	for _, gr := range ta.byName {
 		if !gr.accepts(ne) || !ta.Backpressure.Accepts(gr.leader(), now) {
 			continue
 		}
 		le, remoteCost := ta.level(gr, now), ta.remoteCost(gr)
-		if ne.late() && !ne.FinalAttempt {
-			le.room -= lateReserve * float64(gr.engine.Slots)
-		}
+		le.room -= lateReserved * float64(gr.engine.Slots)
 		cands = append(cands, candidate{gr: gr, running: le.load})
 		levels = append(levels, level{le.load + remoteCost, le.room + remoteCost})
 	}
--- a/internal/core/dispatch/table.go
+++ b/internal/core/dispatch/table.go
@@ -24,6 +24,9 @@
 	// BoundedWait makes requests that are refused but can still meet their objective wait for a slot
 	// of this daemon's own requests.
 	BoundedWait bool
+	// ScheduleReturns makes refusals for lack of capacity name a reserved time to return, and gives
+	// precedence to the requests that return then.
+	ScheduleReturns bool
 
 	mu     sync.Mutex
 	groups map[string]*Group
@@ -42,6 +45,10 @@
 	rankCounters rankCounters
 	peerRanks    rankRates
 	reportedAt   time.Time
+	// calendar holds the return times that this daemon promised, peerReturns the returning requests
+	// at the other daemons, by model.
+	calendar    admit.Calendar
+	peerReturns map[string]Returns
 	// demands is the demand for each model at this daemon.
 	demands demands
 	// estimatedUntil is the time of the last estimate of the others' requests, by model.
@@ -78,6 +85,9 @@
 	Objective time.Duration
 	// MaxPause is the longest acceptable pause between events.
 	MaxPause time.Duration
+	// Waited is how long the caller has waited since its first attempt, Left the time until its
+	// timeout; 0 if unknown.
+	Waited, Left time.Duration
 	// MaxWait is the longest wait for the first event after which the answer is still useful.
 	MaxWait time.Duration
 	// FinalAttempt is set for a late request that cannot be delayed any further.
@@ -130,6 +140,7 @@
 		ta.peers = make(map[string]peerWork)
 		ta.peerRates = make(map[string]float32)
 		ta.peerRanks = make(rankRates)
+		ta.peerReturns = make(map[string]Returns)
 		ta.residuals = make(residuals)
 		ta.initMeasurements()
 	}
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -75,6 +75,7 @@
 	waits    dispatch.WaitEstimator
 	// invalidLoads holds the endpoints whose invalid load was logged.
 	invalidLoads loggedOnce
+	refusals     refusalCounts
 	// firstUnconfigured is when the first request arrived without a configuration, in Unix
 	// nanoseconds.
 	firstUnconfigured atomic.Int64
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -49,6 +49,8 @@
 	// between two events. choice is the last chosen group with its prediction.
 	firstEvent, maxPause time.Duration
 	choice               dispatch.Choice
+	// refusedBy is the choice that named no group; nil if there is none.
+	refusedBy *dispatch.Choice
 	// state is the verdict over all attempts.
 	state verdict.Verdict
 	// final is a response without events, to be forwarded unchanged.
@@ -203,7 +205,7 @@
 func (st *stream) dispatchRequest(now time.Time) dispatch.Request {
 	ne := dispatch.Request{Service: st.service, Model: st.model, Prompt: st.prompt, MaxPause: st.route.PauseObjective,
 		Objective: st.route.Objective - st.waited - now.Sub(st.arrived) - callerDelay, MaxWait: min(maxLateWait, st.remaining()), Resumed: st.started, Exclude: st.tried,
-		Rank: st.priority(), Bytes: int64(len(st.body))}
+		Rank: st.priority(), Bytes: int64(len(st.body)), Waited: st.waited, Left: st.remaining()}
 	if st.workspace != nil {
 		ne.Workspace = st.workspace.Name
 	}
@@ -300,6 +302,7 @@
 
 // endNoGroup ends a request for which no group is available.
 func (st *stream) endNoGroup(ch dispatch.Choice) {
+	st.refusedBy = &ch
 	reason := "full"
 	switch {
 	case ch.AllLimited:
@@ -335,7 +338,8 @@
 		st.count("broken-" + reason)
 		panic(http.ErrAbortHandler)
 	case st.state == verdict.NotRun:
-		st.refuse(refusal{status: http.StatusServiceUnavailable, reason: reason, retryAfter: retryAfter, cause: st.cause})
+		st.refuse(refusal{status: http.StatusServiceUnavailable, reason: reason, retryAfter: retryAfter, exact: st.refusedBy != nil && st.refusedBy.Scheduled,
+			choice: st.refusedBy, cause: st.cause})
 	case st.final != nil:
 		st.call.writeResponse(st.final)
 	case reason == "timeout":
