--- a/internal/core/dispatch/peers.go
+++ b/internal/core/dispatch/peers.go
@@ -27,6 +27,8 @@
 	Readings map[string]occupancy.Shared `cbor:"4,keyasint,omitempty"`
 	// Ranks is the rate of requests for each model by rank.
 	Ranks rankRates `cbor:"5,keyasint,omitempty"`
+	// Shares is the work of workspaces, or which of them are above their share.
+	Shares Shares `cbor:"6,keyasint,omitzero"`
 	// Returns is the rate of returning requests for each model.
 	Returns map[string]Returns `cbor:"7,keyasint,omitempty"`
 }
@@ -148,7 +150,7 @@
 	ta.mu.Lock()
 	defer ta.mu.Unlock()
 	wo := Work{Loads: make(map[string]Load, len(ta.groups)), Rates: ta.rates.all(now), Demand: ta.ownDemand(now),
-		Readings: ta.sharedReadings("", true, now), Ranks: ta.rankCounters.all(now), Returns: ta.ownReturns(now)}
+		Readings: ta.sharedReadings("", true, now), Ranks: ta.rankCounters.all(now), Returns: ta.ownReturns(now), Shares: ta.ownShares(now)}
 	for name, gr := range ta.groups {
 		if gr.ownLoad.Requests > 0 {
 			wo.Loads[name] = gr.ownLoad
@@ -183,5 +185,6 @@
 			wo.Returns[model] = wo.Returns[model].plus(others)
 		}
 	}
+	wo.Shares.Over = ta.overusers(now)
 	return wo
 }
--- a/internal/core/dispatch/table.go
+++ b/internal/core/dispatch/table.go
@@ -27,6 +27,8 @@
 	// ScheduleReturns makes refusals for lack of capacity name a reserved time to return, and gives
 	// precedence to the requests that return then.
 	ScheduleReturns bool
+	// FairShares makes requests of workspaces above their fair share be refused first.
+	FairShares bool
 
 	mu     sync.Mutex
 	groups map[string]*Group
@@ -66,6 +68,11 @@
 	moves moves
 	// readings is set once a server has stated its load.
 	readings bool
+	// work measures the work of workspaces at this daemon. over lists the workspaces above their
+	// share by model, as computed at overAt.
+	work   workspaceWork
+	over   map[string]map[string]admit.Overuse
+	overAt time.Time
 	// waiting holds the requests that wait for a slot, freed the rate at which this daemon's requests
 	// free slots, by model. waitStopped is set once the daemon stops.
 	waiting     admit.WaitQueues[*Waiter]
