Refuse requests of workspaces above their fair share first, off by default

Cause: under excess, all workspaces are refused alike, so a large one takes the capacity of the small ones.

Change: daemons report the work that workspaces ask for (Work, key 6). Table.FairShares switches it; internal/entry sets it off.

--- a/internal/core/admit/rank.go
+++ b/internal/core/admit/rank.go
@@ -69,17 +69,25 @@
 // of a second, so the floor also follows the service measured over all daemons.
 func (ra *Ranks) Refusal(rank int, excess float64) float64 {
 	refusal := Shed(&ra.Offered, excess)[rank]
-	offered := ra.Offered.total()
-	if offered <= 0 || ra.Offered[rank] <= 0 {
+	if ra.Offered[rank] <= 0 {
 		return refusal
 	}
-	least := minService * min(1, ra.Sent.total()/offered)
+	least := minService * ra.Service()
 	if ra.Sent[rank] < least*ra.Offered[rank] {
 		return 0
 	}
 	return min(refusal, 1-least)
 }
 
+// Service returns the fraction of all requests that are sent to a group; 1 if there are none.
+func (ra *Ranks) Service() float64 {
+	offered := ra.Offered.total()
+	if offered <= 0 {
+		return 1
+	}
+	return min(1, ra.Sent.total()/offered)
+}
+
 // Reserve returns the fraction of a group's slots that requests of a rank leave free for more urgent
 // ones (trunk reservation). It grows with the share of the more urgent ranks, and is 0 if there are
 // none.
--- a/internal/core/dispatch/peers.go
+++ b/internal/core/dispatch/peers.go
@@ -24,6 +24,8 @@
 	Demand map[string]catalog.Demand `cbor:"3,keyasint,omitempty"`
 	// Ranks is the rate of requests for each model by rank.
 	Ranks rankRates `cbor:"5,keyasint,omitempty"`
+	// Shares is the work of workspaces, or which of them are above their share.
+	Shares Shares `cbor:"6,keyasint,omitzero"`
 }
 
 // peerWork is the work reported by another daemon, with the time of the report.
@@ -111,7 +113,7 @@
 func (ta *Table) OwnWork(now time.Time) Work {
 	ta.mu.Lock()
 	defer ta.mu.Unlock()
-	wo := Work{Loads: make(map[string]Load, len(ta.groups)), Rates: ta.rates.all(now), Demand: ta.ownDemand(now), Ranks: ta.rankCounters.all(now)}
+	wo := Work{Loads: make(map[string]Load, len(ta.groups)), Rates: ta.rates.all(now), Demand: ta.ownDemand(now), Ranks: ta.rankCounters.all(now), Shares: ta.ownShares(now)}
 	for name, gr := range ta.groups {
 		if gr.ownLoad.Requests > 0 {
 			wo.Loads[name] = gr.ownLoad
@@ -141,5 +143,6 @@
 	wo.Ranks.add(ta.peerRanks, 1)
 	wo.Ranks.add(reported.Ranks, -1)
 	wo.Ranks.trim()
+	wo.Shares.Over = ta.overusers(now)
 	return wo
 }
--- a/internal/core/dispatch/pick.go
+++ b/internal/core/dispatch/pick.go
@@ -89,9 +89,10 @@
 		}
 		return ch, nil
 	}
+	ta.recordWork(ne, cands[0].gr, now)
 	best := choose(cands, ta.random())
 	ch.describe(best)
-	if ta.overloaded(ne, ex, &ranks) || !best.fits && !admissible(best, ne) {
+	if ta.overloaded(ne, ex, &ranks, now) || !best.fits && !admissible(best, ne) {
 		ch.RetryAfter = max(retryFull, best.FirstEvent-ne.Objective)
 		ch.Waiter = ta.wait(best, ch, ne, cancel, now)
 		return ch, nil
@@ -110,18 +111,21 @@
 }
 
 // overloaded draws whether a request is refused because the requests for its model exceed the room of
-// the groups. Where the requests have more than one rank, the less urgent ones are refused first.
-func (ta *Table) overloaded(ne Request, ex excess, ranks *admit.Ranks) bool {
-	switch {
-	case ne.Resumed:
+// the groups. Where the requests have more than one rank, the less urgent ones are refused first, and
+// within a rank those of workspaces above their share.
+func (ta *Table) overloaded(ne Request, ex excess, ranks *admit.Ranks, now time.Time) bool {
+	if ne.Resumed {
 		return false
-	case !ranks.Mixed():
-		return ta.random() < ex.all
-	case ex.all >= 1:
-		// Without weights, all daemons would choose the same group.
-		return true
 	}
-	return ta.random() < ranks.Refusal(ne.Rank, ex.rank)
+	refusal := ex.all
+	if ranks.Mixed() {
+		if ex.all >= 1 {
+			// Without weights, all daemons would choose the same group.
+			return true
+		}
+		refusal = ranks.Refusal(ne.Rank, ex.rank)
+	}
+	return ta.random() < admit.RefusalByShare(ta.overOf(ne.Model, now), ne.Workspace, refusal)
 }
 
 // admissible reports whether a request that misses its objective is sent nevertheless: a late answer
--- a/internal/core/dispatch/ranks_test.go
+++ b/internal/core/dispatch/ranks_test.go
@@ -22,6 +22,9 @@
 	// group.
 	offered, started [admit.NumRanks]int
 	peak             int
+	// workspace returns the workspace of the next request, served and asked count by workspace.
+	workspace     func() string
+	served, asked map[string]int
 	// waits lists the requests that wait for a slot, waited counts those that got one.
 	waits  []pendingWait
 	waited int
@@ -84,12 +87,19 @@
 	ne := slotSimRequest()
 	ne.Rank = rank
 	rs.offered[rank]++
+	if rs.workspace != nil {
+		ne.Workspace = rs.workspace()
+		rs.asked[ne.Workspace]++
+	}
 	woken := new(bool)
 	ne.Wake = func() { *woken = true }
 	ch, ti := ta.Pick(ne, ignore, rs.now)
 	switch {
 	case ti != nil:
 		rs.start(rank, ti, rs.now)
+		if rs.workspace != nil {
+			rs.served[ne.Workspace]++
+		}
 	case ch.Waiter != nil:
 		rs.waits = append(rs.waits, pendingWait{ch.Waiter, rs.now, rs.now.Add(ch.Waiter.Limit), woken})
 	}
--- a/internal/core/dispatch/table.go
+++ b/internal/core/dispatch/table.go
@@ -24,6 +24,8 @@
 	// BoundedWait makes requests that are refused but can still meet their objective wait for a slot
 	// of this daemon's own requests.
 	BoundedWait bool
+	// FairShares makes requests of workspaces above their fair share be refused first.
+	FairShares bool
 
 	mu     sync.Mutex
 	groups map[string]*Group
@@ -57,6 +59,11 @@
 	firstRequestAt time.Time
 	// moves holds the requests of groups that broke recently.
 	moves moves
+	// work measures the work of workspaces at this daemon. over lists the workspaces above their
+	// share by model, as computed at overAt.
+	work   workspaceWork
+	over   map[string]map[string]admit.Overuse
+	overAt time.Time
 	// waiting holds the requests that wait for a slot, freed the rate at which this daemon's requests
 	// free slots, by model. waitStopped is set once the daemon stops.
 	waiting     admit.WaitQueues[*Waiter]
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -61,6 +61,9 @@
 	// boundedWait makes requests without a group wait for a slot of this daemon. It is off until a
 	// deployment's runs show that callers are served better with it.
 	boundedWait = false
+	// fairShares makes workspaces above their fair share of the groups be refused first. It is off
+	// for the same reason.
+	fairShares = false
 	// budgetShare is the share of the retry budget's slack that is divided among all
 	// daemons. The rest covers daemons that restart and lose their counts.
 	budgetShare = 0.5
@@ -166,7 +169,7 @@
 	da.pool = &http1.Pool{Clock: da.Clock, Dial: da.dialer.Dial}
 	da.relay = &relay.Server{Direct: da.dialer.DirectForOthers, IsDaemon: func(ip string) bool { return da.mesh.Knows(ip) }}
 	da.backpressure = &backpressure.Tracker{}
-	da.table = &dispatch.Table{DataCenter: set.DataCenter, Backpressure: da.backpressure, BoundedWait: boundedWait}
+	da.table = &dispatch.Table{DataCenter: set.DataCenter, Backpressure: da.backpressure, BoundedWait: boundedWait, FairShares: fairShares}
 	da.plain = &dispatch.PlainTable{DataCenter: set.DataCenter, Backpressure: da.backpressure}
 	da.quarantine = &quarantine.Ledger{}
 	conn, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.ParseIP(set.IP), Port: set.InternalPorts[0]})
