Pack the loads of groups in heartbeats

Names of groups and CBOR maps are the larger part of them, and the stated loads added another 345 bytes at 27 groups.

A daemon of an earlier release reads no loads from them.

--- a/internal/core/dispatch/peers.go
+++ b/internal/core/dispatch/peers.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"corianderhub.dev/corianderhub/internal/core/catalog"
-	"corianderhub.dev/corianderhub/internal/core/occupancy"
 )
 
 // maxPeerLoadAge is the age at which the work reported by another daemon is discarded.
@@ -16,15 +15,15 @@
 
 // Work is the load that one or several daemons place on the groups.
 type Work struct {
-	// Loads is the load sent to each group, by group name.
-	Loads map[string]Load `cbor:"1,keyasint,omitempty"`
+	// Loads is the load sent to each group. Number 1 was the same in an earlier encoding.
+	Loads GroupLoads `cbor:"8,keyasint,omitempty"`
 	// Rates is the rate of requests for each model, per second.
 	Rates map[string]float32 `cbor:"2,keyasint,omitempty"`
 	// Demand is the demand for each model. It is not relayed: only the steward uses it, and each
 	// daemon reports its own to the steward.
 	Demand map[string]catalog.Demand `cbor:"3,keyasint,omitempty"`
 	// Readings holds recent loads that groups' leaders have stated, the newest of each group.
-	Readings map[string]occupancy.Shared `cbor:"4,keyasint,omitempty"`
+	Readings GroupReadings `cbor:"4,keyasint,omitempty"`
 	// Ranks is the rate of requests for each model by rank.
 	Ranks rankRates `cbor:"5,keyasint,omitempty"`
 	// Shares is the work of workspaces, or which of them are above their share.
