Take the route's rank where a workspace's is out of range

Cause: a workspace's priority above 9 counted as 9, the least urgent rank. Change: the route's priority applies, and a warning is logged once. Result: TestPriority; tests of internal/front pass.

--- a/internal/front/forward.go
+++ b/internal/front/forward.go
@@ -71,10 +71,15 @@
 }
 
 // priority returns the request's priority, from 0 to 9. The workspace's priority overrides the
-// route's.
+// route's unless it is out of range, which is logged once.
 func (ca *call) priority() int {
-	if ca.workspace != nil && ca.workspace.Priority >= 0 {
-		return min(maxPriority, ca.workspace.Priority)
+	if ws := ca.workspace; ws != nil && ws.Priority >= 0 {
+		if ws.Priority <= maxPriority {
+			return ws.Priority
+		}
+		if ca.sv.invalidRank.CompareAndSwap(false, true) {
+			ca.log.Warn("front: invalid priority of workspace ignored.", "workspace", ws.Name, "priority", ws.Priority)
+		}
 	}
 	return min(maxPriority, max(0, ca.route.Priority))
 }
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -68,6 +68,8 @@
 	inFlight atomic.Int64
 	received atomic.Int64
 	waits    dispatch.WaitEstimator
+	// invalidRank is set once an invalid priority of a workspace was logged.
+	invalidRank atomic.Bool
 	// firstUnconfigured is when the first request arrived without a configuration, in Unix
 	// nanoseconds.
 	firstUnconfigured atomic.Int64
