--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -76,6 +76,8 @@
 	// invalidLoads holds the endpoints whose invalid load was logged.
 	invalidLoads loggedOnce
 	refusals     refusalCounts
+	// invalidRank is set once an invalid priority of a workspace was logged.
+	invalidRank atomic.Bool
 	// firstUnconfigured is when the first request arrived without a configuration, in Unix
 	// nanoseconds.
 	firstUnconfigured atomic.Int64
