dispatch, steward: exclude first requests from early demand, test repairs of staged groups

Cause: each daemon counts requests from its first one on. With 73 daemons the rate 1.2 s after the first request was 174 where 102 were sent, which would decide the first exchange. Stage orders were polled every 60 ms once due.

Change: for engines that stage models, the first request of each daemon is excluded from the measured demand. Stage orders are sent after all others and polled every 250 ms.

--- a/internal/core/dispatch/demand.go
+++ b/internal/core/dispatch/demand.go
@@ -14,8 +14,10 @@
 type demand struct {
 	// requests is the rate of first attempts, prompt the rate of their prompt tokens.
 	requests, prompt rate
-	// since is the time from which requests are counted.
-	since time.Time
+	// since is the time from which requests are counted: that of the first request, whose prompt had
+	// firstPrompt tokens.
+	since       time.Time
+	firstPrompt float64
 	// meanAnswer is the smoothed length of a complete answer in tokens, answerCount the number of
 	// samples in it, up to answerWindow.
 	meanAnswer  float64
@@ -39,6 +41,9 @@
 // recordRequest counts the first attempt of a request.
 func (dm demands) recordRequest(model string, prompt int64, now time.Time) {
 	if de := dm.forModel(model, now); de != nil {
+		if de.requests.perSecond == 0 {
+			de.firstPrompt = float64(prompt)
+		}
 		de.requests.add(1, now)
 		de.prompt.add(float64(prompt), now)
 	}
@@ -52,20 +57,26 @@
 	}
 }
 
-// all returns the demand for all models with current requests. defaultAnswer returns the answer
-// length in tokens to assume for a model without a complete answer yet.
-func (dm demands) all(defaultAnswer func(model string) float64, now time.Time) map[string]catalog.Demand {
+// all returns the demand for all models with current requests. describe returns the answer length in
+// tokens to assume for a model without a complete answer yet, and whether to exclude the first
+// request.
+func (dm demands) all(describe func(model string) (defaultAnswer float64, excludeFirst bool), now time.Time) map[string]catalog.Demand {
 	all := make(map[string]catalog.Demand, len(dm))
 	for model, de := range dm {
 		if de.requests.decayed(now) <= minRate {
 			continue
 		}
-		requests := de.requests.decayed(now) * de.startupCorrection(now)
-		answer := de.meanAnswer
-		if de.answerCount == 0 {
-			answer = defaultAnswer(model)
+		answer, excludeFirst := describe(model)
+		if de.answerCount > 0 {
+			answer = de.meanAnswer
+		}
+		requests, prompt := de.requests.decayed(now), de.prompt.decayed(now)
+		if excludeFirst {
+			first := math.Exp(-now.Sub(de.since).Seconds()/rateTimeConstant.Seconds()) / rateTimeConstant.Seconds()
+			requests, prompt = max(0, requests-first), max(0, prompt-first*de.firstPrompt)
 		}
-		all[model] = catalog.Demand{Requests: float32(requests), Prompt: float32(de.prompt.decayed(now) * de.startupCorrection(now)), Answer: float32(requests * answer)}
+		requests *= de.startupCorrection(now)
+		all[model] = catalog.Demand{Requests: float32(requests), Prompt: float32(prompt * de.startupCorrection(now)), Answer: float32(requests * answer)}
 	}
 	return all
 }
@@ -101,14 +112,16 @@
 	return all
 }
 
-// ownDemand returns the demand measured by this daemon. The caller holds mu.
+// ownDemand returns the demand measured by this daemon. The caller holds mu. The first request is
+// excluded where the steward decides soon after it: counting begins with that request, so the rate
+// of many daemons with few requests each would be too high by one request per daemon.
 func (ta *Table) ownDemand(now time.Time) map[string]catalog.Demand {
-	return ta.demands.all(func(model string) float64 {
+	return ta.demands.all(func(model string) (float64, bool) {
 		for _, gr := range ta.byName {
 			if gr.Model == model {
-				return gr.engine.MeanAnswer
+				return gr.engine.MeanAnswer, gr.engine.StagesModels()
 			}
 		}
-		return 0
+		return 0, false
 	}, now)
 }
--- a/internal/core/steward/demand.go
+++ b/internal/core/steward/demand.go
@@ -1,6 +1,7 @@
 package steward
 
 import (
+	"fmt"
 	"math"
 	"time"
 
@@ -63,6 +64,11 @@
 	}
 }
 
+// describe returns the age of the demand, for logs.
+func (md *measuredDemand) describe(now time.Time) string {
+	return fmt.Sprintf("; demand %d ms old, measured for %.1f s", now.Sub(md.lastMeasured).Milliseconds(), now.Sub(md.measuredSince).Seconds())
+}
+
 // hasMeasuredDemand reports whether enough requests were measured to rely on.
 func (co *Core) hasMeasuredDemand(en *catalog.Engine) bool {
 	if co.demand.busy == nil || co.demand.lastMeasured.Sub(co.demand.measuredSince) < demandWarmupTime {
--- a/internal/core/steward/dispatch.go
+++ b/internal/core/steward/dispatch.go
@@ -138,6 +138,7 @@
 		}
 		return 2
 	case catalog.Stage:
+		return 4
 	}
 	return 3
 }
--- a/internal/core/steward/exchange.go
+++ b/internal/core/steward/exchange.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"slices"
+	"strings"
 	"time"
 
 	"corianderhub.dev/corianderhub/internal/core/catalog"
@@ -100,7 +101,7 @@
 
 // exchange releases the groups of a plan and reserves their VMs for the other model.
 func (co *Core) exchange(en *catalog.Engine, plan *exchangePlan, su serviceUtilization, now time.Time) {
-	to, why := en.Models[plan.to].Name, plan.describe(en, su)
+	to, why := en.Models[plan.to].Name, plan.describe(en, su)+co.demand.describe(now)
 	for _, bl := range plan.blocks {
 		for _, gr := range bl.groups {
 			gr.reassigned = true
@@ -115,14 +116,14 @@
 // describe returns the figures that decided on a plan, for logs.
 func (ep *exchangePlan) describe(en *catalog.Engine, su serviceUtilization) string {
 	text := fmt.Sprintf("%.0f groups for %.0f, gain %.2f;", ep.released, ep.formed, ep.gain)
-	return text + su.describe(en)
+	return text + strings.TrimSuffix(su.describe(en), ";")
 }
 
 // describe returns the demand on and the groups of each model, for logs.
 func (su serviceUtilization) describe(en *catalog.Engine) string {
 	text := ""
 	for mi, mo := range en.Models {
-		text += fmt.Sprintf(" %s: demand %.2f, groups %.0f, utilization %.2f", mo.Name, su.busy[mi], su.groups[mi], su.utilization(mi, su.groups[mi]))
+		text += fmt.Sprintf(" %s has demand %.2f, groups %.0f, utilization %.2f;", mo.Name, su.busy[mi], su.groups[mi], su.utilization(mi, su.groups[mi]))
 	}
 	return text
 }
@@ -337,7 +338,7 @@
 	if st.stagedTo != "" && st.stagedTo != model && now.Sub(st.stagedAt) < reversalTime {
 		return nil
 	}
-	calls := co.orderStages(bl, en, room, plan.describe(en, su), now)
+	calls := co.orderStages(bl, en, room, plan.describe(en, su)+co.demand.describe(now), now)
 	if len(calls) > 0 {
 		st.stagedTo, st.stagedAt = model, now
 	}
--- a/internal/core/steward/staging.go
+++ b/internal/core/steward/staging.go
@@ -19,6 +19,8 @@
 	stagingLoadShare = 0.6
 	// stagingInterval is the time between checks of what to stage.
 	stagingInterval = 200 * time.Millisecond
+	// stagePollInterval is the time between polls of a VM whose model should be staged by now.
+	stagePollInterval = 250 * time.Millisecond
 	// stageMargin is added to one and a half times the expected duration of a stage order before
 	// the order counts as failed: it may be carried out late, and loads beyond LoadsAtOnce are slow.
 	stageMargin = 2 * time.Second
@@ -95,7 +97,7 @@
 			co.recordEvent(Event{Kind: "stage-failed", VM: id, Model: so.model, Reason: fmt.Sprintf("not reported as staged, attempt %d", vm.stageFailures)})
 		case !now.Before(so.dueAt):
 			if vm.pollAt.IsZero() && !vm.polling {
-				vm.pollBy(now.Add(pollInterval))
+				vm.pollBy(now.Add(stagePollInterval))
 			}
 		}
 	}
--- a/internal/core/steward/staging_test.go
+++ b/internal/core/steward/staging_test.go
@@ -218,6 +218,61 @@
 	t.Fatal("no large group is staged")
 }
 
+// Guards against a group that is not repaired from a spare because its members' hosts hold another
+// model: the members would join that model's groups, or load their own again.
+func TestStagedGroupIsRepaired(t *testing.T) {
+	for seed := range uint64(4) {
+		si := newStagingSimulation(t, seed, 6, 27, stagingModels(12, 6))
+		for _, gr := range si.core.Groups() {
+			if staged := si.fleet.Staged(gr.Leader().ID)[0]; staged == gr.Model || !si.core.replaceable(si.core.vms[gr.Leader().ID], gr.Model) {
+				continue
+			}
+			si.lostOrderResponses = 0.2
+			si.kill(gr.Members[1].ID)
+			si.runWithStallReports(4 * time.Second)
+			large, small := si.serving()
+			if large != 6 || small != 12 || len(si.fleet.Loads()) > 0 {
+				t.Errorf("seed %d: serving %d large and %d small groups after %d loads, want 6, 12 and 0", seed, large, small, len(si.fleet.Loads()))
+			}
+			break
+		}
+	}
+}
+
+// Guards against a staged group that has lost a member without a replacement and leaves its others
+// idle for the time of a load.
+func TestStagedGroupWithoutSpare(t *testing.T) {
+	si := newStagingSimulation(t, 9, 6, 27, stagingModels(12, 6))
+	for _, gr := range si.core.Groups() {
+		if gr.Model != "large" || si.fleet.Staged(gr.Leader().ID)[0] != "small" {
+			continue
+		}
+		for _, id := range si.fleet.IDs() {
+			if vm := si.core.vms[id]; vm.ep.Domain == si.core.vms[gr.Leader().ID].ep.Domain && isSpare(vm.ep.Member.Group) {
+				si.kill(id)
+			}
+		}
+		si.kill(gr.Members[1].ID)
+		for end := si.now.Add(5 * time.Second); si.now.Before(end); {
+			si.reportStalls()
+			si.runWithDemand(1.2, 9.5, stallDetectTime)
+		}
+		idle := 0
+		for _, me := range gr.Members {
+			if vm := si.core.vms[me.ID]; vm != nil && vm.ep.Member == nil && !vm.down {
+				idle++
+			}
+		}
+		large, small := si.serving()
+		t.Logf("serving %d large and %d small groups, %d idle, %d loads", large, small, idle, len(si.fleet.Loads()))
+		if idle > 5 {
+			t.Errorf("%d members are idle, want at most 5", idle)
+		}
+		return
+	}
+	t.Fatal("no large group is staged")
+}
+
 // Guards against loads of staging that exceed the weight store's limits, and against a shortage
 // that lasts because no copies are left.
 func TestStagingDuringTraffic(t *testing.T) {
