steward: keep the times of exchange checks per service, note on capacity that follows demand

Cause: with two engines, the check of the first service postponed that of the second. After a minute without a mismatch of 1.8, repairs would have followed the configured shares again although groups had been exchanged.

--- a/internal/core/steward/exchange.go
+++ b/internal/core/steward/exchange.go
@@ -30,6 +30,9 @@
 
 // exchangeState is what the decisions on exchanges for one service depend on beside the groups.
 type exchangeState struct {
+	// stageAt and checkAt are when to check next what to stage before the first request and what to
+	// exchange.
+	stageAt, checkAt time.Time
 	// to is the model that has been short of groups since wantedSince; negative if there is none.
 	to          int
 	wantedSince time.Time
@@ -69,21 +72,25 @@
 // model, if it is busier. Where a model is short of groups and no such group is left, it stages the
 // model first. A model without any group is loaded at once.
 func (co *Core) followDemand(service string, en *catalog.Engine, doms []*domain, now time.Time) []Call {
-	if now.Before(co.rebalanceAt) {
+	st := co.exchangeStateOf(service)
+	if now.Before(st.checkAt) {
 		return nil
 	}
-	co.rebalanceAt = now.Add(exchangeInterval)
+	st.checkAt = now.Add(exchangeInterval)
+	if st.lastTo != "" {
+		// The split follows the measured demand, and so must the repairs.
+		co.demand.useMeasuredUntil = now.Add(measuredHoldTime)
+	}
 	co.updateWeightSource(en, now)
 	if !co.hasMeasuredDemand(en) {
-		co.exchangeLoading(service, en, doms, now)
+		co.loadMissingModel(service, en, doms, now)
 		return nil
 	}
-	st := co.exchangeStateOf(service)
 	su, serving := co.demandOn(service, en, now), co.servingGroups(service, en, now)
 	plan := co.bestPlan(service, en, doms, su, serving, now)
 	if plan == nil {
 		st.to = -1
-		co.exchangeLoading(service, en, doms, now)
+		co.loadMissingModel(service, en, doms, now)
 		return co.stageForDemand(service, en, su, serving, now)
 	}
 	if st.to != plan.to {
@@ -94,11 +101,19 @@
 	}
 	co.exchange(en, plan, su, now)
 	st.to, st.lastTo, st.lastAt = -1, en.Models[plan.to].Name, now
-	co.rebalanceAt = now.Add(rebalanceCooldown)
-	co.demand.useMeasuredUntil = now.Add(measuredHoldTime)
+	st.checkAt = now.Add(rebalanceCooldown)
 	return nil
 }
 
+// loadMissingModel makes VMs load a model that has no group at all. Staging it first would only
+// delay its requests.
+func (co *Core) loadMissingModel(service string, en *catalog.Engine, doms []*domain, now time.Time) {
+	if !now.Before(co.rebalanceAt) {
+		co.rebalanceAt = now.Add(rebalanceInterval)
+		co.exchangeLoading(service, en, doms, now)
+	}
+}
+
 // exchange releases the groups of a plan and reserves their VMs for the other model.
 func (co *Core) exchange(en *catalog.Engine, plan *exchangePlan, su serviceUtilization, now time.Time) {
 	to, why := en.Models[plan.to].Name, plan.describe(en, su)+co.demand.describe(now)
@@ -319,72 +334,11 @@
 	return 1 - (part*su.congestion(during)+(1-part)*su.congestion(after))/before
 }
 
-// stageForDemand stages a model that is short of groups on the VMs of a block of another model,
-// which keeps serving meanwhile.
-func (co *Core) stageForDemand(service string, en *catalog.Engine, su serviceUtilization, serving []float64, now time.Time) []Call {
-	if co.InitialLoads {
-		return nil
-	}
-	st := co.exchangeStateOf(service)
-	room := min(stagingRoom(en)-co.stageLoads(service), en.LoadsAtOnce-co.loadsInFlight(service)-co.pendingLoads(service)-co.stageLoads(service))
-	if room <= 0 || co.exchangeUnderWay(service) {
-		return nil
-	}
-	bl, plan := co.bestBlockToStage(service, en, su, serving, now)
-	if bl == nil {
-		return nil
-	}
-	model := en.Models[bl.to].Name
-	if st.stagedTo != "" && st.stagedTo != model && now.Sub(st.stagedAt) < reversalTime {
-		return nil
-	}
-	calls := co.orderStages(bl, en, room, plan.describe(en, su)+co.demand.describe(now), now)
-	if len(calls) > 0 {
-		st.stagedTo, st.stagedAt = model, now
-	}
-	return calls
-}
-
-// stagingRoom returns the number of loads that staging may have in progress.
-func stagingRoom(en *catalog.Engine) int { return int(stagingLoadShare * float64(en.LoadsAtOnce)) }
-
-// bestBlockToStage returns the block whose exchange gains most although its VMs have to load the
-// other model first. Blocks with staged VMs come first, so one block is completed before the next.
-func (co *Core) bestBlockToStage(service string, en *catalog.Engine, su serviceUtilization, serving []float64, now time.Time) (*stageBlock, *exchangePlan) {
-	var best *stageBlock
-	var bestPlan *exchangePlan
-	for to, mo := range en.Models {
-		if su.utilization(to, su.groups[to]) < exchangeUtilization {
-			continue
-		}
-		for from := range en.Models {
-			if from == to || serving[from] < 2 {
-				continue
-			}
-			blocks := slices.DeleteFunc(stageable(co.stageBlocks(service, en, from, to, now)), func(bl *stageBlock) bool { return bl.staged(mo.Name) })
-			if len(blocks) == 0 {
-				continue
-			}
-			plan := co.planFor(en, su, serving, from, to, blocks[:1])
-			if plan == nil {
-				continue
-			}
-			// The gain begins only after the loads, of which stagingRoom run at once.
-			rounds := math.Ceil(float64(len(blocks[0].vms)-blocks[0].have) / float64(max(1, stagingRoom(en))))
-			plan.gain *= 1 - min(1, max(1, rounds)*mo.LoadTime.Seconds()/rebalanceHorizon.Seconds())
-			if co.worthwhile(service, en, su, plan, now) && (bestPlan == nil || plan.gain > bestPlan.gain) {
-				best, bestPlan = blocks[0], plan
-			}
-		}
-	}
-	return best, bestPlan
-}
-
 // exchangeUnderWay reports whether a group drains to make room for another model or VMs that are
 // reserved for one have not joined it yet.
 func (co *Core) exchangeUnderWay(service string) bool {
 	for _, vm := range co.vms {
-		if vm.ep.Service == service && vm.targetModel != "" && !vm.down {
+		if vm.ep.Service == service && vm.targetModel != "" && !vm.down && !co.evacuated(vm) {
 			return true
 		}
 	}
--- a/internal/core/steward/staging.go
+++ b/internal/core/steward/staging.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"math"
 	"slices"
 	"time"
 
@@ -166,10 +167,11 @@
 // the start. The plan follows from what VMs report, so a new steward continues it.
 func (co *Core) stageModels(service string, en *catalog.Engine, now time.Time) []Call {
 	co.settleStages(service, now)
-	if !co.InitialLoads || now.Before(co.stagingAt) || !co.allServing(service) {
+	st := co.exchangeStateOf(service)
+	if !co.InitialLoads || now.Before(st.stageAt) || !co.allServing(service) {
 		return nil
 	}
-	co.stagingAt = now.Add(stagingInterval)
+	st.stageAt = now.Add(stagingInterval)
 	var calls []Call
 	for _, bl := range co.initialPlan(service, en, now) {
 		calls = append(calls, co.orderStages(bl, en, len(bl.vms), "before the first request", now)...)
@@ -265,6 +267,67 @@
 	return best
 }
 
+// stageForDemand stages a model that is short of groups on the VMs of a block of another model,
+// which keeps serving meanwhile.
+func (co *Core) stageForDemand(service string, en *catalog.Engine, su serviceUtilization, serving []float64, now time.Time) []Call {
+	if co.InitialLoads {
+		return nil
+	}
+	st := co.exchangeStateOf(service)
+	room := min(stagingRoom(en)-co.stageLoads(service), en.LoadsAtOnce-co.loadsInFlight(service)-co.pendingLoads(service)-co.stageLoads(service))
+	if room <= 0 || co.exchangeUnderWay(service) {
+		return nil
+	}
+	bl, plan := co.bestBlockToStage(service, en, su, serving, now)
+	if bl == nil {
+		return nil
+	}
+	model := en.Models[bl.to].Name
+	if st.stagedTo != "" && st.stagedTo != model && now.Sub(st.stagedAt) < reversalTime {
+		return nil
+	}
+	calls := co.orderStages(bl, en, room, plan.describe(en, su)+co.demand.describe(now), now)
+	if len(calls) > 0 {
+		st.stagedTo, st.stagedAt = model, now
+	}
+	return calls
+}
+
+// stagingRoom returns the number of loads that staging may have in progress.
+func stagingRoom(en *catalog.Engine) int { return int(stagingLoadShare * float64(en.LoadsAtOnce)) }
+
+// bestBlockToStage returns the block whose exchange gains most although its VMs have to load the
+// other model first. Blocks with staged VMs come first, so one block is completed before the next.
+func (co *Core) bestBlockToStage(service string, en *catalog.Engine, su serviceUtilization, serving []float64, now time.Time) (*stageBlock, *exchangePlan) {
+	var best *stageBlock
+	var bestPlan *exchangePlan
+	for to, mo := range en.Models {
+		if su.utilization(to, su.groups[to]) < exchangeUtilization {
+			continue
+		}
+		for from := range en.Models {
+			if from == to || serving[from] < 2 {
+				continue
+			}
+			blocks := slices.DeleteFunc(stageable(co.stageBlocks(service, en, from, to, now)), func(bl *stageBlock) bool { return bl.staged(mo.Name) })
+			if len(blocks) == 0 {
+				continue
+			}
+			plan := co.planFor(en, su, serving, from, to, blocks[:1])
+			if plan == nil {
+				continue
+			}
+			// The gain begins only after the loads, of which stagingRoom run at once.
+			rounds := math.Ceil(float64(len(blocks[0].vms)-blocks[0].have) / float64(max(1, stagingRoom(en))))
+			plan.gain *= 1 - min(1, max(1, rounds)*mo.LoadTime.Seconds()/rebalanceHorizon.Seconds())
+			if co.worthwhile(service, en, su, plan, now) && (bestPlan == nil || plan.gain > bestPlan.gain) {
+				best, bestPlan = blocks[0], plan
+			}
+		}
+	}
+	return best, bestPlan
+}
+
 // orderStages orders up to room VMs of a block to stage its other model.
 func (co *Core) orderStages(bl *stageBlock, en *catalog.Engine, room int, why string, now time.Time) []Call {
 	mo := en.Models[bl.to]
--- a/internal/core/steward/steward.go
+++ b/internal/core/steward/steward.go
@@ -260,9 +260,7 @@
 	// rebalanceAt is when to check next whether groups of one model should be exchanged for
 	// groups of another.
 	rebalanceAt time.Time
-	// stagingAt is when to check next which models to stage.
-	stagingAt time.Time
-	// exchanges is the state of the exchanges of staged groups, by service.
+	// exchanges is the state of staging and of the exchanges of staged groups, by service.
 	exchanges map[string]*exchangeState
 	events    []Event
 }
