steward: lose more responses in the test of repairs of staged groups

Cause: with a fifth of the responses lost, the test passed also without the record of the model in memory that it is meant to guard.

Change: lose 0.6 of them.

--- a/internal/core/steward/staging_test.go
+++ b/internal/core/steward/staging_test.go
@@ -227,9 +227,9 @@
 			if staged := si.fleet.Staged(gr.Leader().ID)[0]; staged == gr.Model || !si.core.replaceable(si.core.vms[gr.Leader().ID], gr.Model) {
 				continue
 			}
-			si.lostOrderResponses = 0.2
+			si.lostOrderResponses = 0.6
 			si.kill(gr.Members[1].ID)
-			si.runWithStallReports(4 * time.Second)
+			si.runWithStallReports(6 * time.Second)
 			large, small := si.serving()
 			if large != 6 || small != 12 || len(si.fleet.Loads()) > 0 {
 				t.Errorf("seed %d: serving %d large and %d small groups after %d loads, want 6, 12 and 0", seed, large, small, len(si.fleet.Loads()))
