steward: confirm exchanges for longer while groups are stalled

Cause: a group that only pauses is reported as stalled for 0.1 to 0.3 s and does not count as serving; with a confirmation of 200 ms that could decide an exchange. A block with a slow or leaving VM would never be staged completely.

Change: 1 s of confirmation while a group is reported as stalled; such blocks are not chosen.

--- a/internal/core/steward/exchange.go
+++ b/internal/core/steward/exchange.go
@@ -17,9 +17,11 @@
 	// fullUtilization is the utilization from which short waves fill all slots of a group.
 	fullUtilization = 0.85
 	// exchangeInterval is the time between checks, exchangeConfirmTime how long an exchange must
-	// have been worth its cost before it begins. A single slow report does not cause one.
+	// have been worth its cost before it begins. While a group is reported as stalled it is
+	// stalledConfirmTime: most such groups have only paused, and polls show it within that time.
 	exchangeInterval    = 100 * time.Millisecond
 	exchangeConfirmTime = 200 * time.Millisecond
+	stalledConfirmTime  = time.Second
 	// An exchange that reverses another within reversalTime must remove reversalGain of the
 	// congestion, so that the split does not follow waves with periods of some 20 s.
 	reversalTime = 40 * time.Second
@@ -96,7 +98,7 @@
 	if st.to != plan.to {
 		st.to, st.wantedSince = plan.to, now
 	}
-	if now.Sub(st.wantedSince) < exchangeConfirmTime {
+	if now.Sub(st.wantedSince) < co.confirmTime(service, now) {
 		return nil
 	}
 	co.exchange(en, plan, su, now)
@@ -114,6 +116,21 @@
 	}
 }
 
+// confirmTime returns how long an exchange must have been worth its cost.
+func (co *Core) confirmTime(service string, now time.Time) time.Duration {
+	for _, gr := range co.groups {
+		if gr.service == service && !gr.dissolving && co.stalled(gr, now) {
+			return stalledConfirmTime
+		}
+	}
+	return exchangeConfirmTime
+}
+
+// stalled reports whether the group is reported as stalled and not all members have answered since.
+func (co *Core) stalled(gr *group, now time.Time) bool {
+	return now.Sub(gr.stallReportedAt) < stallReportTTL && !gr.confirmedHealthy
+}
+
 // exchange releases the groups of a plan and reserves their VMs for the other model.
 func (co *Core) exchange(en *catalog.Engine, plan *exchangePlan, su serviceUtilization, now time.Time) {
 	to, why := en.Models[plan.to].Name, plan.describe(en, su)+co.demand.describe(now)
@@ -149,7 +166,7 @@
 	if gr.spare() || gr.dissolving || gr.reassigned || !gr.drainingSince.IsZero() || co.groupEvacuated(gr) || !co.complete(gr) {
 		return false
 	}
-	if co.vms[gr.members[0]].ep.Member.State != catalog.Open || now.Sub(gr.stallReportedAt) < stallReportTTL && !gr.confirmedHealthy {
+	if co.vms[gr.members[0]].ep.Member.State != catalog.Open || co.stalled(gr, now) {
 		return false
 	}
 	return !slices.ContainsFunc(gr.members, func(id string) bool { return co.vms[id].down || !co.vms[id].registered })
--- a/internal/core/steward/staging.go
+++ b/internal/core/steward/staging.go
@@ -235,10 +235,10 @@
 	return plan
 }
 
-// stageable removes the blocks with a VM that has failed to stage a model too often.
+// stageable removes the blocks with a VM that leaves, is slow or has failed to stage a model too often.
 func stageable(blocks []*stageBlock) []*stageBlock {
 	return slices.DeleteFunc(blocks, func(bl *stageBlock) bool {
-		return slices.ContainsFunc(bl.vms, func(vm *vm) bool { return vm.stageFailures >= maxStageFailures })
+		return slices.ContainsFunc(bl.vms, func(vm *vm) bool { return vm.stageFailures >= maxStageFailures || vm.ep.Leaving || vm.ep.Slow() })
 	})
 }
 
