Reserve returns only for requests that are refused for good

A request that waits for a slot, a late request that is polled and a resumed stream reserved a time to return at each Pick that found no slot, and other requests left slots for returns that never came. A polled request was also counted as an arrival and as a return at each attempt. Repeated requests are now counted once, and the return is reserved when the wait has ended without a slot, by the time left then.

--- a/internal/core/dispatch/pick.go
+++ b/internal/core/dispatch/pick.go
@@ -66,19 +66,22 @@
 }
 
 // Pick selects the group for a request and counts the request there. If it refuses the request,
-// Choice.Group and the Ticket are nil; the request waits if Choice.Waiter is set. cancel is called with ErrStalled if the request has to
-// continue at another group.
+// Choice.Group and the Ticket are nil; the request waits if Choice.Waiter is set. cancel is called
+// with ErrStalled if the request has to continue at another group.
 func (ta *Table) Pick(ne Request, cancel context.CancelCauseFunc, now time.Time) (Choice, *Ticket) {
 	ta.mu.Lock()
 	defer ta.mu.Unlock()
 	ta.initMeasurements()
 	ne.Rank = min(admit.NumRanks-1, max(0, ne.Rank))
 	var counter *rankCounter
-	if !ne.Resumed {
+	if !ne.Resumed && !ne.Repeated {
 		ta.rates.add(ne.Model, now)
-		counter = ta.rankCounters.offer(ne, now)
+		ta.rankCounters.offer(ne, now)
+	}
+	if !ne.Resumed {
+		counter = ta.rankCounters[ne.Model]
 	}
-	if !ne.Resumed && !ne.late() && len(ne.Exclude) == 0 {
+	if !ne.Resumed && !ne.Repeated && !ne.late() && len(ne.Exclude) == 0 {
 		ta.demands.recordRequest(ne.Model, ne.Prompt, now)
 	}
 	ta.estimatePeers(ne.Model, now)
@@ -99,8 +102,9 @@
 	ch.Correction, ch.ReadingAge = best.gr.account.Correction(now, best.gr.answerTime()), best.gr.readingAge(now)
 	if ta.overloaded(ne, ex, &ranks, now) || !best.fits && !admissible(best, ne) {
 		ch.RetryAfter = max(retryFull, best.FirstEvent-ne.Objective)
-		ta.promise(&ch, ne, now)
-		ch.Waiter = ta.wait(best, ch, ne, cancel, now)
+		if ch.Waiter = ta.wait(best, ch, ne, cancel, now); ch.Waiter == nil {
+			ta.promise(&ch, ne, now)
+		}
 		return ch, nil
 	}
 	ch.Group = best.gr
--- a/internal/core/dispatch/ranks.go
+++ b/internal/core/dispatch/ranks.go
@@ -79,9 +79,9 @@
 // rankCounters holds the counters by model.
 type rankCounters map[string]*rankCounter
 
-// offer counts the arrival of a request and returns the counter of its model. It returns nil if
-// maxRates models are already tracked: callers can send arbitrary model names.
-func (rc rankCounters) offer(ne Request, now time.Time) *rankCounter {
+// offer counts the arrival of a request, unless maxRates models are already tracked: callers can send
+// arbitrary model names.
+func (rc rankCounters) offer(ne Request, now time.Time) {
 	co := rc[ne.Model]
 	if co == nil && len(rc) < maxRates {
 		co = &rankCounter{}
@@ -90,7 +90,6 @@
 	if co != nil {
 		co.offered[ne.Rank].add(now)
 	}
-	return co
 }
 
 // all returns the rates above minRate.
--- a/internal/core/dispatch/returns.go
+++ b/internal/core/dispatch/returns.go
@@ -86,7 +86,7 @@
 	finish, slots := ta.finishRate(ne)
 	re := ta.dueReturns(ne.Model, finish, now)
 	if ne.returning() {
-		if slots > 0 && len(ne.Exclude) == 0 {
+		if slots > 0 && len(ne.Exclude) == 0 && !ne.Repeated {
 			ta.calendar.RecordReturn(ne.Model, now)
 		}
 		if ta.random()*float64(max(1, re.Came)) < float64(re.Due) {
@@ -99,10 +99,11 @@
 
 // promise sets the retry time of a request that is refused because all groups are full, if returns
 // are scheduled and the caller has time for more than the least delay. A caller retries once, so
-// nothing is reserved for one that has returned already.
+// nothing is reserved for one that has returned already, nor for a request that is not refused for
+// good: no caller would come for it.
 func (ta *Table) promise(ch *Choice, ne Request, now time.Time) {
 	most := ne.Left / maxWaitDivisor
-	if !ta.ScheduleReturns || most <= retryFull {
+	if !ta.ScheduleReturns || ne.Resumed || ne.Polled || most <= retryFull {
 		return
 	}
 	if ne.returning() {
--- a/internal/core/dispatch/returns_test.go
+++ b/internal/core/dispatch/returns_test.go
@@ -176,3 +176,43 @@
 		t.Errorf("%.1f returns due after their reports expired, want 0", got)
 	}
 }
+
+// Guards against slots that are held back for returns of nobody: of requests that are passed to Pick
+// again, that wait for a slot, or whose caller already receives a stream; and against counting the
+// first ones several times.
+func TestNoReturnOfUnfinishedRequests(t *testing.T) {
+	ta, _ := waitingTable(t)
+	ta.ScheduleReturns = true
+	waits, polled, resumed := slotSimRequest(), slotSimRequest(), slotSimRequest()
+	waits.Wake = func() {}
+	polled.Polled, polled.Repeated, resumed.Resumed = true, true, true
+	counted := ta.OwnWork(begin)
+	var waiter *Waiter
+	for _, ne := range []Request{polled, resumed, waits} {
+		ne.Left = 6 * time.Second
+		ch, ti := ta.Pick(ne, ignore, begin)
+		if ti != nil || ch.Scheduled {
+			t.Errorf("%+v got %+v, want a refusal without a scheduled return", ne, ch)
+		}
+		waiter = ch.Waiter
+	}
+	if due, _ := ta.calendar.Due("large", begin.Add(1500*time.Millisecond)); due != 0 {
+		t.Errorf("%.2f returns promised, want none", due)
+	}
+	again := returningRequest(1100 * time.Millisecond)
+	again.Repeated = true
+	ta.Pick(again, ignore, begin)
+	if _, came := ta.calendar.Due("large", begin); came != 0 {
+		t.Errorf("%.0f returns counted again", came)
+	}
+	// One request, the one that waits, has arrived.
+	arrived := ta.OwnWork(begin).Ranks["large"][0].Offered - counted.Ranks["large"][0].Offered
+	if one := float32(1 / rankTimeConstant.Seconds()); arrived > 1.01*one {
+		t.Errorf("%.1f requests counted, want 1", arrived/one)
+	}
+	// The wait ends after 300 ms without a slot.
+	ta.EndWait(waiter)
+	if ch := ta.RefuseWaiter(waiter, begin.Add(300*time.Millisecond)); !ch.Scheduled || ch.RetryAfter > 1900*time.Millisecond {
+		t.Errorf("refusal %+v, want a return within a third of the 5.7 s left", ch)
+	}
+}
--- a/internal/core/dispatch/shares.go
+++ b/internal/core/dispatch/shares.go
@@ -79,7 +79,7 @@
 
 // recordWork counts the work that a request asks for. sample is a group of its model.
 func (ta *Table) recordWork(ne Request, sample *Group, now time.Time) {
-	if !ta.FairShares || ne.Resumed || ne.Workspace == "" {
+	if !ta.FairShares || ne.Resumed || ne.Repeated || ne.Workspace == "" {
 		return
 	}
 	if ta.work == nil {
--- a/internal/core/dispatch/table.go
+++ b/internal/core/dispatch/table.go
@@ -110,6 +110,10 @@
 	Wake  func()
 	// Resumed is set for a request whose caller has received a part of the answer.
 	Resumed bool
+	// Repeated is set if the request was passed to Pick before and has not been sent since, so that
+	// it is counted once. Polled is set if it will be passed to Pick again when it is refused, so that
+	// no time to return is reserved for it.
+	Repeated, Polled bool
 	// Exclude lists the groups that the request was already sent to.
 	Exclude []*Group
 }
--- a/internal/core/dispatch/wait.go
+++ b/internal/core/dispatch/wait.go
@@ -62,6 +62,19 @@
 	return wa.choice, wa.ticket
 }
 
+// RefuseWaiter returns the refusal of a request whose wait has ended without a slot, with the time at
+// which its caller is to return. Nothing is reserved before: the request could still get a slot.
+func (ta *Table) RefuseWaiter(wa *Waiter, now time.Time) Choice {
+	ta.mu.Lock()
+	defer ta.mu.Unlock()
+	ch, ne := wa.choice, wa.ne
+	if ne.Left > 0 {
+		ne.Left -= now.Sub(wa.since)
+	}
+	ta.promise(&ch, ne, now)
+	return ch
+}
+
 // Waiting returns the number of requests that wait for a slot, and the memory that they take.
 func (ta *Table) Waiting() (num int, bytes int64) {
 	ta.mu.Lock()
--- a/internal/front/slot_wait.go
+++ b/internal/front/slot_wait.go
@@ -20,12 +20,13 @@
 	if ti != nil || ch.Waiter == nil {
 		return ch, ti, false
 	}
-	limit := ch.Waiter.Limit
+	wa := ch.Waiter
+	limit := wa.Limit
 	if st.started {
 		limit = min(limit, interval)
 	}
 	_ = st.sv.Clock.Sleep(waitCtx, limit) // EndWait tells whether the request got a slot.
-	ch, ti = st.sv.Table.EndWait(ch.Waiter)
+	ch, ti = st.sv.Table.EndWait(wa)
 	now := st.sv.Clock.Now()
 	outcome := "refused"
 	switch {
@@ -38,6 +39,8 @@
 		}
 	case ti != nil:
 		outcome = "sent"
+	default:
+		ch = st.sv.Table.RefuseWaiter(wa, now)
 	}
 	st.recordSlotWait(outcome, now.Sub(begin), ne.Rank)
 	return ch, ti, true
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -187,12 +187,14 @@
 	if !st.started {
 		interval, until = latePollInterval, st.delayLate(ctx)
 	}
-	for {
+	for repeated := false; ; repeated = true {
 		now := st.sv.Clock.Now()
 		ne := st.dispatchRequest(now)
-		ne.FinalAttempt = !st.started && !until.IsZero() && now.Add(interval).After(until)
+		last := now.Add(interval).After(until)
+		ne.Repeated, ne.Polled = repeated, !last
+		ne.FinalAttempt = !st.started && !until.IsZero() && last
 		ch, ti, waited := st.pickOrWait(ctx, ne, cancel, interval)
-		if ti != nil || now.Add(interval).After(until) || ctx.Err() != nil {
+		if ti != nil || last || ctx.Err() != nil {
 			return ch, ti
 		}
 		if !waited && st.sv.Clock.Sleep(ctx, interval) != nil {
