Try another group if a group stalls when it hands over a slot

A waiting request whose group stalled between the hand-over of the slot and the end of its wait counted as canceled by its caller. It got 503 without Retry-After, also where another group could run it. The attempt now counts as stalled, is not sent, and the request goes on to another group.

TestGroupBreaksAtHandOver: before, 503 and no run; now a complete stream and one run.

--- a/internal/front/slot_wait.go
+++ b/internal/front/slot_wait.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -30,6 +31,9 @@
 	now := st.sv.Clock.Now()
 	outcome := "refused"
 	switch {
+	case ti != nil && stalled(ctx):
+		// The request got a slot of a group that has stalled since; attempt tries another group.
+		outcome = "stalled"
 	case ctx.Err() != nil:
 		outcome = "caller-gone"
 		if ti != nil {
@@ -46,6 +50,9 @@
 	return ch, ti, true
 }
 
+// stalled reports whether an attempt was canceled because its group has stalled.
+func stalled(ctx context.Context) bool { return errors.Is(context.Cause(ctx), dispatch.ErrStalled) }
+
 // recordSlotWait logs and counts a wait for a slot.
 func (st *stream) recordSlotWait(outcome string, took time.Duration, rank int) {
 	slotWaits.Update(took.Seconds())
--- a/internal/front/slot_wait_test.go
+++ b/internal/front/slot_wait_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
+	"corianderhub.dev/corianderhub/internal/clock"
 	"corianderhub.dev/corianderhub/internal/core/dispatch"
 )
 
@@ -87,3 +89,50 @@
 		t.Errorf("%d runs, want none", runs)
 	}
 }
+
+// handOverClock calls the next of onSleep instead of each sleep.
+type handOverClock struct {
+	clock.System
+	mu      sync.Mutex
+	onSleep []func()
+}
+
+func (hc *handOverClock) Sleep(ctx context.Context, dur time.Duration) error {
+	hc.mu.Lock()
+	defer hc.mu.Unlock()
+	if len(hc.onSleep) == 0 {
+		return hc.System.Sleep(ctx, dur)
+	}
+	hc.onSleep[0]()
+	hc.onSleep = hc.onSleep[1:]
+	return ctx.Err()
+}
+
+// A group breaks at the moment at which a waiting request gets its slot. Guards against refusing the
+// request although another group can run it, and against sending it to the broken one.
+func TestGroupBreaksAtHandOver(t *testing.T) {
+	ri := newRig(t)
+	ri.addGroup(nil)
+	ri.addGroup(nil)
+	running := ri.fill()
+	broken := running[0].Group.Name
+	ri.front.Clock = &handOverClock{onSleep: []func(){
+		func() {
+			running[0].EndAt(time.Now())
+			ri.table.MarkBroken(broken, time.Now())
+		},
+		func() {
+			for _, ti := range running[1:] {
+				if ti.Group.Name != broken {
+					ti.EndAt(time.Now())
+				}
+			}
+		},
+	}}
+	if re := ri.send("/draft/", "moved", setTokenCounts); re.status != http.StatusOK || re.body != completeStream("moved") {
+		t.Errorf("status %d, header %v, body %q", re.status, re.header, re.body)
+	}
+	if runs := ri.runs("moved"); runs != 1 {
+		t.Errorf("%d runs, want 1", runs)
+	}
+}
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -118,6 +118,9 @@
 	}
 	st.tried = append(st.tried, ch.Group)
 	st.choice = ch
+	if stalled(attemptCtx) {
+		return ch, false
+	}
 	st.log.Debug("front: sent.", "group", ch.Group.Name, "predicted-ms", ch.FirstEvent.Milliseconds(), "fits", ch.MeetsObjective)
 	sent := st.sv.Clock.Now()
 	leader := ch.Group.Leader()
