Do not count callers that leave while they wait for a slot as refused

A caller that disconnected while its request waited for a slot or for a group was logged and counted as refused with 503 (corianderhub_refusals_total), so the metric showed refusals that nobody received. Such requests now end as caller-gone.

TestWaitEndsEarly fails without the change and passes with it.

--- a/internal/front/slot_wait_test.go
+++ b/internal/front/slot_wait_test.go
@@ -64,7 +64,8 @@
 }
 
 // The caller of a waiting request disconnects, and the daemon stops with another one waiting. Guards
-// against sending the one, and against holding the other back until its time is over.
+// against sending the one or counting it as refused, and against holding the other back until its
+// time is over.
 func TestWaitEndsEarly(t *testing.T) {
 	ri := newRig(t)
 	ri.addGroup(nil)
@@ -78,6 +79,12 @@
 	leave()
 	<-gone
 	ri.awaitWaiting(0)
+	for until := time.Now().Add(longTimeout); ri.front.InFlight() > 0 && time.Now().Before(until); {
+		time.Sleep(time.Millisecond)
+	}
+	if num := len(ri.front.refusals.series); num != 0 {
+		t.Error("a caller that has left counts as refused")
+	}
 	stopped := make(chan result, 1)
 	go func() { stopped <- ri.send("/draft/", "stays", nil) }()
 	ri.awaitWaiting(1)
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -104,7 +104,9 @@
 	}
 	ch, ti := st.pick(attemptCtx, onStall)
 	if ti == nil {
-		st.endNoGroup(ch)
+		if !st.endIfCallerGone() {
+			st.endNoGroup(ch)
+		}
 		return ch, true
 	}
 	defer ti.End()
@@ -318,11 +320,19 @@
 	st.end(reason, ch.RetryAfter)
 }
 
+// endIfCallerGone ends the request if its caller has disconnected, and reports whether it did.
+func (st *stream) endIfCallerGone() bool {
+	if st.req.Context().Err() == nil && !errors.Is(st.cause, errCallerGone) {
+		return false
+	}
+	st.log.Info("front: answered.", "outcome", "caller-gone", "sends", st.sends, "events", st.events)
+	st.count("caller-gone")
+	return true
+}
+
 // endUnretried ends a request that can't be retried.
 func (st *stream) endUnretried(ctx context.Context, ch dispatch.Choice) {
-	if st.req.Context().Err() != nil || errors.Is(st.cause, errCallerGone) {
-		st.log.Info("front: answered.", "outcome", "caller-gone", "sends", st.sends, "events", st.events)
-		st.count("caller-gone")
+	if st.endIfCallerGone() {
 		return
 	}
 	reason := "attempts-failed"
