Keep the least service of a workspace refused for its rank and its share

No kind of request may get less than a quarter of the mean. The refusal by share is now bounded by the mean service of the model.

--- a/internal/core/admit/rank.go
+++ b/internal/core/admit/rank.go
@@ -72,13 +72,17 @@
 	if ra.Offered[rank] <= 0 {
 		return refusal
 	}
-	least := minService * ra.Service()
-	if ra.Sent[rank] < least*ra.Offered[rank] {
+	most := ra.MaxRefusal()
+	if ra.Sent[rank] < (1-most)*ra.Offered[rank] {
 		return 0
 	}
-	return min(refusal, 1-least)
+	return min(refusal, most)
 }
 
+// MaxRefusal returns the greatest probability with which to refuse any kind of request, so that it
+// keeps minService of the mean service.
+func (ra *Ranks) MaxRefusal() float64 { return 1 - minService*ra.Service() }
+
 // Service returns the fraction of all requests that are sent to a group; 1 if there are none.
 func (ra *Ranks) Service() float64 {
 	offered := ra.Offered.total()
--- a/internal/core/dispatch/pick.go
+++ b/internal/core/dispatch/pick.go
@@ -135,7 +135,10 @@
 		}
 		refusal = ranks.Refusal(ne.Rank, ex.rank)
 	}
-	return ta.random() < admit.RefusalByShare(ta.overOf(ne.Model, now), ne.Workspace, refusal)
+	byShare := admit.RefusalByShare(ta.overOf(ne.Model, now), ne.Workspace, refusal)
+	// A workspace above its share whose requests are all of a refused rank is refused for both, and
+	// must still keep the least service.
+	return ta.random() < min(byShare, max(refusal, ranks.MaxRefusal()))
 }
 
 // admissible reports whether a request that misses its objective is sent nevertheless: a late answer
--- a/internal/core/dispatch/shares_test.go
+++ b/internal/core/dispatch/shares_test.go
@@ -84,3 +84,26 @@
 		t.Errorf("shares count although they are off: %+v", over)
 	}
 }
+
+// A workspace above its share sends only requests of the least urgent rank. Guards against refusing it
+// for its rank and then again for its share, until it gets less than a quarter of the mean service.
+func TestFloorOfLargeWorkspaceInLastRank(t *testing.T) {
+	ta := table(group("a", "here"))
+	ta.FairShares = true
+	ta.ApplyRelayedWork(Work{Shares: Shares{Over: map[string]map[string]admit.Overuse{"large": {"greedy": {Part: 0.6, Over: 0.9}}}}}, begin)
+	ranks := admit.Ranks{}
+	ranks.Offered[0], ranks.Sent[0] = 40, 40
+	ranks.Offered[2], ranks.Sent[2] = 60, 20
+	ne := slotSimRequest()
+	ne.Rank, ne.Workspace = 2, "greedy"
+	const tries = 20000
+	served := 0.0
+	for range tries {
+		if !ta.overloaded(ne, excess{all: 0.5, rank: 0.5}, &ranks, begin) {
+			served += 1.0 / tries
+		}
+	}
+	if least := 0.25 * ranks.Service(); served < least {
+		t.Errorf("%.3f served, want at least %.3f", served, least)
+	}
+}
