Measure requests only for models of the configuration and of groups

Rates, demands and ranks of any model name that a caller sent were reported to the other daemons, up to 256 names each. Long names made heartbeats exceed the 60 KB of a datagram, so that the other daemons would take the sender for lost. Names that are neither in the configuration nor in the view are no longer measured, which also replaces the removal of idle models: they no longer take the place of real ones.

--- a/internal/core/dispatch/demand.go
+++ b/internal/core/dispatch/demand.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"maps"
 	"math"
 	"time"
 
@@ -29,12 +28,9 @@
 const answerWindow = 64
 
 // forModel returns the demand for a model and creates it if necessary. It returns nil if maxRates
-// models have answers or recent requests: callers can send arbitrary model names.
+// models are already tracked: callers can send arbitrary model names.
 func (dm demands) forModel(model string, now time.Time) *demand {
 	de := dm[model]
-	if de == nil && len(dm) >= maxRates {
-		maps.DeleteFunc(dm, func(_ string, de *demand) bool { return de.answerCount == 0 && de.requests.decayed(now) <= minRate })
-	}
 	if de == nil && len(dm) < maxRates {
 		de = &demand{requests: rate{at: now}, prompt: rate{at: now}, since: now}
 		dm[model] = de
--- a/internal/core/dispatch/pick.go
+++ b/internal/core/dispatch/pick.go
@@ -74,14 +74,15 @@
 	ta.initMeasurements()
 	ne.Rank = min(admit.NumRanks-1, max(0, ne.Rank))
 	var counter *rankCounter
-	if !ne.Resumed && !ne.Repeated {
+	measured := !ne.Resumed && !ne.Repeated && ta.measures(ne.Model)
+	if measured {
 		ta.rates.add(ne.Model, now)
 		ta.rankCounters.offer(ne, now)
 	}
 	if !ne.Resumed {
 		counter = ta.rankCounters[ne.Model]
 	}
-	if !ne.Resumed && !ne.Repeated && !ne.late() && len(ne.Exclude) == 0 {
+	if measured && !ne.late() && len(ne.Exclude) == 0 {
 		ta.demands.recordRequest(ne.Model, ne.Prompt, now)
 	}
 	ta.estimatePeers(ne.Model, now)
--- a/internal/core/dispatch/ranks.go
+++ b/internal/core/dispatch/ranks.go
@@ -3,7 +3,6 @@
 import (
 	"maps"
 	"math"
-	"slices"
 	"time"
 
 	"corianderhub.dev/corianderhub/internal/core/admit"
@@ -80,18 +79,10 @@
 // rankCounters holds the counters by model.
 type rankCounters map[string]*rankCounter
 
-// idle reports whether no rank's rate of arrivals is above minRate.
-func (co *rankCounter) idle(now time.Time) bool {
-	return !slices.ContainsFunc(co.offered[:], func(ra rankRate) bool { return ra.decayed(now) > minRate })
-}
-
-// offer counts the arrival of a request, unless maxRates models have recent ones: callers can send
+// offer counts the arrival of a request, unless maxRates models are already tracked: callers can send
 // arbitrary model names.
 func (rc rankCounters) offer(ne Request, now time.Time) {
 	co := rc[ne.Model]
-	if co == nil && len(rc) >= maxRates {
-		maps.DeleteFunc(rc, func(_ string, co *rankCounter) bool { return co.idle(now) })
-	}
 	if co == nil && len(rc) < maxRates {
 		co = &rankCounter{}
 		rc[ne.Model] = co
--- a/internal/core/dispatch/table.go
+++ b/internal/core/dispatch/table.go
@@ -38,6 +38,8 @@
 	peers map[string]peerWork
 	// reportDelay is the mean age of the other daemons' reports when they are used.
 	reportDelay time.Duration
+	// models holds the models whose requests are measured; nil before the first view.
+	models map[string]bool
 	// rates holds the rate of requests at this daemon, peerRates the sum of the rates at the other
 	// daemons, both by model and per second.
 	rates     arrivals
@@ -155,6 +157,7 @@
 		ta.residuals = make(residuals)
 		ta.initMeasurements()
 	}
+	ta.setModels(vi, cfg)
 	for _, gr := range ta.groups {
 		gr.inView = false
 	}
--- a/internal/core/dispatch/waterfill.go
+++ b/internal/core/dispatch/waterfill.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"math"
 	"slices"
 	"time"
@@ -200,13 +199,10 @@
 // maxRates is the number of models whose rates are tracked; callers can send arbitrary model names.
 const maxRates = 256
 
-// add counts a request for a model. Models without recent requests make room for others.
+// add counts a request for a model.
 func (ar arrivals) add(model string, now time.Time) {
 	ra := ar[model]
 	if ra == nil {
-		if len(ar) >= maxRates {
-			maps.DeleteFunc(ar, func(_ string, ra *rate) bool { return ra.decayed(now) <= minRate })
-		}
 		if len(ar) >= maxRates {
 			return
 		}
