--- a/internal/core/admit/calendar.go
+++ b/internal/core/admit/calendar.go
@@ -35,8 +35,8 @@
 	// horizon bounds the delay of a promise. A third of the time that callers have left is less.
 	horizon = 5 * time.Second
 	// minFreeShare is the least share of the finished requests whose capacity is promised. In a burst
-	// there is no free capacity, and how long it lasts is unknown. With 0.1, returns displace about
-	// 0.01 more first attempts in the simulated burst of package dispatch.
+	// there is no free capacity, and how long it lasts is unknown. A larger share lets returns displace
+	// first attempts.
 	minFreeShare = 0.02
 	// unreservedSpan is the share of the range of delays, at its end, over which returns without
 	// reserved capacity are spread. Callers that are refused in one moment would return in one moment
--- a/internal/core/admit/rank.go
+++ b/internal/core/admit/rank.go
@@ -11,8 +11,8 @@
 	// minRankRate is the rate in requests per second below which a rank does not count as present.
 	minRankRate = 0.05
 	// maxReserve is the fraction of a group's slots that a rank leaves to more urgent ones, and
-	// reserveShare the share of these in all requests from which it leaves that much. In
-	// TestLeastUrgentBurst, 0.1 served 5% less of the capacity, and no more of the urgent ranks.
+	// reserveShare the share of these in all requests from which it leaves that much. A larger reserve
+	// leaves slots empty: at 0.1, TestLeastUrgentBurst serves 5% less and no more urgent requests.
 	maxReserve   = 0.03
 	reserveShare = 0.5
 )
--- a/internal/core/dispatch/ranks.go
+++ b/internal/core/dispatch/ranks.go
@@ -52,8 +52,8 @@
 }
 
 // rankTimeConstant is the time constant of the smoothing of rates by rank. Sums over all daemons need
-// little smoothing, and with rateTimeConstant a burst of the least urgent rank cost rank 1 0.14 of its
-// requests in the first 2 s (TestLeastUrgentBurst).
+// little smoothing, and until the rates follow, a burst of the least urgent rank takes slots from the
+// others.
 const rankTimeConstant = 500 * time.Millisecond
 
 // rankRate is a number of requests per second, smoothed with rankTimeConstant.
--- a/internal/core/dispatch/returns.go
+++ b/internal/core/dispatch/returns.go
@@ -26,8 +26,8 @@
 	// minReturns is the least rate that is relayed. The differences of sums have rounding errors.
 	minReturns = 0.001
 	// unreservedLate is the share of lateReserve that applies to returns without reserved capacity,
-	// whose callers waited as they were told. In the simulated burst, 0.5 lowers the requests refused
-	// twice from 0.155 to 0.135 of all, with as many first attempts in time as with 1.
+	// whose callers waited as they were told. The whole reserve would refuse more of them a second time,
+	// without serving more first attempts in time.
 	unreservedLate = 0.5
 	// returnReserveTime is the time for whose due returns slots are held back from other requests:
 	// about the age of the load reports.
@@ -40,9 +40,8 @@
 
 // dueReturns returns the returns at all daemons, as far as their promises are honoured: up to the
 // capacity that is free now. The rate of new requests is smoothed, so too much is promised when a
-// burst begins, and a daemon that knows an outdated number of daemons may promise too much. If all
-// promises are honoured, 0.773 instead of 0.791 of the first attempts are in time in the simulated
-// burst, and as many requests are refused twice.
+// burst begins, and a daemon that knows an outdated number of daemons may promise too much. Returns
+// beyond the free capacity would make first attempts late.
 func (ta *Table) dueReturns(model string, finish float64, now time.Time) Returns {
 	due, came := ta.calendar.Due(model, now)
 	re := ta.peerReturns[model].plus(Returns{float32(due), float32(came)})
--- a/internal/core/occupancy/account.go
+++ b/internal/core/occupancy/account.go
@@ -34,9 +34,9 @@
 }
 
 const (
-	// smoothingAnswers is the time constant of the smoothing in answer times. In the simulation of
-	// TestLoadEstimateUnderFaults, 0.8 and 1.2 gave median errors of 3.9 and 4.0 requests instead of
-	// 3.6 where reports lack requests, and no smaller ones where they lack none.
+	// smoothingAnswers is the time constant of the smoothing in answer times. A longer one follows
+	// requests that reports lack too slowly: at 0.8, the median error in TestLoadEstimateUnderFaults
+	// is 3.9 requests instead of 3.6.
 	smoothingAnswers = 0.4
 	// maxWeight is the most weight of a single reading.
 	maxWeight = 0.6
