--- a/internal/core/admit/rank.go
+++ b/internal/core/admit/rank.go
@@ -11,8 +11,8 @@
 	// minRankRate is the rate in requests per second below which a rank does not count as present.
 	minRankRate = 0.05
 	// maxReserve is the fraction of a group's slots that a rank leaves to more urgent ones, and
-	// reserveShare the share of these in all requests from which it leaves that much. In
-	// TestLeastUrgentBurst, 0.1 served 5% less of the capacity, and no more of the urgent ranks.
+	// reserveShare the share of these in all requests from which it leaves that much. A larger reserve
+	// leaves slots empty: at 0.1, TestLeastUrgentBurst serves 5% less and no more urgent requests.
 	maxReserve   = 0.03
 	reserveShare = 0.5
 )
@@ -72,13 +72,17 @@
 	if ra.Offered[rank] <= 0 {
 		return refusal
 	}
-	least := minService * ra.Service()
-	if ra.Sent[rank] < least*ra.Offered[rank] {
+	most := ra.MaxRefusal()
+	if ra.Sent[rank] < (1-most)*ra.Offered[rank] {
 		return 0
 	}
-	return min(refusal, 1-least)
+	return min(refusal, most)
 }
 
+// MaxRefusal returns the greatest probability with which to refuse any kind of request, so that it
+// keeps minService of the mean service.
+func (ra *Ranks) MaxRefusal() float64 { return 1 - minService*ra.Service() }
+
 // Service returns the fraction of all requests that are sent to a group; 1 if there are none.
 func (ra *Ranks) Service() float64 {
 	offered := ra.Offered.total()
--- a/internal/core/dispatch/ranks.go
+++ b/internal/core/dispatch/ranks.go
@@ -52,8 +52,8 @@
 }
 
 // rankTimeConstant is the time constant of the smoothing of rates by rank. Sums over all daemons need
-// little smoothing, and with rateTimeConstant a burst of the least urgent rank cost rank 1 0.14 of its
-// requests in the first 2 s (TestLeastUrgentBurst).
+// little smoothing, and until the rates follow, a burst of the least urgent rank takes slots from the
+// others.
 const rankTimeConstant = 500 * time.Millisecond
 
 // rankRate is a number of requests per second, smoothed with rankTimeConstant.
@@ -79,9 +79,9 @@
 // rankCounters holds the counters by model.
 type rankCounters map[string]*rankCounter
 
-// offer counts the arrival of a request and returns the counter of its model. It returns nil if
-// maxRates models are already tracked: callers can send arbitrary model names.
-func (rc rankCounters) offer(ne Request, now time.Time) *rankCounter {
+// offer counts the arrival of a request, unless maxRates models are already tracked: callers can send
+// arbitrary model names.
+func (rc rankCounters) offer(ne Request, now time.Time) {
 	co := rc[ne.Model]
 	if co == nil && len(rc) < maxRates {
 		co = &rankCounter{}
@@ -90,7 +90,6 @@
 	if co != nil {
 		co.offered[ne.Rank].add(now)
 	}
-	return co
 }
 
 // all returns the rates above minRate.
--- a/internal/core/dispatch/returns.go
+++ b/internal/core/dispatch/returns.go
@@ -26,8 +26,8 @@
 	// minReturns is the least rate that is relayed. The differences of sums have rounding errors.
 	minReturns = 0.001
 	// unreservedLate is the share of lateReserve that applies to returns without reserved capacity,
-	// whose callers waited as they were told. In the simulated burst, 0.5 lowers the requests refused
-	// twice from 0.155 to 0.135 of all, with as many first attempts in time as with 1.
+	// whose callers waited as they were told. The whole reserve would refuse more of them a second time,
+	// without serving more first attempts in time.
 	unreservedLate = 0.5
 	// returnReserveTime is the time for whose due returns slots are held back from other requests:
 	// about the age of the load reports.
@@ -40,9 +40,8 @@
 
 // dueReturns returns the returns at all daemons, as far as their promises are honoured: up to the
 // capacity that is free now. The rate of new requests is smoothed, so too much is promised when a
-// burst begins, and a daemon that knows an outdated number of daemons may promise too much. If all
-// promises are honoured, 0.773 instead of 0.791 of the first attempts are in time in the simulated
-// burst, and as many requests are refused twice.
+// burst begins, and a daemon that knows an outdated number of daemons may promise too much. Returns
+// beyond the free capacity would make first attempts late.
 func (ta *Table) dueReturns(model string, finish float64, now time.Time) Returns {
 	due, came := ta.calendar.Due(model, now)
 	re := ta.peerReturns[model].plus(Returns{float32(due), float32(came)})
@@ -86,7 +85,7 @@
 	finish, slots := ta.finishRate(ne)
 	re := ta.dueReturns(ne.Model, finish, now)
 	if ne.returning() {
-		if slots > 0 && len(ne.Exclude) == 0 {
+		if slots > 0 && len(ne.Exclude) == 0 && !ne.Repeated {
 			ta.calendar.RecordReturn(ne.Model, now)
 		}
 		if ta.random()*float64(max(1, re.Came)) < float64(re.Due) {
@@ -99,10 +98,11 @@
 
 // promise sets the retry time of a request that is refused because all groups are full, if returns
 // are scheduled and the caller has time for more than the least delay. A caller retries once, so
-// nothing is reserved for one that has returned already.
+// nothing is reserved for one that has returned already, nor for a request that is not refused for
+// good: no caller would come for it.
 func (ta *Table) promise(ch *Choice, ne Request, now time.Time) {
 	most := ne.Left / maxWaitDivisor
-	if !ta.ScheduleReturns || most <= retryFull {
+	if !ta.ScheduleReturns || ne.Resumed || ne.Polled || most <= retryFull {
 		return
 	}
 	if ne.returning() {
--- a/internal/front/slot_wait.go
+++ b/internal/front/slot_wait.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -20,15 +21,19 @@
 	if ti != nil || ch.Waiter == nil {
 		return ch, ti, false
 	}
-	limit := ch.Waiter.Limit
+	wa := ch.Waiter
+	limit := wa.Limit
 	if st.started {
 		limit = min(limit, interval)
 	}
 	_ = st.sv.Clock.Sleep(waitCtx, limit) // EndWait tells whether the request got a slot.
-	ch, ti = st.sv.Table.EndWait(ch.Waiter)
+	ch, ti = st.sv.Table.EndWait(wa)
 	now := st.sv.Clock.Now()
 	outcome := "refused"
 	switch {
+	case ti != nil && stalled(ctx):
+		// The request got a slot of a group that has stalled since; attempt tries another group.
+		outcome = "stalled"
 	case ctx.Err() != nil:
 		outcome = "caller-gone"
 		if ti != nil {
@@ -38,11 +43,16 @@
 		}
 	case ti != nil:
 		outcome = "sent"
+	default:
+		ch = st.sv.Table.RefuseWaiter(wa, now)
 	}
 	st.recordSlotWait(outcome, now.Sub(begin), ne.Rank)
 	return ch, ti, true
 }
 
+// stalled reports whether an attempt was canceled because its group has stalled.
+func stalled(ctx context.Context) bool { return errors.Is(context.Cause(ctx), dispatch.ErrStalled) }
+
 // recordSlotWait logs and counts a wait for a slot.
 func (st *stream) recordSlotWait(outcome string, took time.Duration, rank int) {
 	slotWaits.Update(took.Seconds())
--- a/internal/front/slot_wait_test.go
+++ b/internal/front/slot_wait_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
+	"corianderhub.dev/corianderhub/internal/clock"
 	"corianderhub.dev/corianderhub/internal/core/dispatch"
 )
 
@@ -62,7 +64,8 @@
 }
 
 // The caller of a waiting request disconnects, and the daemon stops with another one waiting. Guards
-// against sending the one, and against holding the other back until its time is over.
+// against sending the one or counting it as refused, and against holding the other back until its
+// time is over.
 func TestWaitEndsEarly(t *testing.T) {
 	ri := newRig(t)
 	ri.addGroup(nil)
@@ -76,6 +79,12 @@
 	leave()
 	<-gone
 	ri.awaitWaiting(0)
+	for until := time.Now().Add(longTimeout); ri.front.InFlight() > 0 && time.Now().Before(until); {
+		time.Sleep(time.Millisecond)
+	}
+	if num := len(ri.front.refusals.series); num != 0 {
+		t.Error("a caller that has left counts as refused")
+	}
 	stopped := make(chan result, 1)
 	go func() { stopped <- ri.send("/draft/", "stays", nil) }()
 	ri.awaitWaiting(1)
@@ -87,3 +96,50 @@
 		t.Errorf("%d runs, want none", runs)
 	}
 }
+
+// handOverClock calls the next of onSleep instead of each sleep.
+type handOverClock struct {
+	clock.System
+	mu      sync.Mutex
+	onSleep []func()
+}
+
+func (hc *handOverClock) Sleep(ctx context.Context, dur time.Duration) error {
+	hc.mu.Lock()
+	defer hc.mu.Unlock()
+	if len(hc.onSleep) == 0 {
+		return hc.System.Sleep(ctx, dur)
+	}
+	hc.onSleep[0]()
+	hc.onSleep = hc.onSleep[1:]
+	return ctx.Err()
+}
+
+// A group breaks at the moment at which a waiting request gets its slot. Guards against refusing the
+// request although another group can run it, and against sending it to the broken one.
+func TestGroupBreaksAtHandOver(t *testing.T) {
+	ri := newRig(t)
+	ri.addGroup(nil)
+	ri.addGroup(nil)
+	running := ri.fill()
+	broken := running[0].Group.Name
+	ri.front.Clock = &handOverClock{onSleep: []func(){
+		func() {
+			running[0].EndAt(time.Now())
+			ri.table.MarkBroken(broken, time.Now())
+		},
+		func() {
+			for _, ti := range running[1:] {
+				if ti.Group.Name != broken {
+					ti.EndAt(time.Now())
+				}
+			}
+		},
+	}}
+	if re := ri.send("/draft/", "moved", setTokenCounts); re.status != http.StatusOK || re.body != completeStream("moved") {
+		t.Errorf("status %d, header %v, body %q", re.status, re.header, re.body)
+	}
+	if runs := ri.runs("moved"); runs != 1 {
+		t.Errorf("%d runs, want 1", runs)
+	}
+}
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -104,7 +104,9 @@
 	}
 	ch, ti := st.pick(attemptCtx, onStall)
 	if ti == nil {
-		st.endNoGroup(ch)
+		if !st.endIfCallerGone() {
+			st.endNoGroup(ch)
+		}
 		return ch, true
 	}
 	defer ti.End()
@@ -118,6 +120,9 @@
 	}
 	st.tried = append(st.tried, ch.Group)
 	st.choice = ch
+	if stalled(attemptCtx) {
+		return ch, false
+	}
 	st.log.Debug("front: sent.", "group", ch.Group.Name, "predicted-ms", ch.FirstEvent.Milliseconds(), "fits", ch.MeetsObjective)
 	sent := st.sv.Clock.Now()
 	leader := ch.Group.Leader()
@@ -187,12 +192,14 @@
 	if !st.started {
 		interval, until = latePollInterval, st.delayLate(ctx)
 	}
-	for {
+	for repeated := false; ; repeated = true {
 		now := st.sv.Clock.Now()
 		ne := st.dispatchRequest(now)
-		ne.FinalAttempt = !st.started && !until.IsZero() && now.Add(interval).After(until)
+		last := now.Add(interval).After(until)
+		ne.Repeated, ne.Polled = repeated, !last
+		ne.FinalAttempt = !st.started && !until.IsZero() && last
 		ch, ti, waited := st.pickOrWait(ctx, ne, cancel, interval)
-		if ti != nil || now.Add(interval).After(until) || ctx.Err() != nil {
+		if ti != nil || last || ctx.Err() != nil {
 			return ch, ti
 		}
 		if !waited && st.sv.Clock.Sleep(ctx, interval) != nil {
@@ -313,11 +320,19 @@
 	st.end(reason, ch.RetryAfter)
 }
 
+// endIfCallerGone ends the request if its caller has disconnected, and reports whether it did.
+func (st *stream) endIfCallerGone() bool {
+	if st.req.Context().Err() == nil && !errors.Is(st.cause, errCallerGone) {
+		return false
+	}
+	st.log.Info("front: answered.", "outcome", "caller-gone", "sends", st.sends, "events", st.events)
+	st.count("caller-gone")
+	return true
+}
+
 // endUnretried ends a request that can't be retried.
 func (st *stream) endUnretried(ctx context.Context, ch dispatch.Choice) {
-	if st.req.Context().Err() != nil || errors.Is(st.cause, errCallerGone) {
-		st.log.Info("front: answered.", "outcome", "caller-gone", "sends", st.sends, "events", st.events)
-		st.count("caller-gone")
+	if st.endIfCallerGone() {
 		return
 	}
 	reason := "attempts-failed"
