--- a/internal/core/steward/spread.go
+++ b/internal/core/steward/spread.go
@@ -13,10 +13,10 @@
 	return centers
 }
 
-// spreadSplits changes a plan so that the loss or the evacuation of a data centre, or the loss of a domain,
-// leaves as many groups of each model as possible. It changes the splits of two domains at a time and accepts only
+// spreadSplits changes a plan so that the loss or the evacuation of a data centre leaves as many groups
+// of each model as possible. It changes the splits of two domains at a time and accepts only
 // changes that keep the number of groups of each model, so that the plan serves as much as before while
-// nothing is lost. centers holds the data centre of each domain.
+// no data centre is lost. centers holds the data centre of each domain.
 func spreadSplits(plan []split, domains []int, centers []string, models []weightedSize) []split {
 	choices := make(map[int][]split)
 	for _, free := range domains {
@@ -24,12 +24,12 @@
 			choices[free] = enumerateSplits(free, models)
 		}
 	}
-	value := spreadValue(plan, centers, models)
+	value := valueAfterLoss(plan, centers, models)
 	for improved := true; improved; {
 		improved = false
 		for one := range plan {
 			for other := range one {
-				if !spreadPair(plan, one, other, choices[domains[one]], choices[domains[other]], centers, models, &value) {
+				if centers[one] == centers[other] || !spreadPair(plan, one, other, choices[domains[one]], choices[domains[other]], centers, models, &value) {
 					continue
 				}
 				improved = true
@@ -39,8 +39,8 @@
 	return plan
 }
 
-// spreadPair replaces the splits of two domains by the pair with the same numbers of groups of the
-// largest value, and updates value. It reports whether it found a better pair.
+// spreadPair replaces the splits of two domains by the pair with the same numbers of groups that is best
+// after the loss of a data centre, and updates value. It reports whether it found a better pair.
 func spreadPair(plan []split, one, other int, choices, otherChoices []split, centers []string, models []weightedSize, value *float64) bool {
 	wanted := groupCounts(models, plan[one], plan[other])
 	best, otherBest, found := plan[one], plan[other], false
@@ -50,7 +50,7 @@
 				continue
 			}
 			plan[one], plan[other] = sp, sq
-			if va := spreadValue(plan, centers, models); va > *value+minImprovement {
+			if va := valueAfterLoss(plan, centers, models); va > *value+minImprovement {
 				best, otherBest, *value, found = sp, sq, va, true
 			}
 		}
@@ -79,34 +79,24 @@
 	return true
 }
 
-// spreadValue returns the value of a plan: as balance computes it, plus the means of that after the loss of
-// each data centre and of each domain.
-func spreadValue(plan []split, centers []string, models []weightedSize) float64 {
+// valueAfterLoss returns the value of a plan as balance computes it, averaged over the losses of each
+// data centre.
+func valueAfterLoss(plan []split, centers []string, models []weightedSize) float64 {
 	total := groupCounts(models, plan...)
 	lost := make(map[string][]int)
-	domains := 0.0
 	for i, sp := range plan {
-		counts := groupCounts(models, sp)
-		domains += valueWithout(total, counts, models)
 		if lost[centers[i]] == nil {
 			lost[centers[i]] = make([]int, len(models))
 		}
-		for mi, num := range counts {
-			lost[centers[i]][mi] += num
+		for mi, mo := range models {
+			lost[centers[i]][mi] += sp[mi] / mo.size
 		}
 	}
-	dataCenters := 0.0
-	for _, counts := range lost {
-		dataCenters += valueWithout(total, counts, models)
-	}
-	return newBalance(plan, models).value() + domains/float64(max(1, len(plan))) + dataCenters/float64(max(1, len(lost)))
-}
-
-// valueWithout returns the value of the groups that remain.
-func valueWithout(total, lost []int, models []weightedSize) float64 {
 	sum := 0.0
-	for mi, mo := range models {
-		sum += mo.weight * math.Log(float64(total[mi]-lost[mi])+emptyModelGroups)
+	for _, counts := range lost {
+		for mi, mo := range models {
+			sum += mo.weight * math.Log(float64(total[mi]-counts[mi])+emptyModelGroups)
+		}
 	}
-	return sum
+	return sum / float64(max(1, len(lost)))
 }
