Let drained groups serve when the steward that exchanges them is lost

Cause: a view marks groups as draining during an exchange. Daemons kept the mark after the steward was lost, and views built from the store kept it too, so the groups served nothing until the first view of the successor.

Change: views say which groups drain only to be reassigned. Groups that drain because a member leaves or is slow stay drained.

--- a/internal/core/catalog/view.go
+++ b/internal/core/catalog/view.go
@@ -45,6 +45,9 @@
 	Members    []Member `json:"members"`
 	// Draining groups finish the requests that they have and accept no new ones.
 	Draining bool `json:"leaving,omitempty"`
+	// Reassigned is set if the group drains only because its members are to load another model.
+	// It could serve on if the steward that decided this is lost.
+	Reassigned bool `json:"reassigned,omitempty"`
 	// Slowness is that of the slowest member.
 	Slowness float64 `json:"slowness,omitempty"`
 	// Cold is set while the leader is cold.
@@ -110,6 +113,19 @@
 	return &drained
 }
 
+// WithoutReassignments returns a copy of the view in which the groups that drain only to be
+// reassigned accept requests.
+func (vi *View) WithoutReassignments() *View {
+	open := *vi
+	open.Groups = slices.Clone(vi.Groups)
+	for i := range open.Groups {
+		if gr := &open.Groups[i]; gr.Reassigned {
+			gr.Draining, gr.Reassigned = false, false
+		}
+	}
+	return &open
+}
+
 // Without returns a copy of the view without the plain endpoints for which
 // ended is true and without the groups for whose leaders it is true.
 func (vi *View) Without(ended func(li Instance) bool) *View {
--- a/internal/core/steward/lifecycle.go
+++ b/internal/core/steward/lifecycle.go
@@ -144,7 +144,13 @@
 // model, a member leaves or is slow and replaceable, or the leader is not registered and can't be
 // sent requests.
 func (co *Core) mustDrain(gr *group) bool {
-	if gr.reassigned || !co.vms[gr.members[0]].registered {
+	return gr.reassigned || co.unfit(gr)
+}
+
+// unfit reports whether the group's own state calls for draining it, as opposed to a decision to
+// exchange it.
+func (co *Core) unfit(gr *group) bool {
+	if !co.vms[gr.members[0]].registered {
 		return true
 	}
 	for _, id := range gr.members {
--- a/internal/core/steward/view.go
+++ b/internal/core/steward/view.go
@@ -23,7 +23,8 @@
 // member.
 func (co *Core) describe(gr *group) catalog.Group {
 	cg := catalog.Group{Name: gr.name, Epoch: gr.epoch, Service: gr.service, Model: gr.model,
-		DataCenter: co.vms[gr.members[0]].ep.DataCenter, Draining: !gr.drainingSince.IsZero(), Cold: co.vms[gr.members[0]].ep.Cold}
+		DataCenter: co.vms[gr.members[0]].ep.DataCenter, Draining: !gr.drainingSince.IsZero(),
+		Reassigned: gr.reassigned && !gr.drainingSince.IsZero() && !co.unfit(gr), Cold: co.vms[gr.members[0]].ep.Cold}
 	for _, id := range gr.members {
 		vm := co.vms[id]
 		cg.Members = append(cg.Members, catalog.Member{ID: id, Address: vm.ep.Address, Incarnation: vm.ep.Incarnation})
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -125,6 +125,8 @@
 	// lastStewardHeartbeat is when it arrived.
 	steward              mesh.Heartbeat
 	lastStewardHeartbeat time.Time
+	// ignoresReassignments is set while reassignments in the steward's view do not count.
+	ignoresReassignments bool
 	wg                   sync.WaitGroup
 	// misroutedAt is when a misrouted request was last logged.
 	misroutedAt time.Time
@@ -223,6 +225,7 @@
 func (ct *control) step() {
 	now := ct.da.Clock.Now()
 	ct.stepFollowing(now)
+	ct.stepReassignments(now)
 	ct.stepMissing(now)
 	ct.stepCold(now)
 	ct.settleEvacuation(now)
--- a/internal/entry/view.go
+++ b/internal/entry/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"corianderhub.dev/corianderhub/internal/core/catalog"
 	"corianderhub.dev/corianderhub/internal/mesh"
@@ -35,6 +36,9 @@
 		return
 	}
 	now := ct.da.Clock.Now()
+	if ct.ignoresReassignments = ct.reassignmentsVoid(now); ct.ignoresReassignments {
+		vi = vi.WithoutReassignments()
+	}
 	vi = ct.departed.filter(vi)
 	first := ct.da.view.Swap(vi) == nil
 	if or := ct.evacuation.Order(); len(or.DataCenters) > 0 {
@@ -51,6 +55,30 @@
 	}
 }
 
+// stepReassignments updates the view when reassignments in it begin or cease to count. The exchange
+// of a group ends with the steward that decided it, since its successor starts without reservations.
+// Otherwise the groups that drained for it would serve nothing until the successor's first view.
+func (ct *control) stepReassignments(now time.Time) {
+	if ct.reassignmentsVoid(now) != ct.ignoresReassignments {
+		ct.updateView()
+	}
+}
+
+// reassignmentsVoid reports whether the steward whose view this daemon uses has been replaced, or
+// has not been heard for staleAfter.
+func (ct *control) reassignmentsVoid(now time.Time) bool {
+	switch vi := ct.stewardView; {
+	case vi == nil || vi.Term == 0:
+		return false
+	case ct.lease.core != nil:
+		return vi.Term < ct.lease.term
+	case ct.lastStewardHeartbeat.IsZero():
+		return false
+	default:
+		return vi.Term < ct.steward.Term || now.Sub(ct.lastStewardHeartbeat) > staleAfter
+	}
+}
+
 // applyViewUpdate brings the view up to the steward's new one. It applies the change sent
 // with the heartbeat if that matches the current view, and fetches the whole view
 // otherwise.
