--- a/internal/core/steward/staging_test.go
+++ b/internal/core/steward/staging_test.go
@@ -295,3 +295,52 @@
 	}
 	si.checkLoadRate()
 }
+
+// Guards against groups that stay without requests because an earlier steward drained them for an
+// exchange. Its successor knows no reservations, so the groups must count and serve at once, also
+// those that have left their groups already.
+func TestTakeOverDuringExchange(t *testing.T) {
+	for _, after := range []time.Duration{100 * time.Millisecond, 1500 * time.Millisecond, 3 * time.Second} {
+		si := newStagingSimulation(t, 1, 6, 27, stagingModels(12, 6))
+		for end := si.now.Add(5 * time.Second); si.runWithDemand(2.5, 8.9, simStep) == 0; {
+			if si.now.After(end) {
+				t.Fatal("no exchange")
+			}
+		}
+		var leaders []string
+		for _, gr := range si.core.groups {
+			if gr.reassigned {
+				leaders = append(leaders, gr.members[0])
+			}
+		}
+		si.setRunning(leaders, 3)
+		si.runWithDemand(2.5, 8.9, min(after, 2*time.Second))
+		si.setRunning(leaders, 0)
+		si.runWithDemand(2.5, 8.9, max(0, after-2*time.Second))
+		si.register()
+		si.takeOver()
+		begin, idle := si.now, 0
+		for si.now.Sub(begin) < time.Second {
+			si.runWithDemand(2.5, 8.9, simStep)
+			serving := 0
+			for _, gr := range si.core.Groups() {
+				if !gr.Draining && si.core.serves(si.core.groups[groupKey{gr.Name, gr.Epoch}], si.now) {
+					serving += len(gr.Members)
+				}
+			}
+			idle += 144 - serving
+		}
+		seconds := float64(idle) * simStep.Seconds()
+		t.Logf("steward replaced %v after the release: %d VMs drained, %.1f VM seconds without a group", after, 12*len(leaders), seconds)
+		if most := 24.0; seconds > most || after < 2*time.Second && seconds > 1 {
+			t.Errorf("steward replaced %v after the release: %.1f VM seconds without a group in the first second, want at most %.0f", after, seconds, most)
+		}
+	}
+}
+
+// setRunning sets the number of requests that the VMs report as running.
+func (si *simulation) setRunning(ids []string, num int) {
+	for _, id := range ids {
+		si.fleet.Update(id, func(vm *emulator.VM) { vm.Running = num })
+	}
+}
