Drop reservations that wait for a slow or leaving VM

Cause: dropInfeasibleTargets counted reserved VMs that leave or are slow. They join no new group, so the other VMs of the exchange stayed reserved and idle.

Change: such VMs do not count.

Result: 8 s after the release 11 VMs were reserved in both cases of TestReservedVMBecomesUnusable, now none.

--- a/internal/core/steward/rebalance.go
+++ b/internal/core/steward/rebalance.go
@@ -282,12 +282,12 @@
 }
 
 // dropInfeasibleTargets releases VMs that are reserved for a model when their domain can no
-// longer form another group of it, because one of them died or already serves. They would
-// otherwise stay idle forever.
+// longer form another group of it, because one of them died, leaves, is slow or already serves. They
+// would otherwise stay idle forever.
 func (co *Core) dropInfeasibleTargets(service string, en *catalog.Engine) {
 	needed, held := make(map[domainModel]int), co.heldOrLoading(service)
 	for _, vm := range co.vms {
-		if vm.ep.Service == service && vm.targetModel != "" && !vm.down {
+		if vm.ep.Service == service && vm.targetModel != "" && !vm.down && !vm.ep.Leaving && !vm.ep.Slow() {
 			needed[domainModel{vm.ep.Domain, vm.targetModel}]++
 		}
 	}
--- a/internal/core/steward/staging_test.go
+++ b/internal/core/steward/staging_test.go
@@ -344,3 +344,39 @@
 		si.fleet.Update(id, func(vm *emulator.VM) { vm.Running = num })
 	}
 }
+
+// Guards against VMs that stay reserved and idle after an exchange because another reserved VM of
+// their domain has become slow or leaves, so that no group can be formed with it.
+func TestReservedVMBecomesUnusable(t *testing.T) {
+	tests := map[string]func(*emulator.VM){
+		"slow":    func(vm *emulator.VM) { vm.Slowness = 9 },
+		"leaving": func(vm *emulator.VM) { vm.Leaving = true },
+	}
+	for name, change := range tests {
+		t.Run(name, func(t *testing.T) {
+			si := newStagingSimulation(t, 1, 6, 24, stagingModels(12, 6))
+			for end := si.now.Add(5 * time.Second); si.runWithDemand(8, 3, simStep) == 0; {
+				if si.now.After(end) {
+					t.Fatal("no exchange")
+				}
+			}
+			changed := ""
+			for _, id := range si.fleet.IDs() {
+				if changed == "" && si.core.vms[id].targetModel == "large" {
+					changed = id
+					si.fleet.Update(id, change)
+				}
+			}
+			si.runWithDemand(8, 3, 8*time.Second)
+			reserved := 0
+			for id, vm := range si.core.vms {
+				if id != changed && vm.targetModel != "" {
+					reserved++
+				}
+			}
+			if reserved > 0 {
+				t.Errorf("%d VMs are still reserved, want 0", reserved)
+			}
+		})
+	}
+}
