--- a/cmd/corianderhub/front.go
+++ b/cmd/corianderhub/front.go
@@ -19,13 +19,20 @@
 
 The environment variable CORIANDERHUB_SETTINGS names the platform's settings
 file. SIGTERM stops the daemon gracefully. SIGHUP makes it read the file again and
-log whether it is valid; the settings in use do not change.`
+log whether it is valid; the settings in use do not change.
+
+All daemons of a deployment need the same values of --wait-for-slot, --fair-shares
+and --schedule-returns.`
 
 type frontCommand struct {
 	ctx         context.Context
 	MetricsPort int    `long:"metrics-port" default:"9464" description:"port of /metrics, 0 for none"`
 	Log         string `long:"log" choice:"text" choice:"json" default:"text" description:"format of log lines"`
 	Verbose     bool   `long:"verbose" description:"log every attempt"`
+
+	WaitForSlot     bool `long:"wait-for-slot" description:"let requests that find all groups full wait for a slot of this daemon"`
+	FairShares      bool `long:"fair-shares" description:"when groups are full, refuse requests of workspaces above their fair share first"`
+	ScheduleReturns bool `long:"schedule-returns" description:"tell callers that are refused a time to return at which capacity is reserved"`
 }
 
 // heapFraction is the fraction of the memory limit that the heap may fill before
@@ -60,7 +67,8 @@
 		<-flushed
 	}()
 	go checkSettingsOnHangup(logCtx, file, log)
-	da := &entry.Daemon{Settings: set, Clock: clock.System{}, Log: log, MetricsPort: fc.MetricsPort}
+	da := &entry.Daemon{Settings: set, Clock: clock.System{}, Log: log, MetricsPort: fc.MetricsPort,
+		Overload: entry.Overload{BoundedWait: fc.WaitForSlot, FairShares: fc.FairShares, ScheduleReturns: fc.ScheduleReturns}}
 	return da.Run(fc.ctx)
 }
 
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -58,12 +58,6 @@
 	// bodyMemoryDivisor is the part of the machine's memory that request and response bodies may
 	// fill. The heap grows to about twice what is in use before it is collected.
 	bodyMemoryDivisor = 4
-	// boundedWait makes requests without a group wait for a slot of this daemon. It is off until a
-	// deployment's runs show that callers are served better with it.
-	boundedWait = false
-	// fairShares makes workspaces above their fair share of the groups be refused first. It is off
-	// for the same reason.
-	fairShares = false
 	// budgetShare is the share of the retry budget's slack that is divided among all
 	// daemons. The rest covers daemons that restart and lose their counts.
 	budgetShare = 0.5
@@ -72,11 +66,26 @@
 	minBudgetDaemons = 3
 )
 
+// Overload selects what is done with requests that the groups have no room for. All daemons of a
+// deployment need the same values.
+type Overload struct {
+	// BoundedWait makes them wait for a slot of this daemon's own requests
+	// (docs/design/admission-by-rank.md).
+	BoundedWait bool
+	// FairShares refuses those of workspaces above their fair share first.
+	FairShares bool
+	// ScheduleReturns tells their callers a time to return at which capacity is reserved
+	// (docs/design/retry-scheduling.md).
+	ScheduleReturns bool
+}
+
 // Daemon is the daemon of an entry VM. Set the exported fields before calling Run.
 type Daemon struct {
 	Settings platform.Settings
 	Clock    clock.Clock
 	Log      *slog.Logger
+	// Overload selects what is done with requests that the groups have no room for.
+	Overload Overload
 	// MetricsPort is the port for metrics; 0 disables them.
 	MetricsPort int
 
@@ -156,10 +165,6 @@
 	da.group.Add(func() error { return fn(actorCtx) }, func(error) { cancel() })
 }
 
-// scheduleReturns enables reserved return times in refusals for lack of capacity; see
-// docs/design/retry-scheduling.md.
-const scheduleReturns = true
-
 // build creates the daemon's components and opens the UDP socket for heartbeats.
 func (da *Daemon) build() error {
 	set := da.Settings
@@ -174,7 +179,8 @@
 	da.pool = &http1.Pool{Clock: da.Clock, Dial: da.dialer.Dial}
 	da.relay = &relay.Server{Direct: da.dialer.DirectForOthers, IsDaemon: func(ip string) bool { return da.mesh.Knows(ip) }}
 	da.backpressure = &backpressure.Tracker{}
-	da.table = &dispatch.Table{DataCenter: set.DataCenter, Backpressure: da.backpressure, BoundedWait: boundedWait, ScheduleReturns: scheduleReturns, FairShares: fairShares}
+	da.table = &dispatch.Table{DataCenter: set.DataCenter, Backpressure: da.backpressure,
+		BoundedWait: da.Overload.BoundedWait, ScheduleReturns: da.Overload.ScheduleReturns, FairShares: da.Overload.FairShares}
 	da.plain = &dispatch.PlainTable{DataCenter: set.DataCenter, Backpressure: da.backpressure}
 	da.quarantine = &quarantine.Ledger{}
 	conn, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.ParseIP(set.IP), Port: set.InternalPorts[0]})
