--- a/internal/core/dispatch/returns_test.go
+++ b/internal/core/dispatch/returns_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 )
@@ -104,10 +105,11 @@
 	}
 	for _, tc := range tests {
 		t.Run(tc.name, func(t *testing.T) {
-			const tries = 400
+			const tries = 4000
 			mean := 0.0
-			for range tries {
+			for i := range uint64(tries) {
 				ta := table(group("one", "here"))
+				ta.Rand = rand.New(rand.NewPCG(1, i))
 				ta.ScheduleReturns = tc.schedule
 				ta.ApplyPeerWork("peer", Work{Returns: map[string]Returns{"large": tc.peers}}, begin)
 				mean += ta.reserve(returningRequest(tc.waited), begin) / tries
