--- a/internal/core/dispatch/peers.go
+++ b/internal/core/dispatch/peers.go
@@ -15,13 +15,21 @@
 
 // Work is the load that one or several daemons place on the groups.
 type Work struct {
-	// Loads is the load sent to each group, by group name.
-	Loads map[string]Load `cbor:"1,keyasint,omitempty"`
+	// Loads is the load sent to each group. Number 1 was the same in an earlier encoding.
+	Loads GroupLoads `cbor:"8,keyasint,omitempty"`
 	// Rates is the rate of requests for each model, per second.
 	Rates map[string]float32 `cbor:"2,keyasint,omitempty"`
 	// Demand is the demand for each model. It is not relayed: only the steward uses it, and each
 	// daemon reports its own to the steward.
 	Demand map[string]catalog.Demand `cbor:"3,keyasint,omitempty"`
+	// Readings holds recent loads that groups' leaders have stated, the newest of each group.
+	Readings GroupReadings `cbor:"4,keyasint,omitempty"`
+	// Ranks is the rate of requests for each model by rank.
+	Ranks rankRates `cbor:"5,keyasint,omitempty"`
+	// Shares is the work of workspaces, or which of them are above their share.
+	Shares Shares `cbor:"6,keyasint,omitzero"`
+	// Returns is the rate of returning requests for each model.
+	Returns map[string]Returns `cbor:"7,keyasint,omitempty"`
 }
 
 // peerWork is the work reported by another daemon, with the time of the report.
@@ -38,11 +46,27 @@
 	if ta.peers == nil {
 		return
 	}
+	ta.endBlindness()
 	ta.replacePeerWork(relayedPeer, Work{})
 	ta.replacePeerWork(peer, wo)
-	ta.peers[peer] = peerWork{wo, now}
+	ta.peers[peer], ta.reportedAt = peerWork{wo, now}, now
 	delete(ta.peers, relayedPeer)
-	if now.Sub(ta.expiredAt) > maxPeerLoadAge/4 {
+	ta.expirePeers(now)
+	ta.recordEstimates(now)
+	ta.applyPeerReadings(peer, wo.Readings, now)
+}
+
+// endBlindness resets the corrections if there was no report of another daemon so far: they stand for
+// the requests that the reports will now tell.
+func (ta *Table) endBlindness() {
+	if len(ta.peers) == 0 {
+		ta.resetAccounts()
+	}
+}
+
+// expirePeers deletes expired reports from time to time.
+func (ta *Table) expirePeers(now time.Time) {
+	if len(ta.peers) > 0 && now.Sub(ta.expiredAt) > maxPeerLoadAge/4 {
 		ta.expiredAt = now
 		ta.sumPeers(now)
 	}
@@ -59,6 +83,10 @@
 	for model, perSecond := range before.Rates {
 		ta.peerRates[model] -= perSecond
 	}
+	ta.peerRanks.add(before.Ranks, -1)
+	for model, re := range before.Returns {
+		ta.peerReturns[model] = ta.peerReturns[model].minus(re)
+	}
 	ta.addPeerWork(wo)
 }
 
@@ -72,6 +100,10 @@
 	for model, perSecond := range wo.Rates {
 		ta.peerRates[model] += perSecond
 	}
+	ta.peerRanks.add(wo.Ranks, 1)
+	for model, re := range wo.Returns {
+		ta.peerReturns[model] = ta.peerReturns[model].plus(re)
+	}
 }
 
 // ApplyRelayedWork records the combined work of all other daemons. It replaces the reports of single
@@ -82,9 +114,12 @@
 	if ta.peers == nil {
 		return
 	}
+	ta.endBlindness()
 	clear(ta.peers)
-	ta.peers[relayedPeer] = peerWork{wo, now}
+	ta.peers[relayedPeer], ta.reportedAt = peerWork{wo, now}, now
 	ta.sumPeers(now)
+	ta.recordEstimates(now)
+	ta.applyPeerReadings(relayedPeer, wo.Readings, now)
 }
 
 // sumPeers recomputes the sums over all other daemons and deletes expired reports.
@@ -93,20 +128,28 @@
 		gr.peerLoad = Load{}
 	}
 	clear(ta.peerRates)
+	known := len(ta.peers)
+	clear(ta.peerRanks)
+	clear(ta.peerReturns)
 	for peer, pe := range ta.peers {
 		if now.Sub(pe.at) > maxPeerLoadAge {
 			delete(ta.peers, peer)
+			ta.withdrawReport(pe.Work, now)
 			continue
 		}
 		ta.addPeerWork(pe.Work)
 	}
+	if known > 0 && len(ta.peers) == 0 {
+		ta.resetAccounts()
+	}
 }
 
 // OwnWork returns the work of this daemon.
 func (ta *Table) OwnWork(now time.Time) Work {
 	ta.mu.Lock()
 	defer ta.mu.Unlock()
-	wo := Work{Loads: make(map[string]Load, len(ta.groups)), Rates: ta.rates.all(now), Demand: ta.ownDemand(now)}
+	wo := Work{Loads: make(map[string]Load, len(ta.groups)), Rates: ta.rates.all(now), Demand: ta.ownDemand(now),
+		Readings: ta.sharedReadings("", true, now), Ranks: ta.rankCounters.all(now), Returns: ta.ownReturns(now), Shares: ta.ownShares(now)}
 	for name, gr := range ta.groups {
 		if gr.ownLoad.Requests > 0 {
 			wo.Loads[name] = gr.ownLoad
@@ -121,7 +164,7 @@
 	ta.mu.Lock()
 	defer ta.mu.Unlock()
 	reported := ta.peers[peer]
-	wo := Work{Loads: make(map[string]Load, len(ta.groups)), Rates: ta.rates.all(now)}
+	wo := Work{Loads: make(map[string]Load, len(ta.groups)), Rates: ta.rates.all(now), Readings: ta.sharedReadings(peer, false, now), Returns: ta.ownReturns(now)}
 	for name, gr := range ta.groups {
 		if lo := gr.ownLoad.plus(gr.peerLoad).minus(reported.Loads[name]); lo.Requests > 0 {
 			wo.Loads[name] = lo
@@ -132,5 +175,15 @@
 			wo.Rates[model] += others
 		}
 	}
+	wo.Ranks = ta.rankCounters.all(now)
+	wo.Ranks.add(ta.peerRanks, 1)
+	wo.Ranks.add(reported.Ranks, -1)
+	wo.Ranks.trim()
+	for model, re := range ta.peerReturns {
+		if others := re.minus(reported.Returns[model]); others.Due > minReturns || others.Came > minReturns {
+			wo.Returns[model] = wo.Returns[model].plus(others)
+		}
+	}
+	wo.Shares.Over = ta.overusers(now)
 	return wo
 }
--- a/internal/core/dispatch/table.go
+++ b/internal/core/dispatch/table.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"corianderhub.dev/corianderhub/internal/core/admit"
 	"corianderhub.dev/corianderhub/internal/core/backpressure"
 	"corianderhub.dev/corianderhub/internal/core/catalog"
 )
@@ -19,7 +20,16 @@
 	// Backpressure holds the limits that endpoints report; nil means no limits.
 	Backpressure *backpressure.Tracker
 	// Rand is the random source of selections; nil means a randomly seeded one.
-	Rand   *rand.Rand
+	Rand *rand.Rand
+	// BoundedWait makes requests that are refused but can still meet their objective wait for a slot
+	// of this daemon's own requests.
+	BoundedWait bool
+	// ScheduleReturns makes refusals for lack of capacity name a reserved time to return, and gives
+	// precedence to the requests that return then.
+	ScheduleReturns bool
+	// FairShares makes requests of workspaces above their fair share be refused first.
+	FairShares bool
+
 	mu     sync.Mutex
 	groups map[string]*Group
 	// byName lists the groups in the order of their names.
@@ -28,10 +38,21 @@
 	peers map[string]peerWork
 	// reportDelay is the mean age of the other daemons' reports when they are used.
 	reportDelay time.Duration
+	// models holds the models whose requests are measured; nil before the first view.
+	models map[string]bool
 	// rates holds the rate of requests at this daemon, peerRates the sum of the rates at the other
 	// daemons, both by model and per second.
 	rates     arrivals
 	peerRates map[string]float32
+	// rankCounters measures the requests at this daemon by model and rank, peerRanks is the sum of
+	// the rates at the other daemons. reportedAt is when the last report of one was received.
+	rankCounters rankCounters
+	peerRanks    rankRates
+	reportedAt   time.Time
+	// calendar holds the return times that this daemon promised, peerReturns the returning requests
+	// at the other daemons, by model.
+	calendar    admit.Calendar
+	peerReturns map[string]Returns
 	// demands is the demand for each model at this daemon.
 	demands demands
 	// estimatedUntil is the time of the last estimate of the others' requests, by model.
@@ -47,6 +68,18 @@
 	firstRequestAt time.Time
 	// moves holds the requests of groups that broke recently.
 	moves moves
+	// readings is set once a server has stated its load.
+	readings bool
+	// work measures the work of workspaces at this daemon. over lists the workspaces above their
+	// share by model, as computed at overAt.
+	work   workspaceWork
+	over   map[string]map[string]admit.Overuse
+	overAt time.Time
+	// waiting holds the requests that wait for a slot, freed the rate at which this daemon's requests
+	// free slots, by model. waitStopped is set once the daemon stops.
+	waiting     admit.WaitQueues[*Waiter]
+	freed       arrivals
+	waitStopped bool
 	// expiredAt is when expired reports of other daemons were last removed.
 	expiredAt time.Time
 }
@@ -61,12 +94,28 @@
 	Objective time.Duration
 	// MaxPause is the longest acceptable pause between events.
 	MaxPause time.Duration
+	// Waited is how long the caller has waited since its first attempt, Left the time until its
+	// timeout; 0 if unknown.
+	Waited, Left time.Duration
 	// MaxWait is the longest wait for the first event after which the answer is still useful.
 	MaxWait time.Duration
 	// FinalAttempt is set for a late request that cannot be delayed any further.
 	FinalAttempt bool
+	// Rank is the urgency of the request, from 0, the most urgent, to 9. Workspace is the name of its
+	// caller's workspace, empty if there is none.
+	Rank      int
+	Workspace string
+	// Bytes is the memory that the request takes while it waits for a slot. Wake is called when the
+	// wait is over, without or with a slot; it must not block or call the table. A request without
+	// Wake does not wait.
+	Bytes int64
+	Wake  func()
 	// Resumed is set for a request whose caller has received a part of the answer.
 	Resumed bool
+	// Repeated is set if the request was passed to Pick before and has not been sent since, so that
+	// it is counted once. Polled is set if it will be passed to Pick again when it is refused, so that
+	// no time to return is reserved for it.
+	Repeated, Polled bool
 	// Exclude lists the groups that the request was already sent to.
 	Exclude []*Group
 }
@@ -87,6 +136,14 @@
 	ta.reportDelay = delay
 }
 
+// initMeasurements creates the maps of measured requests. Requests may arrive before the first view.
+func (ta *Table) initMeasurements() {
+	if ta.rates == nil {
+		ta.rates, ta.estimatedUntil, ta.demands = make(arrivals), make(map[string]time.Time), make(demands)
+		ta.rankCounters = make(rankCounters)
+	}
+}
+
 // Update applies a view. Groups that remain keep their measured state.
 func (ta *Table) Update(vi *catalog.View, cfg *catalog.Config, now time.Time) {
 	ta.mu.Lock()
@@ -95,8 +152,12 @@
 		ta.groups = make(map[string]*Group)
 		ta.peers = make(map[string]peerWork)
 		ta.peerRates = make(map[string]float32)
+		ta.peerRanks = make(rankRates)
+		ta.peerReturns = make(map[string]Returns)
 		ta.residuals = make(residuals)
+		ta.initMeasurements()
 	}
+	ta.setModels(vi, cfg)
 	for _, gr := range ta.groups {
 		gr.inView = false
 	}
--- a/internal/core/dispatch/waterfill.go
+++ b/internal/core/dispatch/waterfill.go
@@ -33,8 +33,8 @@
 // estimatePeers advances to now the estimates of the requests that the other daemons have sent to a
 // model's groups since their last reports.
 func (ta *Table) estimatePeers(model string, now time.Time) {
-	var groups []*Group
-	var unavailable []bool
+	ta.expirePeers(now)
+	groups, unavailable := make([]*Group, 0, len(ta.byName)), make([]bool, 0, len(ta.byName))
 	for _, gr := range ta.byName {
 		if gr.Model == model && gr.inView {
 			groups = append(groups, gr)
@@ -49,16 +49,22 @@
 	from := ta.estimatedUntil[model]
 	ta.estimatedUntil[model] = now
 	since := min(now.Sub(from), estimateHorizonDelays*ta.reportDelay)
+	if since <= 0 {
+		return
+	}
+	bases, levels := make([]levelBase, len(groups)), make([]level, len(groups))
+	for i, gr := range groups {
+		bases[i] = ta.levelBase(gr, now)
+		if unavailable[i] {
+			bases[i].room = 0
+		}
+	}
 	for ; since > 0; since -= estimateStep {
 		step := min(since, estimateStep)
-		levels := make([]level, len(groups))
 		for i, gr := range groups {
-			levels[i] = ta.level(gr)
-			if unavailable[i] {
-				levels[i].room = 0
-			}
+			levels[i] = bases[i].level(gr.unreported)
 		}
-		shares, _ := fill(levels, perSecond*step.Seconds())
+		shares := ta.fillRanks(model, groups, levels, perSecond, step)
 		decay := math.Exp(-step.Seconds() / ta.reportDelay.Seconds())
 		for i, gr := range groups {
 			gr.unreported = (gr.unreported + shares[i]) * decay
@@ -74,19 +80,46 @@
 	room float64
 }
 
-// level estimates a group's load: the requests that this daemon sent, plus those that the others
-// reported minus the ones that have ended since, plus those that they are expected to have sent
-// since.
-func (ta *Table) level(gr *Group) level {
-	answer := max(minAnswerTime, answerTime(gr.engine, gr.ownLoad.plus(gr.peerLoad), gr.model.TimeFactor()*gr.slowness()))
+// level estimates a group's load, corrected by the load that its leader states. The correction never
+// lowers the estimate below the requests that this daemon itself has at the group.
+func (ta *Table) level(gr *Group, now time.Time) level {
+	return ta.levelBase(gr, now).level(gr.unreported)
+}
+
+// levelBase is what a group's level is computed from, besides the requests that the other daemons have
+// sent since their reports.
+type levelBase struct {
+	// own is the number of requests that this daemon sent, reported the one that the others reported
+	// minus those that have ended since.
+	own, reported float64
+	// correction is the correction by the load that the leader states.
+	correction float64
+	room       float64
+}
+
+// level returns the level if the others have sent that many requests since their reports.
+func (lb levelBase) level(unreported float64) level {
+	return level{load: lb.own + max(0, lb.reported+unreported+lb.correction), room: lb.room}
+}
+
+// levelBase returns the base of a group's level at now.
+func (ta *Table) levelBase(gr *Group, now time.Time) levelBase {
+	answer := gr.answerTime()
 	remaining := max(0, 1-ta.reportDelay.Seconds()/answer.Seconds())
 	slots := float64(gr.engine.Slots)
-	return level{
-		load: float64(gr.ownLoad.Requests) + float64(gr.peerLoad.Requests)*remaining + gr.unreported,
-		room: slots - unreportedMargin*unreportedDeviation(slots, ta.reportDelay, answer),
+	return levelBase{
+		own:        float64(gr.ownLoad.Requests),
+		reported:   float64(gr.peerLoad.Requests) * remaining,
+		correction: gr.account.Correction(now, answer),
+		room:       slots - unreportedMargin*unreportedDeviation(slots, ta.reportDelay, answer),
 	}
 }
 
+// answerTime returns the mean duration of an answer of the group under its present load.
+func (gr *Group) answerTime() time.Duration {
+	return max(minAnswerTime, answerTime(gr.engine, gr.ownLoad.plus(gr.peerLoad), gr.model.TimeFactor()*gr.slowness()))
+}
+
 // unreportedMargin is the headroom left in each group, in standard deviations of the unreported
 // change of its load.
 const unreportedMargin = 0.6
--- a/internal/core/steward/form.go
+++ b/internal/core/steward/form.go
@@ -38,6 +38,11 @@
 		co.dropInfeasibleTargets(service, en)
 		calls = append(calls, co.formWarm(service, en, doms, now)...)
 		calls = append(calls, co.startLoads(service, en, doms, now)...)
+		if en.StagesModels() {
+			calls = append(calls, co.stageModels(service, en, now)...)
+			calls = append(calls, co.followDemand(service, en, doms, now)...)
+			continue
+		}
 		co.rebalance(service, en, doms, now)
 	}
 	return calls
@@ -127,7 +132,11 @@
 		}
 	}
 	var calls []Call
-	for i, sp := range planSplits(sizes, co.weightedSizes(en)) {
+	plan := planSplits(sizes, co.weightedSizes(en))
+	if co.SpreadDataCenters {
+		plan = spreadSplits(plan, sizes, co.dataCentersOf(doms), co.weightedSizes(en))
+	}
+	for i, sp := range plan {
 		for mi, num := range sp {
 			for range num / en.Models[mi].Size {
 				calls = append(calls, co.formGroup(service, en.Models[mi], doms[i], now)...)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -72,6 +72,7 @@
 	era          era
 	memberClient endpoint.MemberClient
 	callerServer *caller.Server
+	quarantine   *quarantineExchange
 	journal      *caller.Journal
 	// drainRequested is closed by Drain, once.
 	drainRequested chan struct{}
@@ -109,6 +110,7 @@
 	add(da.loop.run)
 	add(da.node.Run)
 	add(da.claims.Run)
+	add(da.quarantine.run)
 	add(da.serveHTTP(ls.caller, otelhttp.NewHandler(da.callerServer.Handler(), "caller")))
 	add(da.serveHTTP(ls.operator, otelhttp.NewHandler(da.operatorServer().Handler(), "operator")))
 	add(da.serveHTTP(ls.metrics, metricsHandler()))
@@ -169,7 +171,7 @@
 }
 
 func (da *Daemon) operatorServer() *operator.Server {
-	return &operator.Server{State: da, Chain: da.chain, Clock: da.Clock, Log: da.Log, Journal: da.journal,
+	return &operator.Server{State: da, Chain: da.chain, Clock: da.Clock, Log: da.Log, Journal: da.journal, Quarantine: da.quarantine,
 		TokenSHA256: da.Settings.Operator.TokenSHA256}
 }
 
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -66,11 +66,26 @@
 	minBudgetDaemons = 3
 )
 
+// Overload selects what is done with requests that the groups have no room for. All daemons of a
+// deployment need the same values.
+type Overload struct {
+	// BoundedWait makes them wait for a slot of this daemon's own requests
+	// (docs/design/admission-by-rank.md).
+	BoundedWait bool
+	// FairShares refuses those of workspaces above their fair share first.
+	FairShares bool
+	// ScheduleReturns tells their callers a time to return at which capacity is reserved
+	// (docs/design/retry-scheduling.md).
+	ScheduleReturns bool
+}
+
 // Daemon is the daemon of an entry VM. Set the exported fields before calling Run.
 type Daemon struct {
 	Settings platform.Settings
 	Clock    clock.Clock
 	Log      *slog.Logger
+	// Overload selects what is done with requests that the groups have no room for.
+	Overload Overload
 	// MetricsPort is the port for metrics; 0 disables them.
 	MetricsPort int
 
@@ -79,6 +94,7 @@
 	control *control
 	mesh    *mesh.Mesh
 	peers   *mesh.Client
+	trials  trials
 	dialer  *relay.Dialer
 	relay   *relay.Server
 	pool    *http1.Pool
@@ -163,7 +179,8 @@
 	da.pool = &http1.Pool{Clock: da.Clock, Dial: da.dialer.Dial}
 	da.relay = &relay.Server{Direct: da.dialer.DirectForOthers, IsDaemon: func(ip string) bool { return da.mesh.Knows(ip) }}
 	da.backpressure = &backpressure.Tracker{}
-	da.table = &dispatch.Table{DataCenter: set.DataCenter, Backpressure: da.backpressure}
+	da.table = &dispatch.Table{DataCenter: set.DataCenter, Backpressure: da.backpressure,
+		BoundedWait: da.Overload.BoundedWait, ScheduleReturns: da.Overload.ScheduleReturns, FairShares: da.Overload.FairShares}
 	da.plain = &dispatch.PlainTable{DataCenter: set.DataCenter, Backpressure: da.backpressure}
 	da.quarantine = &quarantine.Ledger{}
 	conn, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.ParseIP(set.IP), Port: set.InternalPorts[0]})
@@ -183,9 +200,11 @@
 		OnCompletion: func(fp quarantine.Fingerprint, took time.Duration) {
 			da.control.post(func() { da.control.subjectCompleted(fp, took) })
 		},
-		MayProbe: func() bool { return da.control.acting.Load() },
+		MayProbe:   func() bool { return da.control.acting.Load() },
+		ClaimTrial: func(ctx context.Context, rq quarantine.Request) bool { return da.trials.claim(ctx, rq) },
 		Budget: &dispatch.Budget{StartedAt: da.Clock.Now(), Ratio: set.Bounds.RetryRatio, Window: set.Bounds.RetryWindow,
 			Slack: set.Bounds.RetrySlack * budgetShare / minBudgetDaemons}}
+	da.trials.da = da
 	da.control = newControl(da)
 	return nil
 }
@@ -313,6 +332,7 @@
 func (da *Daemon) peerHandler() http.Handler {
 	sv := &mesh.Server{View: da.view.Load, Daemons: da.mesh.Known,
 		Quarantine:   func() []quarantine.Entry { return da.quarantine.Entries(da.Clock.Now()) },
+		ClaimTrial:   da.trials.grant,
 		Backpressure: func() []backpressure.Notice { return da.backpressure.Notices(da.Clock.Now()) },
 		Config: func() ([]byte, int64) {
 			if co := da.config.Load(); co != nil {
@@ -339,6 +359,7 @@
 	da.Log.Info("daemon: stopping.", "name", da.Settings.Name, "working", da.front.InFlight())
 	da.stopping.Store(true)
 	da.front.SetStopping()
+	da.table.StopWaiting()
 	da.control.post(da.control.leave)
 	if da.Clock.Sleep(actorCtx, acceptFor) != nil {
 		return nil
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -49,6 +49,8 @@
 	// between two events. choice is the last chosen group with its prediction.
 	firstEvent, maxPause time.Duration
 	choice               dispatch.Choice
+	// refusedBy is the choice that named no group; nil if there is none.
+	refusedBy *dispatch.Choice
 	// state is the verdict over all attempts.
 	state verdict.Verdict
 	// final is a response without events, to be forwarded unchanged.
@@ -102,7 +104,9 @@
 	}
 	ch, ti := st.pick(attemptCtx, onStall)
 	if ti == nil {
-		st.endNoGroup(ch)
+		if !st.endIfCallerGone() {
+			st.endNoGroup(ch)
+		}
 		return ch, true
 	}
 	defer ti.End()
@@ -116,6 +120,9 @@
 	}
 	st.tried = append(st.tried, ch.Group)
 	st.choice = ch
+	if stalled(attemptCtx) {
+		return ch, false
+	}
 	st.log.Debug("front: sent.", "group", ch.Group.Name, "predicted-ms", ch.FirstEvent.Milliseconds(), "fits", ch.MeetsObjective)
 	sent := st.sv.Clock.Now()
 	leader := ch.Group.Leader()
@@ -139,6 +146,7 @@
 	st.state = verdict.Ran
 	err = st.relay(attemptCtx, ex, ti, ch, sent)
 	if err == nil {
+		ti.EndAt(st.sv.Clock.Now())
 		st.finish(sent)
 		return ch, true
 	}
@@ -184,12 +192,17 @@
 	if !st.started {
 		interval, until = latePollInterval, st.delayLate(ctx)
 	}
-	for {
+	for repeated := false; ; repeated = true {
 		now := st.sv.Clock.Now()
 		ne := st.dispatchRequest(now)
-		ne.FinalAttempt = !st.started && !until.IsZero() && now.Add(interval).After(until)
-		ch, ti := st.sv.Table.Pick(ne, cancel, now)
-		if ti != nil || now.Add(interval).After(until) || st.sv.Clock.Sleep(ctx, interval) != nil {
+		last := now.Add(interval).After(until)
+		ne.Repeated, ne.Polled = repeated, !last
+		ne.FinalAttempt = !st.started && !until.IsZero() && last
+		ch, ti, waited := st.pickOrWait(ctx, ne, cancel, interval)
+		if ti != nil || last || ctx.Err() != nil {
+			return ch, ti
+		}
+		if !waited && st.sv.Clock.Sleep(ctx, interval) != nil {
 			return ch, ti
 		}
 	}
@@ -198,7 +211,11 @@
 // dispatchRequest returns the request and its current latency limits, as Pick expects them.
 func (st *stream) dispatchRequest(now time.Time) dispatch.Request {
 	ne := dispatch.Request{Service: st.service, Model: st.model, Prompt: st.prompt, MaxPause: st.route.PauseObjective,
-		Objective: st.route.Objective - st.waited - now.Sub(st.arrived) - callerDelay, MaxWait: min(maxLateWait, st.remaining()), Resumed: st.started, Exclude: st.tried}
+		Objective: st.route.Objective - st.waited - now.Sub(st.arrived) - callerDelay, MaxWait: min(maxLateWait, st.remaining()), Resumed: st.started, Exclude: st.tried,
+		Rank: st.priority(), Bytes: int64(len(st.body)), Waited: st.waited, Left: st.remaining()}
+	if st.workspace != nil {
+		ne.Workspace = st.workspace.Name
+	}
 	if st.started {
 		// The caller already has the first event, so the objective is now a short gap.
 		ne.Objective = st.route.PauseObjective
@@ -292,6 +309,7 @@
 
 // endNoGroup ends a request for which no group is available.
 func (st *stream) endNoGroup(ch dispatch.Choice) {
+	st.refusedBy = &ch
 	reason := "full"
 	switch {
 	case ch.AllLimited:
@@ -302,11 +320,19 @@
 	st.end(reason, ch.RetryAfter)
 }
 
+// endIfCallerGone ends the request if its caller has disconnected, and reports whether it did.
+func (st *stream) endIfCallerGone() bool {
+	if st.req.Context().Err() == nil && !errors.Is(st.cause, errCallerGone) {
+		return false
+	}
+	st.log.Info("front: answered.", "outcome", "caller-gone", "sends", st.sends, "events", st.events)
+	st.count("caller-gone")
+	return true
+}
+
 // endUnretried ends a request that can't be retried.
 func (st *stream) endUnretried(ctx context.Context, ch dispatch.Choice) {
-	if st.req.Context().Err() != nil || errors.Is(st.cause, errCallerGone) {
-		st.log.Info("front: answered.", "outcome", "caller-gone", "sends", st.sends, "events", st.events)
-		st.count("caller-gone")
+	if st.endIfCallerGone() {
 		return
 	}
 	reason := "attempts-failed"
@@ -327,7 +353,8 @@
 		st.count("broken-" + reason)
 		panic(http.ErrAbortHandler)
 	case st.state == verdict.NotRun:
-		st.refuse(refusal{status: http.StatusServiceUnavailable, reason: reason, retryAfter: retryAfter, cause: st.cause})
+		st.refuse(refusal{status: http.StatusServiceUnavailable, reason: reason, retryAfter: retryAfter, exact: st.refusedBy != nil && st.refusedBy.Scheduled,
+			choice: st.refusedBy, cause: st.cause})
 	case st.final != nil:
 		st.call.writeResponse(st.final)
 	case reason == "timeout":
