--- a/internal/daemon/actions.go
+++ b/internal/daemon/actions.go
@@ -314,7 +314,7 @@
 		return da.claims.DoLocal(ctx, req.Op), nil
 	case peer.QuarantineRequest:
 		return da.quarantine.entriesFor(req), nil
-	case peer.QuarantineNews:
+	case peer.QuarantineReports:
 		return peer.EmptyResponse{}, da.quarantine.apply(req)
 	case peer.TrialRequest:
 		return peer.TrialResponse{Granted: da.quarantine.grant(req.Request)}, nil
--- a/internal/daemon/quarantine.go
+++ b/internal/daemon/quarantine.go
@@ -20,45 +20,45 @@
 
 const (
 	// quarantineInterval is the time between two comparisons with the entries of another daemon, which
-	// cover lost news. startInterval applies until the first one has succeeded.
+	// cover lost reports. startInterval applies until the first one has succeeded.
 	quarantineInterval = time.Second
 	startInterval      = 50 * time.Millisecond
 	// releaseInterval is the time between two reads of the stored releases, while something is in
 	// quarantine: 985 daemons make 33 of the 6,000 reads that the store allows a second.
 	releaseInterval = 30 * time.Second
-	// maxNews bounds the reports in one message and those that wait to be sent. What is dropped, the
+	// maxReports bounds the reports in one message and those that wait to be sent. What is dropped, the
 	// comparisons tell if it led to a quarantine.
-	maxNews = 64
-	// maxNewsAge bounds the age of a report that is accepted.
-	maxNewsAge = 15 * time.Minute
-	// maxNewsRequests and maxNewsParts bound the requests of a reported crash and their parts.
-	maxNewsRequests, maxNewsParts = 1024, 16
-	// maxTellers bounds the concurrent calls that tell the news. At 985 daemons and 1 ms a call, news
+	maxReports = 64
+	// maxReportsAge bounds the age of a report that is accepted.
+	maxReportsAge = 15 * time.Minute
+	// maxReportRequests and maxReportParts bound the requests of a reported crash and their parts.
+	maxReportRequests, maxReportParts = 1024, 16
+	// maxSenders bounds the concurrent calls that send reports. At 985 daemons and 1 ms a call, a broadcast
 	// takes about 30 ms.
-	maxTellers = 32
+	maxSenders = 32
 	// deciderKey selects the daemon that grants probes and trials.
 	deciderKey = "quarantine/decider"
 )
 
 var (
-	newsDroppedTotal = metrics.NewCounter("corianderhub_quarantine_news_dropped_total")
-	probesTotal      = metrics.GetOrCreateCounter("corianderhub_quarantine_trials_total")
+	reportsDroppedTotal = metrics.NewCounter("corianderhub_quarantine_reports_dropped_total")
+	probesTotal         = metrics.GetOrCreateCounter("corianderhub_quarantine_trials_total")
 )
 
 // quarantineExchange shares the crashes of engines, the completions and the quarantined subjects with
-// the other daemons. News go to all of them at once. Each also compares its entries with those of a
+// the other daemons. Reports go to all of them at once. Each also compares its entries with those of a
 // random other one, and so fetches them when it has just started.
 type quarantineExchange struct {
-	da     *Daemon
-	ledger quarantine.Ledger
-	pauses quarantine.Pauses
-	news   chan any
-	// tellers holds a token for each call that tells news.
-	tellers chan struct{}
+	da      *Daemon
+	ledger  quarantine.Ledger
+	pauses  quarantine.Pauses
+	reports chan any
+	// senders holds a token for each call that sends reports.
+	senders chan struct{}
 }
 
 func newQuarantineExchange(da *Daemon) *quarantineExchange {
-	return &quarantineExchange{da: da, news: make(chan any, maxNews), tellers: make(chan struct{}, maxTellers)}
+	return &quarantineExchange{da: da, reports: make(chan any, maxReports), senders: make(chan struct{}, maxSenders)}
 }
 
 // tellCrash queues a crash that this daemon has recorded, to tell the others.
@@ -69,13 +69,13 @@
 
 func (qe *quarantineExchange) tell(event any) {
 	select {
-	case qe.news <- event:
+	case qe.reports <- event:
 	default:
-		newsDroppedTotal.Inc()
+		reportsDroppedTotal.Inc()
 	}
 }
 
-// run tells the news and compares entries until ctx ends.
+// run sends reports and compares entries until ctx ends.
 func (qe *quarantineExchange) run(ctx context.Context) error {
 	next := time.NewTimer(startInterval)
 	defer next.Stop()
@@ -86,7 +86,7 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case event := <-qe.news:
+		case event := <-qe.reports:
 			qe.broadcast(ctx, qe.collect(event))
 		case <-releases.C:
 			qe.readReleases(ctx)
@@ -101,8 +101,8 @@
 }
 
 // collect returns a message with the event and those that wait.
-func (qe *quarantineExchange) collect(event any) peer.QuarantineNews {
-	var msg peer.QuarantineNews
+func (qe *quarantineExchange) collect(event any) peer.QuarantineReports {
+	var msg peer.QuarantineReports
 	now := qe.da.Clock.Now()
 	for num := 1; ; num++ {
 		switch ev := event.(type) {
@@ -115,11 +115,11 @@
 		case quarantine.Entry:
 			msg.Released = append(msg.Released, peer.QuarantineEntries([]quarantine.Entry{ev})...)
 		}
-		if num == maxNews {
+		if num == maxReports {
 			return msg
 		}
 		select {
-		case event = <-qe.news:
+		case event = <-qe.reports:
 		default:
 			return msg
 		}
@@ -127,15 +127,15 @@
 }
 
 // broadcast sends the message to all other daemons that are not dead.
-func (qe *quarantineExchange) broadcast(ctx context.Context, msg peer.QuarantineNews) {
+func (qe *quarantineExchange) broadcast(ctx context.Context, msg peer.QuarantineReports) {
 	for _, dm := range qe.others() {
 		select {
-		case qe.tellers <- struct{}{}:
+		case qe.senders <- struct{}{}:
 		case <-ctx.Done():
 			return
 		}
 		go func() {
-			defer func() { <-qe.tellers }()
+			defer func() { <-qe.senders }()
 			// A daemon that isn't reached learns of quarantined subjects by its comparisons.
 			_ = qe.da.node.Call(ctx, dm.Peer, msg, &peer.EmptyResponse{})
 		}()
@@ -182,19 +182,19 @@
 	return peer.QuarantineResponse{Entries: peer.QuarantineEntries(qe.ledger.Entries(now))}
 }
 
-// apply records the news of another daemon. It returns an error, and records nothing, if they exceed
+// apply records the reports of another daemon. It returns an error, and records nothing, if they exceed
 // the bounds.
-func (qe *quarantineExchange) apply(msg peer.QuarantineNews) error {
-	if len(msg.Crashes)+len(msg.Completions)+len(msg.Released) > maxNews {
-		return eris.Errorf("quarantine news: more than %d reports", maxNews)
+func (qe *quarantineExchange) apply(msg peer.QuarantineReports) error {
+	if len(msg.Crashes)+len(msg.Completions)+len(msg.Released) > maxReports {
+		return eris.Errorf("quarantine reports: more than %d reports", maxReports)
 	}
 	for _, en := range msg.Crashes {
-		if !validAge(en.Age) || len(en.Requests) > maxNewsRequests {
-			return eris.New("quarantine news: crash too old or with too many requests")
+		if !validAge(en.Age) || len(en.Requests) > maxReportRequests {
+			return eris.New("quarantine reports: crash too old or with too many requests")
 		}
 		for _, rq := range en.Requests {
-			if len(rq.Parts) > maxNewsParts {
-				return eris.Errorf("quarantine news: request with more than %d parts", maxNewsParts)
+			if len(rq.Parts) > maxReportParts {
+				return eris.Errorf("quarantine reports: request with more than %d parts", maxReportParts)
 			}
 		}
 	}
@@ -213,7 +213,7 @@
 	return nil
 }
 
-func validAge(age time.Duration) bool { return age >= 0 && age <= maxNewsAge }
+func validAge(age time.Duration) bool { return age >= 0 && age <= maxReportsAge }
 
 // claimProbe reports whether a quarantined request may be sent. The daemon that ranks first of the
 // serving ones decides for all, so that there is one probe or trial at a time. If it can't be
@@ -248,7 +248,7 @@
 // grant decides on a probe or a trial.
 func (qe *quarantineExchange) grant(rq quarantine.Request) bool {
 	now := qe.da.Clock.Now()
-	if len(rq.Parts) > maxNewsParts || !qe.ledger.ClaimProbe(rq, now) && !qe.ledger.ClaimTrial(rq, now) {
+	if len(rq.Parts) > maxReportParts || !qe.ledger.ClaimProbe(rq, now) && !qe.ledger.ClaimTrial(rq, now) {
 		return false
 	}
 	probesTotal.Inc()
@@ -269,8 +269,8 @@
 // Held implements operator.Quarantine.
 func (qe *quarantineExchange) Held() []quarantine.Entry { return qe.ledger.Held(qe.da.Clock.Now()) }
 
-// Release implements operator.Quarantine. The release is stored first: a daemon that isn't reached by the
-// news reads it there.
+// Release implements operator.Quarantine. The release is stored first: a daemon that isn't reached by a
+// report reads it there.
 func (qe *quarantineExchange) Release(ctx context.Context, subject quarantine.Fingerprint, operator, reason string) (quarantine.Entry, error) {
 	held := qe.Held()
 	i := slices.IndexFunc(held, func(en quarantine.Entry) bool { return en.Subject == subject })
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -27,7 +27,7 @@
 	kindRevoke
 	kindClaim
 	kindQuarantine
-	kindQuarantineNews
+	kindQuarantineReports
 	kindTrial
 )
 
@@ -85,7 +85,7 @@
 func (RevokeRequest) kind() kind       { return kindRevoke }
 func (ClaimRequest) kind() kind        { return kindClaim }
 func (QuarantineRequest) kind() kind   { return kindQuarantine }
-func (QuarantineNews) kind() kind      { return kindQuarantineNews }
+func (QuarantineReports) kind() kind      { return kindQuarantineReports }
 func (TrialRequest) kind() kind        { return kindTrial }
 
 // frame is a request on the wire.
@@ -132,8 +132,8 @@
 		return decodeAs[ClaimRequest](fr.Body)
 	case kindQuarantine:
 		return decodeAs[QuarantineRequest](fr.Body)
-	case kindQuarantineNews:
-		return decodeAs[QuarantineNews](fr.Body)
+	case kindQuarantineReports:
+		return decodeAs[QuarantineReports](fr.Body)
 	case kindTrial:
 		return decodeAs[TrialRequest](fr.Body)
 	}
--- a/internal/peer/message_test.go
+++ b/internal/peer/message_test.go
@@ -8,7 +8,7 @@
 // same kind.
 func FuzzDecode(f *testing.F) {
 	for _, req := range []Request{PullRequest{}, DocsRequest{}, ConfigRequest{}, ObservationsRequest{}, RevokeRequest{}, ClaimRequest{},
-		QuarantineRequest{}, QuarantineNews{}, TrialRequest{}} {
+		QuarantineRequest{}, QuarantineReports{}, TrialRequest{}} {
 		raw, err := encode(req)
 		if err != nil {
 			f.Fatal(err)
--- a/internal/peer/quarantine.go
+++ b/internal/peer/quarantine.go
@@ -17,9 +17,9 @@
 	Entries []QuarantineEntry `cbor:"1,keyasint,omitempty"`
 }
 
-// QuarantineNews reports crashes of engines, completions and released subjects. The response is
+// QuarantineReports reports crashes of engines, completions and released subjects. The response is
 // EmptyResponse.
-type QuarantineNews struct {
+type QuarantineReports struct {
 	Crashes     []quarantine.Crash      `cbor:"1,keyasint,omitempty"`
 	Completions []quarantine.Completion `cbor:"2,keyasint,omitempty"`
 	Released    []QuarantineEntry       `cbor:"3,keyasint,omitempty"`
