--- a/internal/core/quarantine/trial_test.go
+++ b/internal/core/quarantine/trial_test.go
@@ -9,9 +9,9 @@
 	"pgregory.net/rapid"
 )
 
-// bench sends requests one after the other, each to an endpoint of its own, and reports their results to
+// harness sends requests one after the other, each to an endpoint of its own, and reports their results to
 // a ledger.
-type bench struct {
+type harness struct {
 	le    Ledger
 	now   time.Time
 	count int
@@ -22,18 +22,18 @@
 	crashes int
 }
 
-// gapBetween is the time between two requests of a bench.
+// gapBetween is the time between two requests of a harness.
 const gapBetween = 400 * time.Millisecond
 
-func newBench(guilty ...string) *bench {
-	return &bench{now: begin, guilty: guilty, sends: make(map[string]int)}
+func newBench(guilty ...string) *harness {
+	return &harness{now: begin, guilty: guilty, sends: make(map[string]int)}
 }
 
 // send offers a request with the parts, and reports whether it completed.
-func (be *bench) send(parts ...string) bool {
+func (be *harness) send(parts ...string) bool {
 	be.now = be.now.Add(gapBetween)
 	be.count++
-	rq := promptOf(fmt.Sprint("bench-", be.count), parts...)
+	rq := promptOf(fmt.Sprint("harness-", be.count), parts...)
 	if _, _, held := be.le.Quarantined(rq, be.now); held && !be.le.ClaimProbe(rq, be.now) && !be.le.ClaimTrial(rq, be.now) {
 		return false
 	}
@@ -54,7 +54,7 @@
 }
 
 // serves reports whether one of ten requests with the part alone is served.
-func (be *bench) serves(part string) bool {
+func (be *harness) serves(part string) bool {
 	for range 10 {
 		if be.send(part) {
 			return true
