--- a/internal/core/quarantine/trial_test.go
+++ b/internal/core/quarantine/trial_test.go
@@ -25,7 +25,7 @@
 // gapBetween is the time between two requests of a harness.
 const gapBetween = 400 * time.Millisecond
 
-func newBench(guilty ...string) *harness {
+func newHarness(guilty ...string) *harness {
 	return &harness{now: begin, guilty: guilty, sends: make(map[string]int)}
 }
 
@@ -86,7 +86,7 @@
 		{"only one shared part", []string{"a"}, []string{"a"}, [][]string{{"a"}, {"a", "other"}}, []bool{false, false}, 3},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			be := newBench(tc.guilty...)
+			be := newHarness(tc.guilty...)
 			for range 12 {
 				be.send(tc.shared...)
 			}
@@ -116,11 +116,11 @@
 		{"all of them", "b", [][]string{{"a", "b", "c"}, {"c"}}, []bool{false, true}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			before := newBench(tc.guilty)
+			before := newHarness(tc.guilty)
 			for range 6 {
 				before.send("a", "b", "c")
 			}
-			be := newBench(tc.guilty)
+			be := newHarness(tc.guilty)
 			be.now = before.now
 			entries := append(before.le.Entries(be.now), Entry{Subject: promptOf("", "other").Parts[0], Part: true, Since: begin})
 			be.le.Merge(entries, be.now)
@@ -139,7 +139,7 @@
 // Guards against a part that is fixed and stays refused, since a trial found it guilty: the next probe
 // must end its quarantine.
 func TestPartFixedAfterTrial(t *testing.T) {
-	be := newBench("b")
+	be := newHarness("b")
 	for range 6 {
 		be.send("a", "b")
 	}
@@ -156,7 +156,7 @@
 // Guards against two trials at a time, each of which may crash an endpoint, and against a lost report
 // that ends all trials.
 func TestOneTrialAtATime(t *testing.T) {
-	be := newBench("b")
+	be := newHarness("b")
 	for range 6 {
 		be.send("a", "b", "c")
 	}
@@ -182,7 +182,7 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		parts := []string{"a", "b", "c", "d", "e"}
 		guilty := rapid.Permutation(parts).Draw(rt, "guilty")[:rapid.IntRange(1, 2).Draw(rt, "number of guilty")]
-		be := newBench(guilty...)
+		be := newHarness(guilty...)
 		subset := rapid.SliceOfNDistinct(rapid.SampledFrom(parts), 1, len(parts), rapid.ID[string])
 		// Requests come as they do from a few callers: each of a few sets of parts many times.
 		sets := rapid.SliceOfN(subset, 1, 6).Draw(rt, "sets")
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -85,7 +85,7 @@
 func (RevokeRequest) kind() kind       { return kindRevoke }
 func (ClaimRequest) kind() kind        { return kindClaim }
 func (QuarantineRequest) kind() kind   { return kindQuarantine }
-func (QuarantineReports) kind() kind      { return kindQuarantineReports }
+func (QuarantineReports) kind() kind   { return kindQuarantineReports }
 func (TrialRequest) kind() kind        { return kindTrial }
 
 // frame is a request on the wire.
