Exchange and stage only between models whose sizes are multiples of each other

An exchange there leaves VMs over, and the staged copies evict those that restarts of 54 VMs need.

Change: the switch also asks for sizes that are multiples of each other.

--- a/internal/core/catalog/config.go
+++ b/internal/core/catalog/config.go
@@ -2,7 +2,10 @@
 // endpoints and the views that daemons route by. It does no input or output.
 package catalog
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Kind classifies requests by whether they may be repeated and how they are
 // answered.
@@ -166,8 +169,25 @@
 // a group of the model. It is never zero.
 func (mo Model) TimeFactor() float64 { return max(mo.Pace, minPace) }
 
-// StagesModels reports whether hosts can hold another model ready beside the one that they serve.
-func (en *Engine) StagesModels() bool { return en.Keeps >= 1 && len(en.Models) >= 2 }
+// StagesModels reports whether hosts keep the weights of other models, so that groups can be exchanged
+// without a load, and whether the sizes of the models allow it: each is a multiple of the next smaller
+// one. Otherwise an exchange leaves VMs over that serve nothing.
+func (en *Engine) StagesModels() bool {
+	if en.Keeps < 1 || len(en.Models) < 2 {
+		return false
+	}
+	sizes := make([]int, len(en.Models))
+	for i, mo := range en.Models {
+		sizes[i] = max(1, mo.Size)
+	}
+	slices.Sort(sizes)
+	for i, size := range sizes[1:] {
+		if size%sizes[i] != 0 {
+			return false
+		}
+	}
+	return true
+}
 
 // Model returns the model with that name.
 func (en *Engine) Model(name string) (Model, bool) {
