--- a/internal/core/steward/exchange_test.go
+++ b/internal/core/steward/exchange_test.go
@@ -91,11 +91,23 @@
 
 // Guards against stage orders and staged exchanges where the configuration does not call for them.
 func TestNoStagingWithoutKeeps(t *testing.T) {
-	si := newStagingStart(t, 1, 3, 27, stagingModels(12, 6))
-	si.cfg.Services["engine"].Engine.Keeps = 0
-	si.runInitialLoads(8500 * time.Millisecond)
-	released := si.runWithDemand(1.2, 5, 4*time.Second)
-	if st := si.core.Stats(); st.Staged+st.Staging > 0 || released > 0 {
-		t.Errorf("%d VMs staged, %d staging and %d groups released, want none", st.Staged, st.Staging, released)
+	tests := []struct {
+		name                     string
+		domainSize, large, small int
+		keeps                    int
+	}{
+		{"hosts keep no other model", 27, 12, 6, 0},
+		{"sizes that leave VMs over", 9, 4, 3, 1},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			si := newStagingStart(t, 1, 3, tc.domainSize, stagingModels(tc.large, tc.small))
+			si.cfg.Services["engine"].Engine.Keeps = tc.keeps
+			si.runInitialLoads(8500 * time.Millisecond)
+			released := si.runWithDemand(1.2, 5, 4*time.Second)
+			if st := si.core.Stats(); st.Staged+st.Staging > 0 || released > 0 {
+				t.Errorf("%d VMs staged, %d staging and %d groups released, want none", st.Staged, st.Staging, released)
+			}
+		})
 	}
 }
