--- a/internal/core/steward/exchange_test.go
+++ b/internal/core/steward/exchange_test.go
@@ -48,6 +48,7 @@
 // Guards against groups of one model that refuse requests for many seconds while those of another
 // are idle, because loads take longer than the demand lasts.
 func TestExchangeOfStagedGroups(t *testing.T) {
+	t.Parallel()
 	tests := []struct {
 		name                  string
 		domains, each         int
@@ -91,6 +92,7 @@
 
 // Guards against stage orders and staged exchanges where the configuration does not call for them.
 func TestNoStagingWithoutKeeps(t *testing.T) {
+	t.Parallel()
 	tests := []struct {
 		name                     string
 		domainSize, large, small int
--- a/internal/core/steward/staging_test.go
+++ b/internal/core/steward/staging_test.go
@@ -45,6 +45,7 @@
 // the model that is released is short of groups half a period later. The first exchange follows the
 // first quarter of a wave and may be corrected once.
 func TestExchangesIgnoreWaves(t *testing.T) {
+	t.Parallel()
 	const wave = 17 * time.Second
 	for _, swing := range []float64{0.15, 0.3, 0.45} {
 		t.Run(fmt.Sprint(swing), func(t *testing.T) {
@@ -63,6 +64,7 @@
 
 // Guards against exchanges caused by bursts of 3 to 5 s of one model's demand.
 func TestExchangesIgnoreBursts(t *testing.T) {
+	t.Parallel()
 	si := newStagingSimulation(t, 2, 6, 27, stagingModels(12, 6))
 	num := si.runWithDemand(2.6, 5.6, 8*time.Second)
 	for i := range 3 {
@@ -79,6 +81,7 @@
 // Guards against exchanges based on stage orders that a host has not carried out. A VM that joins
 // without the copy loads for 12 s during traffic.
 func TestExchangeNeedsReportedCopies(t *testing.T) {
+	t.Parallel()
 	tests := []struct {
 		name  string
 		fault func(si *simulation)
@@ -134,6 +137,7 @@
 // Guards against a plan that starts over, or a released group that stays idle, when another steward
 // takes over.
 func TestTakeOverDuringStaging(t *testing.T) {
+	t.Parallel()
 	for _, at := range []time.Duration{2600 * time.Millisecond, 4200 * time.Millisecond, 10 * time.Second, 10500 * time.Millisecond, 11 * time.Second} {
 		si := newStagingStart(t, 4, 6, 27, stagingModels(12, 6))
 		if at < 8500*time.Millisecond {
@@ -161,6 +165,7 @@
 // Guards against exchanges to or from a domain that is dark, and against groups that are stalled
 // counting as capacity.
 func TestExchangeWithDarkDomain(t *testing.T) {
+	t.Parallel()
 	si := newStagingSimulation(t, 5, 6, 27, stagingModels(12, 6))
 	for _, id := range si.fleet.IDs() {
 		si.fleet.Update(id, func(vm *emulator.VM) { vm.Unreachable = vm.Domain == "domain-1" })
@@ -178,6 +183,7 @@
 
 // Guards against exchanges in an evacuated data centre and against its groups counting as capacity.
 func TestExchangeWithEvacuatedDataCenter(t *testing.T) {
+	t.Parallel()
 	si := newStagingStart(t, 6, 6, 27, stagingModels(12, 6))
 	si.placeDomains()
 	si.runInitialLoads(8500 * time.Millisecond)
@@ -199,6 +205,7 @@
 
 // Guards against a restarted VM that stays idle: its host has lost the copy of its group's model.
 func TestStagedVMRestarts(t *testing.T) {
+	t.Parallel()
 	si := newStagingSimulation(t, 7, 6, 27, stagingModels(12, 6))
 	for _, gr := range si.core.Groups() {
 		if gr.Model != "large" || si.fleet.Staged(gr.Members[1].ID)[0] != "small" {
@@ -221,6 +228,7 @@
 // Guards against a group that is not repaired from a spare because its members' hosts hold another
 // model: the members would join that model's groups, or load their own again.
 func TestStagedGroupIsRepaired(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(4) {
 		si := newStagingSimulation(t, seed, 6, 27, stagingModels(12, 6))
 		for _, gr := range si.core.Groups() {
@@ -242,6 +250,7 @@
 // Guards against a staged group that has lost a member without a replacement and leaves its others
 // idle for the time of a load.
 func TestStagedGroupWithoutSpare(t *testing.T) {
+	t.Parallel()
 	si := newStagingSimulation(t, 9, 6, 27, stagingModels(12, 6))
 	for _, gr := range si.core.Groups() {
 		if gr.Model != "large" || si.fleet.Staged(gr.Leader().ID)[0] != "small" {
@@ -276,6 +285,7 @@
 // Guards against loads of staging that exceed the weight store's limits, and against a shortage
 // that lasts because no copies are left.
 func TestStagingDuringTraffic(t *testing.T) {
+	t.Parallel()
 	si := newStagingSimulation(t, 8, 6, 27, stagingModels(12, 6))
 	si.runWithDemand(1, 12, 6*time.Second)
 	large, small := si.serving()
@@ -300,6 +310,7 @@
 // exchange. Its successor knows no reservations, so the groups must count and serve at once, also
 // those that have left their groups already.
 func TestTakeOverDuringExchange(t *testing.T) {
+	t.Parallel()
 	for _, after := range []time.Duration{100 * time.Millisecond, 1500 * time.Millisecond, 3 * time.Second} {
 		si := newStagingSimulation(t, 1, 6, 27, stagingModels(12, 6))
 		for end := si.now.Add(5 * time.Second); si.runWithDemand(2.5, 8.9, simStep) == 0; {
@@ -348,6 +359,7 @@
 // Guards against VMs that stay reserved and idle after an exchange because another reserved VM of
 // their domain has become slow or leaves, so that no group can be formed with it.
 func TestReservedVMBecomesUnusable(t *testing.T) {
+	t.Parallel()
 	tests := map[string]func(*emulator.VM){
 		"slow":    func(vm *emulator.VM) { vm.Slowness = 9 },
 		"leaving": func(vm *emulator.VM) { vm.Leaving = true },
