--- a/internal/caller/quarantine.go
+++ b/internal/caller/quarantine.go
@@ -44,7 +44,7 @@
 }
 
 // checkQuarantine returns an error if engines have crashed on the request or on a part of its
-// prompt. It lets one such request pass from time to time, and one whose result tells its messages
+// prompt. It lets one such request pass from time to time, and one whose result separates its messages
 // from others, at its first attempt.
 func (se *Server) checkQuarantine(ctx context.Context, co *completion, first bool) *verdict.Error {
 	_, left, quarantined := se.Quarantine.Quarantined(co.identity, se.Clock.Now())
--- a/internal/core/admit/calendar.go
+++ b/internal/core/admit/calendar.go
@@ -20,7 +20,7 @@
 	Daemons int
 }
 
-// Promise is the return time told to the caller of a refused request.
+// Promise is the return time sent to the caller of a refused request.
 type Promise struct {
 	Delay time.Duration
 	// Reserved is set if capacity is set aside for the request at that time.
@@ -40,7 +40,7 @@
 	minFreeShare = 0.02
 	// unreservedSpan is the share of the range of delays, at its end, over which returns without
 	// reserved capacity are spread. Callers that are refused in one moment would return in one moment
-	// if all were told the longest delay.
+	// if all got the longest delay.
 	unreservedSpan = 0.25
 	// urgentShare is the share of each slice that less urgent ranks leave to more urgent ones, if
 	// any was refused within urgentMemory.
--- a/internal/core/admit/calendar_test.go
+++ b/internal/core/admit/calendar_test.go
@@ -106,7 +106,7 @@
 	}
 }
 
-// Guards against returns that are due being told in another second than they were promised for.
+// Guards against returns that are reported as due in another second than they were promised for.
 func TestDue(t *testing.T) {
 	cr, now := newCalendar(1), time.Unix(1000, 0)
 	for range 50 {
