--- a/internal/front/harness_test.go
+++ b/internal/front/harness_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -39,6 +40,16 @@
 	mu          sync.Mutex
 	disconnects []Disconnect
 	completions []quarantine.Fingerprint
+	// receivedBytes counts the bytes of the responses' bodies that callers have received.
+	receivedBytes byteCount
+}
+
+// byteCount counts the bytes written to it.
+type byteCount struct{ atomic.Int64 }
+
+func (bc *byteCount) Write(buf []byte) (int, error) {
+	bc.Add(int64(len(buf)))
+	return len(buf), nil
 }
 
 func (ri *rig) recordCompletion(fp quarantine.Fingerprint, _ time.Duration) {
@@ -157,7 +168,7 @@
 		return result{err: err}
 	}
 	defer rsp.Body.Close()
-	body, err := io.ReadAll(rsp.Body)
+	body, err := io.ReadAll(io.TeeReader(rsp.Body, &ri.receivedBytes))
 	return result{rsp.StatusCode, rsp.Header, string(body), err}
 }
 
