Keep a draining group while its members may have requests

Callers (own interface): a model's new version, or fewer replicas, drains a group. If a member, such as the leader, left one probe unanswered at that moment, the group counted as idle: its entry was removed, and the VMs were ordered to leave it as soon as they answered again, which cuts off the requests that were running. The same with a new steward that had not observed the members yet, and when a ring was formed anew beside a leaving member.

Cause: planner.idle skipped members without a fresh report, so that silence was taken for "no requests".

Change: a member that does not answer counts as idle only once it is lost (LossGrace). Requests of a lost member are cut off in any case, and DrainLimit bounds the wait as before.

--- a/internal/core/fleet/plan.go
+++ b/internal/core/fleet/plan.go
@@ -247,10 +247,12 @@
 	return ok && pl.serving(gr) && pl.in.Now.Sub(since) >= pl.in.DrainAfter
 }
 
-// idle reports whether no member of the group reports unfinished requests.
+// idle reports whether the group has no unfinished requests: each member that is not lost answers
+// probes and reports none. A member that does not answer may have some.
 func (pl *planner) idle(gr Group) bool {
 	for _, me := range gr.Members {
-		if re, ok := pl.report(me.VM); ok && re.Load.Requests > 0 {
+		re, answers := pl.report(me.VM)
+		if !answers && !pl.lost(me) || re.Load.Requests > 0 {
 			return false
 		}
 	}
