Suspend a group with a silent member instead of ordering its members to leave

What callers saw: streams whose group was cut off at 11.0 s stayed there, since no other group had room. The steward dissolved the group at 11.51 s; when the cut ended at 12.44 s the leader took the order to leave and reset them, although they would have gone on.

Cause: break before make. The steward took the silence of one member for its loss and ordered the others to leave before it was known whether the requests in progress could be had elsewhere. An order to leave takes effect at once and ends them.

Change: a serving group that has lost a member by silence alone leaves the view, and its members are ordered to leave when daemons report no request there any more (their heartbeats carry that already), or when members that respond have been held for 2 s. If all members respond before, and answer another poll, the group returns to the view under the same epoch. A port that refuses (by the dialer's rule), a restart, another group or a broken head are certain, and the group is dissolved at once. If the orders met only silence and all members come back before one has left, the group finishes its requests first, for 5 s at most.

Why it works: no member gets an order while requests that daemons report are at the group and its silence may end, so nothing is ended and no member is free for another group.

Not measured with callers.

--- a/internal/core/steward/form.go
+++ b/internal/core/steward/form.go
@@ -272,7 +272,7 @@
 func (co *Core) counts(service string, en *catalog.Engine) []int {
 	counts := make([]int, len(en.Models))
 	for _, gr := range co.groups {
-		if gr.service != service || gr.spare() || gr.dissolving || gr.reassigned || co.groupEvacuated(gr) {
+		if gr.service != service || gr.spare() || gr.outOfUse() || gr.reassigned || co.groupEvacuated(gr) {
 			continue
 		}
 		for mi, mo := range en.Models {
--- a/internal/core/steward/lifecycle.go
+++ b/internal/core/steward/lifecycle.go
@@ -12,6 +12,9 @@
 		return co.stepSpare(gr, now)
 	}
 	if gr.dissolving {
+		if co.finishing(gr, now) {
+			return nil
+		}
 		return co.dissolve(gr)
 	}
 	if gr.model == "" {
@@ -23,6 +26,9 @@
 		co.startDissolving(gr, why)
 		return co.dissolve(gr)
 	}
+	if lost := co.silentMember(gr, now); lost != nil || gr.suspension != nil {
+		return co.stepSilent(gr, lost, now)
+	}
 	if co.complete(gr) {
 		return co.stepComplete(gr, now)
 	}
@@ -35,11 +41,11 @@
 // startDissolving marks a group for dissolution. Its members leave it before they are used
 // again.
 func (co *Core) startDissolving(gr *group, why string) {
-	gr.dissolving = true
+	gr.dissolving, gr.suspension = true, nil
 	co.recordEvent(Event{Kind: "group-broken", Group: gr.name, Model: gr.model, Members: gr.members, Reason: why})
 }
 
-// broken returns why the group can no longer serve, or "" if it can.
+// broken returns why the group can certainly no longer serve, or "" if it may.
 func (co *Core) broken(gr *group, now time.Time) string {
 	for rank, id := range gr.members {
 		vm := co.vms[id]
@@ -48,8 +54,6 @@
 			continue
 		case vm == nil:
 			return "member gone"
-		case vm.down && co.lossConfirmed(gr, vm, now):
-			return "member " + id + " lost"
 		case co.isMember(vm, gr):
 			if vm.ep.Member.State == catalog.Broken {
 				return "stalled"
--- a/internal/core/steward/rebalance.go
+++ b/internal/core/steward/rebalance.go
@@ -314,7 +314,7 @@
 	groups := make(map[string][]*group)
 	for _, ke := range co.keys() {
 		gr := co.groups[ke]
-		if gr.service == service && gr.model == model && !gr.spare() && !gr.dissolving && !gr.reassigned && !co.groupEvacuated(gr) && co.complete(gr) {
+		if gr.service == service && gr.model == model && !gr.spare() && !gr.outOfUse() && !gr.reassigned && !co.groupEvacuated(gr) && co.complete(gr) {
 			domain := co.vms[gr.members[0]].ep.Domain
 			groups[domain] = append(groups[domain], gr)
 		}
--- a/internal/core/steward/reports.go
+++ b/internal/core/steward/reports.go
@@ -137,7 +137,7 @@
 		return false
 	}
 	gr := co.groups[groupKey{mb.Group, mb.Epoch}]
-	return gr != nil && !gr.dissolving && !gr.spare() && !co.lossConfirmed(gr, vm, now)
+	return gr != nil && !gr.outOfUse() && !gr.spare() && !co.lossConfirmed(gr, vm, now)
 }
 
 // removeVM drops a VM that is neither registered nor responsive.
--- a/internal/core/steward/simulation_test.go
+++ b/internal/core/steward/simulation_test.go
@@ -44,6 +44,10 @@
 	cpuFreeAt  time.Time
 	// pollCount counts the polls.
 	pollCount int
+	// requests is the number of requests in progress at each group, as daemons report it.
+	requests map[string]int
+	// refusing holds the VMs that refuse connections while they are dead.
+	refusing map[string]bool
 }
 
 // timer is an action scheduled for a later time.
@@ -83,7 +87,8 @@
 
 func newSimulationWith(t testing.TB, seed uint64, domains, each int, models []catalog.Model) *simulation {
 	si := &simulation{t: t, rnd: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0), term: 10,
-		fleet: &emulator.Fleet{Models: models, InitialLoads: true}, entries: make(map[string]catalog.Endpoint)}
+		fleet: &emulator.Fleet{Models: models, InitialLoads: true}, entries: make(map[string]catalog.Endpoint),
+		requests: make(map[string]int), refusing: make(map[string]bool)}
 	si.cfg = &catalog.Config{Services: map[string]catalog.Service{"engine": {Name: "engine", Engine: &catalog.Engine{
 		Slots: 26, Stride: 7, Models: models, ReportLag: emulator.ReportLag, LoadsPerSecond: 4.5, LoadsAtOnce: 6, FormTime: emulator.FormTime}}}}
 	for do := range domains {
@@ -108,6 +113,7 @@
 func (si *simulation) takeOver() {
 	si.term += 7
 	si.core = New(si.term, si.now)
+	si.core.RequestsAt = func(name string) int { return si.requests[name] }
 	si.core.InitialLoads = si.fleet.InitialLoads
 	si.core.SetServices(si.cfg)
 	for _, ep := range si.entries {
@@ -221,6 +227,10 @@
 	if ok {
 		si.after(took, func() { si.core.HandleReport(po.ID, re, sentAt, si.now) })
 	}
+	if si.refusing[po.ID] && !ok {
+		si.after(took, func() { si.core.HandleRefusedPoll(po.ID, "refused", sentAt, si.now) })
+		return
+	}
 	if !ok || took > po.Timeout {
 		si.after(po.Timeout, func() { si.core.HandlePollFailure(po.ID, "silent", sentAt, si.now) })
 	}
--- a/internal/core/steward/staging.go
+++ b/internal/core/steward/staging.go
@@ -186,7 +186,7 @@
 		if gr.service != service || gr.spare() || co.groupEvacuated(gr) {
 			continue
 		}
-		if gr.dissolving || !co.complete(gr) || co.vms[gr.members[0]].ep.Member.State != catalog.Open {
+		if gr.outOfUse() || !co.complete(gr) || co.vms[gr.members[0]].ep.Member.State != catalog.Open {
 			return false
 		}
 		num++
--- a/internal/core/steward/stall.go
+++ b/internal/core/steward/stall.go
@@ -45,7 +45,7 @@
 func (co *Core) confirmHealthyGroups() {
 	for _, ke := range co.keys() {
 		gr := co.groups[ke]
-		if gr.stallReportedAt.IsZero() || gr.confirmedHealthy || gr.dissolving || !co.complete(gr) {
+		if gr.stallReportedAt.IsZero() || gr.confirmedHealthy || gr.outOfUse() || !co.complete(gr) {
 			continue
 		}
 		late := func(id string) bool { return co.vms[id].lastAnsweredPoll.Before(gr.stallReportedAt) }
--- a/internal/core/steward/steward.go
+++ b/internal/core/steward/steward.go
@@ -120,6 +120,8 @@
 	down              bool
 	failures          int
 	unresponsiveSince time.Time
+	// refusedAt is the send time of the last poll whose connection was refused.
+	refusedAt time.Time
 	// witnessedAt is the send time of a poll that another VM has answered since; zero if there is
 	// none. witnessedFailures counts the polls that have failed from then on.
 	witnessedAt       time.Time
@@ -214,6 +216,9 @@
 	reassigned bool
 	// dissolving is set once the group is to be dissolved, whatever its members report.
 	dissolving bool
+	// suspension is the state of a group that is suspended, or is being dissolved because of a
+	// member's silence; nil for others.
+	suspension *suspension
 }
 
 // Core is the steward's state. It is not safe for concurrent use. Set the exported fields
@@ -228,9 +233,12 @@
 	// SpreadDataCenters is set if the deployment must be able to lose a data centre. The groups of
 	// each model are then spread over the data centres.
 	SpreadDataCenters bool
-	services          map[string]*catalog.Engine
-	vms               map[string]*vm
-	groups            map[groupKey]*group
+	// RequestsAt returns the number of requests in progress at a group, as far as daemons have
+	// reported them; nil means that none are known.
+	RequestsAt func(group string) int
+	services   map[string]*catalog.Engine
+	vms        map[string]*vm
+	groups     map[groupKey]*group
 	// sortedIDs caches the VM IDs in order; idsChanged is set when it may be out of date.
 	sortedIDs  []string
 	idsChanged bool
@@ -275,6 +283,10 @@
 	Kind, Group, Model, VM, Reason string
 	Epoch                          int64
 	Members                        []string
+	// Silence is how long a member of the group has been silent, Held how long the members that
+	// respond have been held meanwhile, and Requests the number of requests in progress at the group.
+	Silence, Held time.Duration
+	Requests      int
 }
 
 // GroupHealthy is the kind of an event for a group that was reported as stalled and whose
--- a/internal/core/steward/view.go
+++ b/internal/core/steward/view.go
@@ -11,7 +11,7 @@
 	var groups []catalog.Group
 	for _, ke := range co.keys() {
 		gr := co.groups[ke]
-		if gr.spare() || gr.dissolving || !co.complete(gr) || co.vms[gr.members[0]].ep.Member.State != catalog.Open {
+		if gr.spare() || gr.outOfUse() || !co.complete(gr) || co.vms[gr.members[0]].ep.Member.State != catalog.Open {
 			continue
 		}
 		groups = append(groups, co.describe(gr))
@@ -44,7 +44,7 @@
 // Stats counts groups and VMs by state, for metrics and logs.
 type Stats struct {
 	// Serving, Forming and Broken count groups, Spares, Down and Stranded count VMs. Broken
-	// groups are being dissolved. Stranded VMs are up but belong to no group.
+	// groups are suspended or being dissolved. Stranded VMs are up but belong to no group.
 	Serving, Forming, Broken, Spares, Down, Stranded int
 	// Staged counts the VMs of groups whose host has another model than the group's. Staging
 	// counts the VMs with an order to stage a model under way.
@@ -62,7 +62,7 @@
 	for _, gr := range co.groups {
 		switch {
 		case gr.spare():
-		case gr.dissolving:
+		case gr.outOfUse():
 			st.Broken++
 		case co.complete(gr) && co.vms[gr.members[0]].ep.Member.State == catalog.Open:
 			st.Serving++
--- a/internal/entry/lease.go
+++ b/internal/entry/lease.go
@@ -337,6 +337,7 @@
 		ct.resignNow()
 	}
 	ct.da.mesh.SetSteward(ct.da.Settings.IP)
+	ct.lease.core.RequestsAt = func(group string) int { return ct.da.table.RequestsAt(group, ct.da.Clock.Now()) }
 	ct.lease.core.SpreadDataCenters = ct.da.Settings.LostDataCenters > 0
 	ct.lease.core.SetEvacuation(ct.evacuation.Order())
 	if cfg := ct.da.currentConfig(); cfg != nil {
--- a/internal/entry/steward.go
+++ b/internal/entry/steward.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net/http"
 	"reflect"
+	"syscall"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -111,8 +112,11 @@
 			continue
 		}
 		metrics.GetOrCreateCounter(`corianderhub_steward_events_total{what="` + ev.Kind + `"}`).Inc()
-		ct.da.Log.Info("steward: "+ev.Kind+".", "term", ct.lease.term, "group", ev.Group, "model", ev.Model, "vm", ev.VM,
-			"reason", ev.Reason, "members", ev.Members)
+		args := []any{"term", ct.lease.term, "group", ev.Group, "model", ev.Model, "vm", ev.VM, "reason", ev.Reason, "members", ev.Members}
+		if ev.Silence > 0 {
+			args = append(args, "silent-ms", ev.Silence.Milliseconds(), "held-ms", ev.Held.Milliseconds(), "requests", ev.Requests)
+		}
+		ct.da.Log.Info("steward: "+ev.Kind+".", args...)
 	}
 }
 
@@ -181,7 +185,7 @@
 	})
 	if ct.da.Clock.Sleep(answered, as.Timeout) == nil {
 		late := ct.da.Clock.Now().Sub(sentAt) > as.Timeout+timerSlack
-		ct.pollFailed(core, as, sentAt, late, "poll timed out")
+		ct.pollFailed(core, as, sentAt, late, errPollTimeout)
 		<-answered.Done()
 		if err != nil || ctx.Err() != nil {
 			return
@@ -191,22 +195,27 @@
 		return
 	}
 	if err != nil {
-		ct.pollFailed(core, as, sentAt, false, err.Error())
+		ct.pollFailed(core, as, sentAt, false, err)
 		return
 	}
 	ct.withCore(core, func(co *steward.Core, now time.Time) { co.HandleReport(as.ID, re, sentAt, now) })
 }
 
+var errPollTimeout = errors.New("poll timed out")
+
 // pollFailed reports a failed poll to the steward's core. If this machine ran late, the
 // poll is inconclusive, since the endpoint may have answered in time. late is set if the
 // poll's own timer fired late; the control loop is checked as well.
-func (ct *control) pollFailed(core *steward.Core, as steward.Poll, sentAt time.Time, late bool, why string) {
+func (ct *control) pollFailed(core *steward.Core, as steward.Poll, sentAt time.Time, late bool, why error) {
 	ct.withCore(core, func(co *steward.Core, now time.Time) {
-		if late || ct.lateSince(sentAt) {
+		switch {
+		case errors.Is(why, syscall.ECONNREFUSED):
+			co.HandleRefusedPoll(as.ID, why.Error(), sentAt, now)
+		case late || ct.lateSince(sentAt):
 			co.HandleInconclusivePoll(as.ID, sentAt, now)
-			return
+		default:
+			co.HandlePollFailure(as.ID, why.Error(), sentAt, now)
 		}
-		co.HandlePollFailure(as.ID, why, sentAt, now)
 	})
 }
 
--- a/internal/explain/request.go
+++ b/internal/explain/request.go
@@ -93,8 +93,8 @@
 		return false
 	case "steward":
 		// A request that was sent to no group was waiting for any group, so every
-		// broken group may be the cause.
-		broken := len(targets) == 0 && li.Message == "steward: group-broken."
+		// broken or suspended group may be the cause.
+		broken := len(targets) == 0 && (li.Message == "steward: group-broken." || li.Message == "steward: group-suspended.")
 		return li.Message == "steward: view published." || broken || targets[li.Get("group")] || targets[li.Get("vm")]
 	case "store", "daemon", "mesh":
 		return sources[li.Source]
@@ -278,6 +278,8 @@
 			text = li.Get("group") + " had lost its member " + li.Get("member")
 		case li.Message == "steward: group-broken." && !quarantined:
 			text = li.Get("group") + " was broken: " + li.Get("reason")
+		case li.Message == "steward: group-suspended." && !quarantined:
+			text = li.Get("group") + " was suspended: " + li.Get("reason")
 		case li.Message == messageEvacuated && foundNoEndpoint(lines):
 			text = "data centre " + li.Get("data-center") + " was evacuated"
 		case li.Message == "control: cold endpoints." && li.Get("count") != "0" && foundNoEndpoint(lines):
