Abort the connection of a stream whose caller seems to be gone

Callers: one that closes its side of the connection and still reads got 200 and an empty body, or the events so far with the terminator of a complete stream.

Cause: the handler returned when net/http reported that the caller was gone, so net/http ended the response in good order.

Evidence, before: TestStreamGivenUpDoesNotLookComplete: got status 200 and "" without an error; got status 200 and four events without an error.

Change: the handler aborts the connection, as for any other broken stream.

--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -131,9 +131,8 @@
 	defer func() { at.close() }()
 	st.pick(at)
 	if at.ticket == nil {
-		if !st.endIfCallerGone() {
-			st.endNoGroup(at.choice)
-		}
+		st.abortIfCallerGone()
+		st.endNoGroup(at.choice)
 		return at.choice, true
 	}
 	if st.endIfQuarantined() {
@@ -284,21 +283,20 @@
 	st.end(reason, ch.RetryAfter)
 }
 
-// endIfCallerGone ends the request if its caller has disconnected, and reports whether it did.
-func (st *stream) endIfCallerGone() bool {
+// abortIfCallerGone aborts the connection if the caller has disconnected. A caller that has closed only
+// its side would otherwise take what it has received for the complete response.
+func (st *stream) abortIfCallerGone() {
 	if st.req.Context().Err() == nil && !errors.Is(st.cause, errCallerGone) {
-		return false
+		return
 	}
 	st.log.Info("front: answered.", "outcome", "caller-gone", "sends", st.sends, "events", st.numEvents)
 	st.count("caller-gone")
-	return true
+	panic(http.ErrAbortHandler)
 }
 
 // endUnretried ends a request that can't be retried.
 func (st *stream) endUnretried(ctx context.Context, ch dispatch.Choice) {
-	if st.endIfCallerGone() {
-		return
-	}
+	st.abortIfCallerGone()
 	reason := "attempts-failed"
 	if ctx.Err() != nil {
 		reason = "timeout"
