Drain a group until a report shows its last requests, for as long as its routes allow

Callers: beside a change of the shares, a leaving or a slow member, the steward drains a group and orders its members to leave, which closes the connections of the requests there: after 5 s although a route allows its streams 8 s, or at once after a report that is older than the drain.

Change: a report counts as idle only if it shows a time at which daemons had learned of the drain, and the bound is the longest timeout of the service's routes, between 5 and 9.5 s (a leaving member remains for 10 s).

--- a/internal/core/steward/lifecycle.go
+++ b/internal/core/steward/lifecycle.go
@@ -165,6 +165,9 @@
 	return false
 }
 
+// drainNoticeTime is how long daemons may send requests to a group after it began to drain.
+const drainNoticeTime = 100 * time.Millisecond
+
 // drain waits until the group has finished its requests and then dissolves it. Meanwhile the
 // published view marks the group as draining, so that daemons send it no new requests.
 func (co *Core) drain(gr *group, leader *vm, now time.Time) []Call {
@@ -174,8 +177,10 @@
 		co.recordEvent(Event{Kind: "group-retires", Group: gr.name, Model: gr.model, Members: gr.members})
 		return nil
 	}
-	idle := leader.running == 0 && leader.pollAt.IsZero() && now.Sub(gr.drainingSince) > drainPollInterval
-	if idle || leader.ep.Member.State != catalog.Open || now.Sub(gr.drainingSince) > drainTimeout {
+	// A report shows the state of some time before.
+	current := leader.lastAnsweredPoll.Sub(gr.drainingSince) >= drainNoticeTime+co.services[gr.service].ReportLag
+	idle := current && leader.running == 0 && leader.pollAt.IsZero()
+	if idle || leader.ep.Member.State != catalog.Open || now.Sub(gr.drainingSince) > co.drainTimeout(gr) {
 		co.startDissolving(gr, "retired")
 		return co.dissolve(gr)
 	}
--- a/internal/core/steward/steward.go
+++ b/internal/core/steward/steward.go
@@ -36,9 +36,10 @@
 	// registrationTimeout is how long a new steward waits for members that have not
 	// registered. After a store outage, lost entries are restored within 2 s.
 	registrationTimeout = 2300 * time.Millisecond
-	// drainTimeout bounds the wait for the requests of a group that is being drained. Streams
-	// last 2 s on average and about 5 s at most.
-	drainTimeout = 5 * time.Second
+	// minDrainTimeout and maxDrainTimeout bound the wait for the requests of a group that is being
+	// drained. In between, it is the longest timeout of the service's routes. A leaving member remains for 10 s.
+	minDrainTimeout = 5 * time.Second
+	maxDrainTimeout = 9500 * time.Millisecond
 	// drainPollInterval is the time between polls of the leader of a group that is being
 	// drained.
 	drainPollInterval = 300 * time.Millisecond
@@ -237,8 +238,10 @@
 	// reported them; nil means that none are known.
 	RequestsAt func(group string) int
 	services   map[string]*catalog.Engine
-	vms        map[string]*vm
-	groups     map[groupKey]*group
+	// timeouts holds the longest timeout of the routes to each service.
+	timeouts map[string]time.Duration
+	vms      map[string]*vm
+	groups   map[groupKey]*group
 	// sortedIDs caches the VM IDs in order; idsChanged is set when it may be out of date.
 	sortedIDs  []string
 	idsChanged bool
@@ -315,6 +318,17 @@
 			co.services[name] = se.Engine
 		}
 	}
+	co.timeouts = make(map[string]time.Duration)
+	for _, ro := range cfg.Routes {
+		for _, be := range ro.Backends {
+			co.timeouts[be.Service] = max(co.timeouts[be.Service], ro.Timeout)
+		}
+	}
+}
+
+// drainTimeout returns how long a group may take to finish its requests when it is drained.
+func (co *Core) drainTimeout(gr *group) time.Duration {
+	return min(maxDrainTimeout, max(minDrainTimeout, co.timeouts[gr.service]))
 }
 
 // SetEvacuation sets the data centres that are evacuated. Their groups stay as they are, so that
--- a/internal/core/steward/suspend.go
+++ b/internal/core/steward/suspend.go
@@ -105,7 +105,7 @@
 	if su == nil || co.requestsAt(gr) == 0 || !co.complete(gr) || co.vms[gr.members[0]].ep.Member.State != catalog.Open {
 		return false
 	}
-	responds, limit := co.anyResponds(gr), drainTimeout
+	responds, limit := co.anyResponds(gr), co.drainTimeout(gr)
 	su.allSilent = su.allSilent || !responds
 	if co.hasUnresponsive(gr) {
 		if !su.allSilent {
@@ -125,7 +125,7 @@
 // requests make progress, and the limit is that of other groups that finish their requests.
 func (co *Core) holdLimit(gr *group, lost *vm, now time.Time) time.Duration {
 	if now.Sub(gr.stallReportedAt) >= stallReportTTL && now.Sub(lost.unresponsiveSince) > unresponsiveTimeout {
-		return drainTimeout
+		return co.drainTimeout(gr)
 	}
 	return maxHold
 }
--- a/internal/core/steward/suspend_invariants_test.go
+++ b/internal/core/steward/suspend_invariants_test.go
@@ -71,7 +71,7 @@
 }
 
 // watchGroups adds the groups that serve, with up to two requests each, and drops those that drain:
-// a drained group is dissolved with whatever is left there after drainTimeout.
+// a drained group is dissolved with whatever is left there after its drain timeout.
 func (si *simulation) watchGroups(watched map[string]*watchedGroup) {
 	for _, gr := range si.core.Groups() {
 		if gr.Draining {
--- a/internal/core/steward/suspend_test.go
+++ b/internal/core/steward/suspend_test.go
@@ -228,7 +228,7 @@
 	for _, me := range gr.Members {
 		si.setUnreachable(me.ID, false)
 	}
-	si.runUncut(drainTimeout, []catalog.Group{gr})
+	si.runUncut(minDrainTimeout, []catalog.Group{gr})
 	delete(si.requests, gr.Name)
 	if took := si.untilCut(gr, ""); took > 100*time.Millisecond {
 		t.Errorf("dissolved %v after the last request, want at most 100 ms", took)
