Wait for the response after a duplicate one until the deadline

Callers: a server sends a late duplicate of an earlier response on a kept connection and then, because it pauses or the request takes long, no further response for 0.5 s. The daemon closed the connection to it: a second run elsewhere if one was allowed, 502 otherwise.

Cause: skipTimeout, a clock of the connection beside those of the request.

Evidence, before the change: TestPauseAfterDuplicateResponse: second request: got "", may-have-run: read tcp ...: i/o timeout; want "two"

Change: on a reused connection the wait after a skipped response is bounded by the request's context alone, as for any other response (TestNoResponseAfterDuplicate).

--- a/internal/http1/exchange.go
+++ b/internal/http1/exchange.go
@@ -19,8 +19,8 @@
 	maxInlineBody = 32 << 10
 	// maxSkippedResponses is the number of responses to other requests that are skipped.
 	maxSkippedResponses = 2
-	// skipTimeout bounds the wait for the next response after one has been skipped. A
-	// late duplicate response arrives just before the expected one.
+	// skipTimeout bounds the wait for the next response after one has been skipped on a new
+	// connection. That one is no duplicate, and the endpoint may send no other.
 	skipTimeout = 500 * time.Millisecond
 	// maxSkippedBytes bounds the body of a skipped response.
 	maxSkippedBytes = 256 << 10
@@ -142,7 +142,8 @@
 }
 
 // readHeader reads responses until one matches this request. A server may send a duplicate
-// response to an earlier request where the response to the next one is expected.
+// response to an earlier request where the response to the next one is expected. The context
+// bounds the wait for that.
 func (ex *Exchange) readHeader(rq *Request) error {
 	for range maxSkippedResponses + 1 {
 		rsp, err := http.ReadResponse(ex.cn.br, &http.Request{Method: rq.Method})
@@ -162,6 +163,9 @@
 		if _, err := io.CopyN(io.Discard, rsp.Body, maxSkippedBytes); !errors.Is(err, io.EOF) {
 			return ErrMismatchedResponse
 		}
+		if ex.cn.reused {
+			continue
+		}
 		if err := ex.cn.nc.SetReadDeadline(time.Now().Add(skipTimeout)); err != nil {
 			return err
 		}
--- a/internal/http1/exchange_test.go
+++ b/internal/http1/exchange_test.go
@@ -105,6 +105,72 @@
 	}
 }
 
+// Guards against giving up a request because the server responds a while after a late duplicate
+// response: a pause of a server is no reason to close its connection. Only the context ends the wait.
+func TestPauseAfterDuplicateResponse(t *testing.T) {
+	const pause = 700 * time.Millisecond
+	sv := newServer(t, func(nc net.Conn, br *bufio.Reader) {
+		readRequest(t, br)
+		io.WriteString(nc, response("1", "one"))
+		readRequest(t, br)
+		io.WriteString(nc, response("1", "one"))
+		time.Sleep(pause)
+		io.WriteString(nc, response("2", "two"))
+	})
+	po := newPool()
+	if body, err := send(t, po, sv, request("1")); body != "one" || err != nil {
+		t.Fatalf("first request: got %q, %v; want \"one\"", body, err)
+	}
+	if body, err := send(t, po, sv, request("2")); body != "two" || err != nil {
+		t.Errorf("second request: got %q, %v; want \"two\"", body, err)
+	}
+}
+
+// Guards against waiting until the caller's deadline for an endpoint that sends another request's
+// response in place of its own.
+func TestMismatchedResponseOnNewConnection(t *testing.T) {
+	sv := newServer(t, func(nc net.Conn, br *bufio.Reader) {
+		readRequest(t, br)
+		io.WriteString(nc, response("1", "one"))
+		br.ReadByte() // Returns when the client closes the connection.
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	ex, err := newPool().Send(ctx, sv.ln.Addr().String(), request("2"))
+	if err == nil {
+		ex.Close()
+		t.Fatal("got a response, want an error")
+	}
+	if got := VerdictOf(err); got != verdict.MayHaveRun || ctx.Err() != nil {
+		t.Errorf("got verdict %q, context %v; want %q before the deadline", got, ctx.Err(), verdict.MayHaveRun)
+	}
+}
+
+// Guards against waiting beyond the caller's deadline for the response after a duplicate one.
+func TestNoResponseAfterDuplicate(t *testing.T) {
+	sv := newServer(t, func(nc net.Conn, br *bufio.Reader) {
+		readRequest(t, br)
+		io.WriteString(nc, response("1", "one"))
+		readRequest(t, br)
+		io.WriteString(nc, response("1", "one"))
+		br.ReadByte() // Returns when the client closes the connection.
+	})
+	po := newPool()
+	if body, err := send(t, po, sv, request("1")); body != "one" || err != nil {
+		t.Fatalf("first request: got %q, %v; want \"one\"", body, err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	ex, err := po.Send(ctx, sv.ln.Addr().String(), request("2"))
+	if err == nil {
+		ex.Close()
+		t.Fatal("got a response, want an error at the deadline")
+	}
+	if got := VerdictOf(err); got != verdict.MayHaveRun {
+		t.Errorf("got verdict %q, want %q", got, verdict.MayHaveRun)
+	}
+}
+
 // Guards against reusing an idle connection that has unread bytes. They belong to no request,
 // so the connection is closed and a new one is opened.
 func TestSurplusBytesCloseConnection(t *testing.T) {
