Send the last responses before a drained daemon exits

Callers (own interface): a daemon is stopped gracefully, and the last request in flight may get no response, or one without its end: the connection is closed.

Cause: the daemon counts a request as ended when its handler returns. net/http writes what is left of the response after that, and the end of the drain closed all connections at once.

Change: after the drain the callers' server is shut down, which waits until responses are written, for 2 s at most; then connections are closed as before.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -45,6 +45,9 @@
 	// the background after the response. A claim that is not settled by then
 	// remains held.
 	settleTimeout = 15 * time.Second
+	// flushTimeout bounds the wait for responses that callers have not read completely when the
+	// last request has ended.
+	flushTimeout = 2 * time.Second
 	// revisionTimeout bounds the requests for the revisions of all daemons.
 	revisionTimeout = 2 * time.Second
 )
@@ -106,14 +109,15 @@
 		actorCtx, cancel := context.WithCancel(workCtx)
 		gr.Add(func() error { return fn(actorCtx) }, func(error) { cancel() })
 	}
-	add(func(actorCtx context.Context) error { return da.drainOnRequest(ctx, actorCtx) })
+	callers := da.newServer(otelhttp.NewHandler(da.callerServer.Handler(), "caller"))
+	add(func(actorCtx context.Context) error { return da.drainOnRequest(ctx, actorCtx, callers) })
 	add(da.loop.run)
 	add(da.node.Run)
 	add(da.claims.Run)
 	add(da.quarantine.run)
-	add(da.serveHTTP(ls.caller, otelhttp.NewHandler(da.callerServer.Handler(), "caller")))
-	add(da.serveHTTP(ls.operator, otelhttp.NewHandler(da.operatorServer().Handler(), "operator")))
-	add(da.serveHTTP(ls.metrics, metricsHandler()))
+	add(serveHTTP(ls.caller, callers))
+	add(serveHTTP(ls.operator, da.newServer(otelhttp.NewHandler(da.operatorServer().Handler(), "operator"))))
+	add(serveHTTP(ls.metrics, da.newServer(metricsHandler())))
 	da.Log.Info("Daemon: started.", "name", da.Settings.Name, "caller", da.Settings.Listen.Caller)
 	err = gr.Run()
 	da.Log.Info("Daemon: stopped.", "name", da.Settings.Name)
@@ -144,23 +148,27 @@
 	return ls, eris.Wrap(err, "listen")
 }
 
-// serveHTTP returns an actor of the run group that serves a listener.
-func (da *Daemon) serveHTTP(ln net.Listener, handler http.Handler) func(context.Context) error {
-	sv := &http.Server{
+func (da *Daemon) newServer(handler http.Handler) *http.Server {
+	return &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          slog.NewLogLogger(da.Log.Handler(), slog.LevelDebug),
 	}
+}
+
+// serveHTTP returns an actor of the run group that serves a listener until its context ends.
+func serveHTTP(ln net.Listener, sv *http.Server) func(context.Context) error {
 	return func(ctx context.Context) error {
 		stop := context.AfterFunc(ctx, func() { sv.Close() })
 		defer stop()
 		err := sv.Serve(ln)
-		if errors.Is(err, http.ErrServerClosed) {
-			return nil
+		if !errors.Is(err, http.ErrServerClosed) {
+			return eris.Wrap(err, "serve")
 		}
-		return eris.Wrap(err, "serve")
+		<-ctx.Done()
+		return nil
 	}
 }
 
@@ -178,7 +186,7 @@
 // drainOnRequest waits until ctx ends or an operator requests a graceful stop,
 // and then drains the daemon. It returns when no request is in flight or the
 // drain timeout has passed. Its return stops the run group.
-func (da *Daemon) drainOnRequest(ctx, actorCtx context.Context) error {
+func (da *Daemon) drainOnRequest(ctx, actorCtx context.Context, callers *http.Server) error {
 	select {
 	case <-ctx.Done():
 	case <-da.drainRequested:
@@ -195,7 +203,7 @@
 	}
 	drainCtx, cancel := context.WithTimeout(actorCtx, time.Duration(ti.Drain))
 	defer cancel()
-	if err := da.callerServer.Drain(drainCtx); err != nil {
+	if err := da.drainCallers(drainCtx, callers); err != nil {
 		da.Log.Warn("Daemon: drain timeout reached; aborting the requests in flight.", "limit", time.Duration(ti.Drain))
 	}
 	settleCtx, cancel := context.WithTimeout(drainCtx, settleTimeout)
@@ -204,6 +212,17 @@
 	return nil
 }
 
+// drainCallers refuses new requests, waits for those in flight and closes the connections of callers.
+// A response ends only when the server has written it, after the handler has returned.
+func (da *Daemon) drainCallers(ctx context.Context, callers *http.Server) error {
+	if err := da.callerServer.Drain(ctx); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, flushTimeout)
+	defer cancel()
+	return callers.Shutdown(ctx)
+}
+
 // View implements operator.State.
 func (da *Daemon) View() *control.View { return da.loop.View() }
 
