Cancel streams at a group outside the view only if they are silent

Callers: streams that emit events at a group which has left the view were canceled when one connection to its leader had failed, for a request that was picked before the group left.

Cause: StalledGroups took an unreachable leader for a stall of the group.

Evidence, before the change: TestFailedConnectionKeepsActiveStreams: an active stream was canceled

Change: an unreachable leader makes a group in the view be probed, as before; streams are canceled only after the group's stall timeout.

Runs: go test -race ./internal/core/dispatch passes.

--- a/internal/core/dispatch/dispatch_test.go
+++ b/internal/core/dispatch/dispatch_test.go
@@ -240,6 +240,25 @@
 	}
 }
 
+// Guards against canceling streams that emit events at a group outside the view because one connection
+// to its leader has failed: that connection was opened for a request picked before the group left.
+func TestFailedConnectionKeepsActiveStreams(t *testing.T) {
+	ta := table(group("a", "here"))
+	ctx, cancel := context.WithCancelCause(context.Background())
+	ch, ti := ta.Pick(testRequest(), cancel, begin)
+	ti.Event(begin)
+	ta.Update(&catalog.View{}, &catalog.Config{}, begin)
+	ta.MarkUnreachable(ch.Group)
+	ta.StalledGroups(begin.Add(100 * time.Millisecond))
+	if ctx.Err() != nil {
+		t.Fatal("an active stream was canceled")
+	}
+	ta.StalledGroups(begin.Add(time.Second))
+	if ctx.Err() == nil {
+		t.Error("a stalled stream at a group outside the view was not canceled")
+	}
+}
+
 // Checks that the load of a request is counted until it ends, and exactly once.
 func TestLoadIsReleased(t *testing.T) {
 	ta := table(group("a", "here"))
--- a/internal/core/dispatch/stall.go
+++ b/internal/core/dispatch/stall.go
@@ -30,14 +30,11 @@
 	defer ta.mu.Unlock()
 	var stalled []catalog.Group
 	for _, gr := range ta.groups {
-		if !gr.unreachable && (len(gr.streams) == 0 || now.Sub(gr.lastActivity) < gr.stallTimeout()) {
-			continue
-		}
-		if !gr.inView {
+		silent := len(gr.streams) > 0 && now.Sub(gr.lastActivity) >= gr.stallTimeout()
+		switch {
+		case !gr.inView && silent:
 			gr.cancelStreams()
-			continue
-		}
-		if now.Sub(gr.checkedAt) > recheckInterval {
+		case gr.inView && (silent || gr.unreachable) && now.Sub(gr.checkedAt) > recheckInterval:
 			gr.checkedAt, gr.stalled = now, true
 			stalled = append(stalled, gr.Group)
 		}
