Refuse requests that wait for a model which is no longer declared

Callers (own interface): the configuration removes a model while requests wait to be admitted for it. They waited until their deadline, 30 s at most, before they were refused, and those that were admitted meanwhile were tried at groups that may not be sent to any more, at the cost of the retry budget.

Cause: a new view updated the pools of declared models only; the pool of a removed one kept its groups and its capacity.

Evidence, before the change: TestRemovedModelRefusesWaitingRequests: got deadline (not-run): the request did not start before its deadline after 30s, want a refusal at once got group g of the removed model, want none

Change: the pool of a model that is not declared loses its groups and its capacity, and the requests that wait there are refused as not run.

Runs: go test -race -count 20 ./internal/caller and go test ./internal/daemon pass.

--- a/internal/caller/pools.go
+++ b/internal/caller/pools.go
@@ -31,7 +31,8 @@
 }
 
 // Update applies a new view: it updates the groups of each model and the
-// capacity of its gate.
+// capacity of its gate. Requests that wait for a model which is no longer
+// declared are refused.
 func (ps *Pools) Update(vi *control.View) {
 	ps.mu.Lock()
 	defer ps.mu.Unlock()
@@ -55,6 +56,12 @@
 		po.router.Update(targets[name])
 		po.gate.setCapacity(daemonCapacity(po.router.Groups(), countServingDaemons(vi)))
 	}
+	for name, po := range ps.byModel {
+		if _, ok := vi.Config.Models[name]; !ok {
+			po.router.Update(nil)
+			po.gate.refuseAll()
+		}
+	}
 }
 
 // poolLocked returns the pool of a model, creating it if needed. The caller must
@@ -113,11 +120,20 @@
 
 	mu      sync.Mutex
 	queue   *admit.Queue
-	waiting map[uint64]chan struct{}
+	waiting map[uint64]*waiter
+}
+
+// waiter is a request that waits to be admitted.
+type waiter struct {
+	item admit.Item
+	// ended is closed when the wait is over: refused is set if the request is
+	// not admitted.
+	ended   chan struct{}
+	refused bool
 }
 
 func newAdmissionGate(cl clock.Clock) *admissionGate {
-	return &admissionGate{clock: cl, queue: admit.New(0, cl.Now()), waiting: make(map[uint64]chan struct{})}
+	return &admissionGate{clock: cl, queue: admit.New(0, cl.Now()), waiting: make(map[uint64]*waiter)}
 }
 
 // enter waits until the request is admitted and returns nil; the caller must
@@ -130,9 +146,9 @@
 		return errNoGroup()
 	}
 	de := ga.queue.Arrive(ga.clock.Now(), it)
-	start := make(chan struct{})
+	wa := &waiter{item: it, ended: make(chan struct{})}
 	if de.Verdict == admit.Queued {
-		ga.waiting[it.ID] = start
+		ga.waiting[it.ID] = wa
 	}
 	ga.mu.Unlock()
 	switch de.Verdict {
@@ -142,19 +158,26 @@
 		return &verdict.Error{Code: verdict.CodeOverloaded, Verdict: verdict.NotRun, RetryAfter: de.RetryAfter,
 			Message: "the request would not start before its deadline"}
 	}
-	return ga.wait(ctx, it, start)
+	return ga.wait(ctx, wa)
 }
 
-func (ga *admissionGate) wait(ctx context.Context, it admit.Item, start <-chan struct{}) error {
+func (ga *admissionGate) wait(ctx context.Context, wa *waiter) error {
+	it := wa.item
 	ctx, cancel := context.WithTimeout(ctx, it.Deadline.Sub(ga.clock.Now()))
 	defer cancel()
 	select {
-	case <-start:
+	case <-wa.ended:
+		if wa.refused {
+			return errNoGroup()
+		}
 		return nil
 	case <-ctx.Done():
 	}
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
+	if wa.refused {
+		return errNoGroup()
+	}
 	delete(ga.waiting, it.ID)
 	if !ga.queue.Cancel(it.Workspace, it.ID) {
 		// The request was admitted concurrently; its tokens go to the next
@@ -180,13 +203,27 @@
 // start wakes the admitted requests. The caller must hold ga.mu.
 func (ga *admissionGate) start(items []admit.Item) {
 	for _, it := range items {
-		if start, ok := ga.waiting[it.ID]; ok {
-			close(start)
+		if wa, ok := ga.waiting[it.ID]; ok {
+			close(wa.ended)
 			delete(ga.waiting, it.ID)
 		}
 	}
 }
 
+// refuseAll refuses the requests that wait, and new ones until the capacity is
+// set again.
+func (ga *admissionGate) refuseAll() {
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	for id, wa := range ga.waiting {
+		ga.queue.Cancel(wa.item.Workspace, id)
+		wa.refused = true
+		close(wa.ended)
+		delete(ga.waiting, id)
+	}
+	ga.queue.SetCapacity(ga.clock.Now(), 0) // No request is left to be admitted.
+}
+
 func errNoGroup() *verdict.Error {
 	return &verdict.Error{Code: verdict.CodeNoGroup, Verdict: verdict.NotRun, RetryAfter: 2 * time.Second,
 		Message: "no group serves this model now"}
