Keep a plain attempt open while another endpoint is tried

What callers saw: a request on a safe route whose endpoint gave no complete response within twice the objective ended with 502 "answer-lost" (or another endpoint's 500, or 504 at the deadline), although the endpoint went on and would have answered within the deadline.

Cause: break before make. The attempt's timeout closed the connection; only then was another endpoint looked for and the retry budget asked. If there was none, or it was no better, nothing was left to wait for.

Change: after the timeout a plainRace takes over the request. Other endpoints are tried while the first attempt stays open; another send follows only when all attempts in progress are silent. The first final response (as before: any but a refusal, 5xx and errors) cancels the others, and the handler returns when all have ended. An attempt in progress counts as a send, so no more than MaxAttempts endpoints may have run the request; a refusal while another attempt is open uses up none, and beyond MaxAttempts sends the next follows after 100 ms only. Without budget or endpoint it asks again every 100 ms. The budget is asked before Pick, which counts against endpoints' rate limits. The silence is recorded when it is noticed (PlainTable.RecordSilence), so other requests avoid the endpoint as before; a canceled attempt is released. A refusal no longer replaces an earlier 5xx that could be forwarded.

The common path starts no goroutine: the first attempt runs in the handler, and a timer starts the race.

--- a/internal/core/dispatch/endpoints.go
+++ b/internal/core/dispatch/endpoints.go
@@ -172,6 +172,19 @@
 	pl.mu.Lock()
 	defer pl.mu.Unlock()
 	ep.openRequests--
+	ep.recordFailure(now)
+}
+
+// RecordSilence records that an endpoint has a request and gives no response for a long time. It is
+// avoided as after a failure. The request has not ended.
+func (pl *PlainTable) RecordSilence(ep *PlainEndpoint, now time.Time) {
+	pl.mu.Lock()
+	defer pl.mu.Unlock()
+	ep.recordFailure(now)
+}
+
+// recordFailure counts a failure and sets until when the endpoint is avoided.
+func (ep *PlainEndpoint) recordFailure(now time.Time) {
 	ep.recordOutcome(true, now)
 	ep.avoidUntil = now.Add(min(maxAvoidTime, minAvoidTime<<min(ep.failures, 4)))
 	ep.failures++
--- a/internal/front/plain.go
+++ b/internal/front/plain.go
@@ -12,31 +12,21 @@
 	"corianderhub.dev/corianderhub/pkg/verdict"
 )
 
-const (
-	// maxResponseBytes bounds a response that is buffered before it is forwarded.
-	maxResponseBytes = 8 << 20
-	// attemptObjectives is the timeout of one attempt of an idempotent request, as a
-	// multiple of the route's objective. Another endpoint is tried after it.
-	attemptObjectives = 2
-	// retryAfterBusy is the shortest retry delay when all endpoints are full. It is
-	// about three times the duration of a request.
-	retryAfterBusy = 100 * time.Millisecond
-)
-
-// response is an endpoint's complete response.
-type response struct {
-	status int
-	header http.Header
-	body   []byte
-	notRun bool
-}
+// retryAfterBusy is the shortest retry delay when all endpoints are full. It is about three times
+// the duration of a request.
+const retryAfterBusy = 100 * time.Millisecond
 
 // plainCall is a request whose response is read completely before any of it is forwarded. A
 // failed attempt can then be retried or reported.
+//
+// Its fields belong to the goroutine of the request and, once an endpoint is silent, to that of the
+// plainRace. Attempts don't use them.
 type plainCall struct {
 	*call
 	tried []*dispatch.PlainEndpoint
-	// last is the last response that was read.
+	// maxSends is the largest number of sends, which counts attempts in progress.
+	maxSends int
+	// last is the last response that was read, refusals aside.
 	last *response
 	// err is the error of the last attempt, or nil if a response was read.
 	err error
@@ -44,121 +34,126 @@
 	state verdict.Verdict
 	// quarantinedFor is the remaining time of the request's quarantine; 0 if there is none.
 	quarantinedFor time.Duration
+	// budgetSpent is set once the retry budget has prevented an attempt.
+	budgetSpent bool
 }
 
 // plain handles a request on a route that is not streaming.
 func (ca *call) plain() {
 	ctx, cancel := context.WithDeadline(ca.req.Context(), ca.deadline)
 	defer cancel()
-	pc := &plainCall{call: ca, state: verdict.NotRun}
-	for ca.sends < ca.route.MaxAttempts && ctx.Err() == nil {
-		if left, quarantined := ca.quarantined(); quarantined {
-			pc.quarantinedFor = left
-			break
-		}
-		ep := pc.next()
-		if ep == nil || pc.attempt(ctx, ep) {
+	pc := &plainCall{call: ca, state: verdict.NotRun, maxSends: ca.route.MaxAttempts}
+	for pc.maySend(ctx) {
+		at := pc.next()
+		if at == nil || pc.attempt(ctx, at) {
 			break
 		}
 	}
 	pc.finish()
 }
 
-// next returns the endpoint to send to, or nil if none is left or the retry budget is spent.
-func (pc *plainCall) next() *dispatch.PlainEndpoint {
+// maySend reports whether the request may be sent to one more endpoint.
+func (pc *plainCall) maySend(ctx context.Context) bool {
+	if pc.sends >= pc.maxSends || ctx.Err() != nil {
+		return false
+	}
+	left, quarantined := pc.quarantined()
+	pc.quarantinedFor = left
+	return !quarantined
+}
+
+// next returns the next attempt, or nil if no endpoint is left or the retry budget is spent.
+func (pc *plainCall) next() *plainAttempt {
 	now := pc.sv.Clock.Now()
+	// Pick counts a request against the endpoint's rate limit, so the budget comes first.
+	if pc.sends > 0 && pc.sv.Budget.Remaining(pc.service, now) < 1 {
+		pc.logBudgetSpent()
+		return nil
+	}
 	ep := pc.sv.Plain.Pick(pc.service, pc.tried, now)
 	if ep == nil {
 		return nil
 	}
 	if pc.sends > 0 && !pc.sv.Budget.Spend(pc.service, now) {
 		pc.sv.Plain.Release(ep)
-		pc.log.Info("front: not sent again.", "reason", "retry-budget")
+		pc.logBudgetSpent()
 		return nil
 	}
 	pc.tried = append(pc.tried, ep)
-	return ep
+	pc.sends++
+	return pc.newAttempt(ep, now)
 }
 
-// attempt sends the request to an endpoint and reports whether that was the last attempt.
-func (pc *plainCall) attempt(ctx context.Context, ep *dispatch.PlainEndpoint) bool {
-	sent := pc.sv.Clock.Now()
-	an, err := pc.attemptPlain(ctx, ep)
-	pc.err = err
-	if err != nil {
-		if http1.VerdictOf(err) == verdict.NotRun {
+// logBudgetSpent logs once that the request isn't sent again.
+func (pc *plainCall) logBudgetSpent() {
+	if !pc.budgetSpent {
+		pc.log.Info("front: not sent again.", "reason", "retry-budget")
+	}
+	pc.budgetSpent = true
+}
+
+// attempt sends the request to an endpoint and reports whether that was the last attempt. If the
+// endpoint is silent for too long, others are tried in the meantime.
+func (pc *plainCall) attempt(ctx context.Context, at *plainAttempt) bool {
+	limit := attemptObjectives * pc.route.Objective
+	if !pc.route.Idempotent() || pc.sends >= pc.maxSends || limit <= 0 {
+		return pc.record(at.run(ctx))
+	}
+	first, cancel := context.WithCancel(ctx)
+	defer cancel()
+	at.cancel = cancel
+	races := make(chan *plainRace, 1)
+	timer := time.AfterFunc(limit, func() {
+		ra := newPlainRace(pc, at, limit)
+		races <- ra
+		ra.run(ctx)
+	})
+	end := at.run(first)
+	if timer.Stop() {
+		return pc.record(end)
+	}
+	ra := <-races
+	ra.ends <- end
+	<-ra.done
+	return true
+}
+
+// record records how an attempt ended and reports whether its response is final.
+func (pc *plainCall) record(end plainEnd) bool {
+	pc.err = end.err
+	if end.err != nil {
+		if http1.VerdictOf(end.err) == verdict.NotRun {
+			pc.sends--
 			return false
 		}
 		pc.state = verdict.MayHaveRun
 		return !pc.route.Idempotent()
 	}
-	pc.last = an
+	an := end.response
 	if an.notRun {
 		return false
 	}
+	pc.keep(an)
 	pc.state = verdict.Ran
 	if an.status < http.StatusMultipleChoices {
-		pc.reportCompletion(sent)
+		pc.reportCompletion(end.sent)
 	}
 	return an.status < http.StatusInternalServerError || !pc.route.Idempotent()
 }
 
-// attemptPlain sends the request to one endpoint and reads the response. Its errors are
-// *http1.Error.
-func (ca *call) attemptPlain(ctx context.Context, ep *dispatch.PlainEndpoint) (*response, error) {
-	if ca.route.Idempotent() && ca.sends+1 < ca.route.MaxAttempts && ca.route.Objective > 0 {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, attemptObjectives*ca.route.Objective)
-		defer cancel()
-	}
-	begin := ca.sv.Clock.Now()
-	// Only idempotent requests reuse connections: an endpoint may close an idle connection
-	// while a request is being sent, and whether it read the request is then unknown.
-	ex, err := ca.sv.Pool.Send(ctx, ep.Address, ca.endpointRequest(ep.ID, !ca.route.Idempotent()))
-	if http1.VerdictOf(err) != verdict.NotRun || err == nil {
-		ca.sends++
-		sendCount.Inc()
-	}
-	if err != nil {
-		ca.plainAttemptFailed(ctx, ep, err)
-		return nil, err
-	}
-	defer ex.Close()
-	ca.sv.ApplyResponseHeader(ep.Instance(), ex.Response, begin)
-	body, err := ex.ReadAll(maxResponseBytes)
-	if err == nil {
-		err = ca.checkUnframedEnd(ctx, ex, ep.ID, ep.Address)
-	}
-	if err != nil {
-		err = &http1.Error{Verdict: verdict.MayHaveRun, Err: err}
-		ca.plainAttemptFailed(ctx, ep, err)
-		return nil, err
-	}
-	ca.hold.add(int64(len(body)))
-	an := &response{ex.Response.StatusCode, ex.Response.Header, body, notRun(ex.Response)}
-	now := ca.sv.Clock.Now()
-	ca.sv.Plain.RecordResponse(ep, now.Sub(begin), an.status >= http.StatusInternalServerError, now)
-	if an.status == http.StatusMisdirectedRequest {
-		ca.sv.OnMisrouted()
-	}
-	ca.log.Debug("front: endpoint responded.", "endpoint", ep.ID, "status", an.status, "not-run", an.notRun)
-	return an, nil
-}
-
-func (ca *call) plainAttemptFailed(ctx context.Context, ep *dispatch.PlainEndpoint, err error) {
-	if ca.req.Context().Err() != nil {
-		ca.sv.Plain.Release(ep)
-		return
+// keep replaces the last response.
+func (pc *plainCall) keep(an *response) {
+	if pc.last != nil {
+		pc.hold.add(-int64(len(pc.last.body)))
 	}
-	ca.sv.Plain.RecordFailure(ep, ca.sv.Clock.Now())
-	ca.reportDisconnect(ctx, ep.ID, ep.Address, err, false) // Requests to plain endpoints have no parts.
-	ca.log.Info("front: attempt failed.", "endpoint", ep.ID, "cause", err.Error())
+	pc.hold.add(int64(len(an.body)))
+	pc.last = an
 }
 
 // finish forwards the last response, or else sends an error that states what is known.
 func (pc *plainCall) finish() {
 	switch {
-	case pc.last != nil && !pc.last.notRun && (pc.err == nil || pc.route.Idempotent()):
+	case pc.last != nil && (pc.err == nil || pc.route.Idempotent()):
 		pc.writeResponse(pc.last)
 	case pc.state == verdict.NotRun && pc.quarantinedFor > 0:
 		pc.refuse(refusal{status: http.StatusServiceUnavailable, reason: reasonQuarantined, retryAfter: pc.quarantinedFor})
