--- a/internal/front/plain_silence_test.go
+++ b/internal/front/plain_silence_test.go
@@ -3,11 +3,15 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
+	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"corianderhub.dev/corianderhub/internal/core/catalog"
 	"corianderhub.dev/corianderhub/platform"
 	"corianderhub.dev/corianderhub/platform/emulator"
 )
@@ -154,6 +158,73 @@
 	}
 }
 
+// Guards against asking only once: an endpoint that registers during the silence, or a budget that allows
+// a retry later, must still help.
+func TestSilentRequestMovesLater(t *testing.T) {
+	t.Run("another endpoint registers", func(t *testing.T) {
+		t.Parallel()
+		ps := beginPlainSilence(t, "/slot/x", silentAtStart, nil)
+		time.Sleep(silentFor)
+		ps.checkAnswer(ps.addPlain(nil))
+	})
+	t.Run("the budget allows a retry", func(t *testing.T) {
+		t.Parallel()
+		ps := beginPlainSilence(t, "/slot/x", silentAtStart, func(ri *rig) { ri.front.Budget.Ratio, ri.front.Budget.Slack = 0, 0 })
+		other := ps.addPlain(nil)
+		time.Sleep(silentFor)
+		if num := len(other.Runs()); num != 0 {
+			t.Errorf("sent %d times without budget, want 0", num)
+		}
+		ps.front.Budget.SetSlack(1)
+		ps.checkAnswer(other)
+	})
+}
+
+// Guards against passing on the failure of the silent endpoint while another one has the request.
+func TestSilentEndpointFailsDuringSecondAttempt(t *testing.T) {
+	ends := map[string]func(http.ResponseWriter){
+		"500": func(w http.ResponseWriter) { w.WriteHeader(http.StatusInternalServerError) },
+		"refusal": func(w http.ResponseWriter) {
+			w.Header().Set(platform.HeaderNotRun, "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		},
+		"closed connection": func(http.ResponseWriter) { panic(http.ErrAbortHandler) },
+	}
+	for name, end := range ends {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			ps := beginPlainSilence(t, "/slot/x", silentAtStart, func(ri *rig) {
+				for i := range ri.cfg.Routes {
+					ri.cfg.Routes[i].MaxAttempts = 3
+				}
+			})
+			failing := make(chan struct{})
+			var failed atomic.Bool
+			hs := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+				_, _ = io.Copy(io.Discard, req.Body) // The end of the connection shows only after the body.
+				select {
+				case <-failing:
+				case <-req.Context().Done():
+					return
+				}
+				failed.Store(true)
+				end(w)
+			}))
+			t.Cleanup(hs.Close)
+			ps.view.Plain = append(ps.view.Plain, catalog.PlainEndpoint{ID: "handler", Service: "desk", Address: hs.Listener.Addr().String()})
+			ps.update()
+			ps.eventually("the second attempt", func() bool { return ps.plain.RequestsIn("") == 2 })
+			other := ps.addPlain(always(emulator.Pauses))
+			other.Resume = make(chan struct{})
+			ps.eventually("the third attempt", func() bool { return len(other.Runs()) == 1 })
+			close(failing)
+			ps.eventually("the failure", failed.Load)
+			time.AfterFunc(2*shortObjective, func() { close(other.Resume) })
+			ps.checkAnswer(other)
+		})
+	}
+}
+
 // Guards against more attempts than the route allows while endpoints are silent.
 func TestSilentEndpointsStayWithinMaxAttempts(t *testing.T) {
 	ps := beginPlainSilence(t, "/slot/x", silentAtStart, nil)
