Hold the members of a suspended group for 2 s only if the silent one accepts connections

Cause: a process that is only silent and a machine that is down were treated alike, although the former still accepts connections.

Change: the steward connects to the silent members of a suspended group. While one of them accepts no connection for 0.3 s, the others are held for 0.5 s at most; otherwise for 2 s, as before.

--- a/internal/core/steward/simulation_test.go
+++ b/internal/core/steward/simulation_test.go
@@ -214,6 +214,10 @@
 			si.poll(ca)
 		case Command:
 			si.command(ca)
+		case Connect:
+			if _, ok := si.fleet.Entry(ca.ID, si.now); ok {
+				si.after(si.callTime(), func() { si.core.HandleConnected(ca.ID, si.now) })
+			}
 		}
 	}
 }
--- a/internal/core/steward/steward.go
+++ b/internal/core/steward/steward.go
@@ -61,7 +61,7 @@
 	discoveryTimeout = 700 * time.Millisecond
 )
 
-// Call is a request to an endpoint: a Poll or a Command.
+// Call is a request to an endpoint: a Poll, a Command or a Connect.
 type Call interface{ isCall() }
 
 // Poll is a request for an endpoint's report.
@@ -87,8 +87,13 @@
 	initialLoads bool
 }
 
+// Connect opens a connection to an endpoint that answers no poll. A process that is only silent still
+// accepts connections, unlike a machine that is down or cut off. HandleConnected takes the result.
+type Connect struct{ ID, Address string }
+
 func (Poll) isCall()    {}
 func (Command) isCall() {}
+func (Connect) isCall() {}
 
 // Outcome is the result of a command.
 type Outcome int
@@ -121,8 +126,9 @@
 	down              bool
 	failures          int
 	unresponsiveSince time.Time
-	// refusedAt is the send time of the last poll whose connection was refused.
-	refusedAt time.Time
+	// refusedAt is the send time of the last poll whose connection was refused. connectingSince is when
+	// the first Connect of the present silence was sent, connectedAt when the last one succeeded.
+	refusedAt, connectingSince, connectedAt time.Time
 	// witnessedAt is the send time of a poll that another VM has answered since; zero if there is
 	// none. witnessedFailures counts the polls that have failed from then on.
 	witnessedAt       time.Time
--- a/internal/core/steward/suspend.go
+++ b/internal/core/steward/suspend.go
@@ -12,9 +12,19 @@
 // leaves the view, so that it gets no new requests and daemons try other groups for those in progress.
 // It is dissolved once none of them is left, and resumed if all members respond before.
 
-// maxHold bounds how long the members that respond are held in a suspended group whose requests have
-// stalled. While none responds, there is nothing to gain from dissolving the group.
-const maxHold = 2 * time.Second
+const (
+	// maxHold bounds how long the members that respond are held in a suspended group whose requests
+	// have stalled, if the silent members accept connections. While no member responds, there is
+	// nothing to gain from dissolving the group.
+	maxHold = 2 * time.Second
+	// unreachableHold is the bound if a silent member accepts no connections: its machine is probably
+	// down.
+	unreachableHold = 500 * time.Millisecond
+	// connectInterval is the time between attempts to connect to the silent members, connectTime the
+	// time after which one that accepts no connection counts as unreachable.
+	connectInterval = 200 * time.Millisecond
+	connectTime     = 300 * time.Millisecond
+)
 
 // reviveTime is how long a group without requests is held after all of its members were silent and one
 // of them has responded: the others are polled meanwhile.
@@ -28,6 +38,8 @@
 	// limit bounds held, the time for which members that respond have been held, up to checkedAt.
 	limit, held time.Duration
 	checkedAt   time.Time
+	// connectAt is when to connect to the silent members next.
+	connectAt time.Time
 	// confirmedFrom is since when no member has been known to be silent; zero while one is.
 	confirmedFrom time.Time
 	// allSilent is set once no member has responded since the group was suspended, or since the orders
@@ -67,7 +79,7 @@
 	}
 	su.allSilent = su.allSilent || !responds
 	su.checkedAt = now
-	if why := co.endOfHold(gr, su, responds); why != "" {
+	if why := co.endOfHold(gr, su, responds, now); why != "" {
 		gr.dissolving, gr.suspension, su.allSilent = true, su, false
 		co.recordSilence("group-broken", gr, su, "member "+su.lost+" lost: "+why, now)
 		return co.dissolve(gr)
@@ -77,7 +89,41 @@
 		co.recordSilence("group-suspended", gr, su, "member "+su.lost+" is silent", now)
 	}
 	co.pollSuspended(gr, responds, now)
-	return nil
+	return co.connects(gr, su, now)
+}
+
+// connects returns the calls that show whether the silent members of a suspended group accept
+// connections.
+func (co *Core) connects(gr *group, su *suspension, now time.Time) []Call {
+	if now.Before(su.connectAt) {
+		return nil
+	}
+	su.connectAt = now.Add(connectInterval)
+	var calls []Call
+	for _, id := range gr.members {
+		if vm := co.vms[id]; vm.down && !vm.accepts() {
+			if vm.connectingSince.Before(vm.unresponsiveSince) {
+				vm.connectingSince = now
+			}
+			calls = append(calls, Connect{ID: id, Address: vm.ep.Address})
+		}
+	}
+	return calls
+}
+
+// HandleConnected records that a VM has accepted a connection.
+func (co *Core) HandleConnected(id string, now time.Time) {
+	if vm := co.vms[id]; vm != nil {
+		vm.connectedAt = now
+	}
+}
+
+// accepts reports whether the VM has accepted a connection since it became unresponsive.
+func (vm *vm) accepts() bool { return vm.connectedAt.After(vm.unresponsiveSince) }
+
+// unreachable reports whether the VM has accepted no connection for connectTime.
+func (vm *vm) unreachable(now time.Time) bool {
+	return vm.down && !vm.accepts() && !vm.connectingSince.Before(vm.unresponsiveSince) && now.Sub(vm.connectingSince) >= connectTime
 }
 
 // stepResuming resumes a suspended group once each member has answered a poll sent since none was
@@ -132,7 +178,7 @@
 
 // endOfHold returns why a group that has lost a member by its silence is dissolved now, or "" if it is
 // not.
-func (co *Core) endOfHold(gr *group, su *suspension, responds bool) string {
+func (co *Core) endOfHold(gr *group, su *suspension, responds bool, now time.Time) string {
 	left := co.requestsAt(gr)
 	switch {
 	case !co.complete(gr) || left == 0 && co.vms[gr.members[0]].ep.Member.State != catalog.Open:
@@ -145,6 +191,8 @@
 		return "no requests left"
 	case su.held >= su.limit:
 		return "silent for too long"
+	case su.limit == maxHold && su.held >= unreachableHold && slices.ContainsFunc(gr.members, func(id string) bool { return co.vms[id].unreachable(now) }):
+		return "silent and unreachable"
 	}
 	return ""
 }
--- a/internal/entry/steward.go
+++ b/internal/entry/steward.go
@@ -158,10 +158,22 @@
 			ct.da.spawn(&ct.wg, func(ctx context.Context) { ct.poll(ctx, core, ca) })
 		case steward.Command:
 			ct.da.spawn(&ct.wg, func(ctx context.Context) { ct.command(ctx, core, term, ca) })
+		case steward.Connect:
+			ct.da.spawn(&ct.wg, func(ctx context.Context) { ct.connect(ctx, core, ca) })
 		}
 	}
 }
 
+// connect opens a connection to an endpoint and closes it.
+func (ct *control) connect(ctx context.Context, core *steward.Core, as steward.Connect) {
+	nc, err := ct.da.dialer.Dial(ctx, as.Address)
+	if err != nil {
+		return // The endpoint counts as unreachable until a connection is opened.
+	}
+	nc.Close()
+	ct.withCore(core, func(co *steward.Core, now time.Time) { co.HandleConnected(as.ID, now) })
+}
+
 // withCore runs fn in the control loop if core is still the active steward core.
 func (ct *control) withCore(core *steward.Core, fn func(*steward.Core, time.Time)) {
 	ct.post(func() {
