Drain a group although an old report says that it has not opened

A group that was reassigned 0.5 s after it was formed was dissolved 10 ms after its drain had begun, with a request in progress.

Cause: reports lag by 0.2 s. One from before the opening arrives after the entry that announced it, and a drain ended as soon as the leader was not known to be open.

Evidence: TestOldReportDoesNotEndDrain before: "group-17-1 was cut after 20ms with 4 requests there".

Why it works: daemons report requests at the group, which shows that it has opened. A group that has broken is recognized elsewhere.

--- a/internal/core/steward/lifecycle.go
+++ b/internal/core/steward/lifecycle.go
@@ -175,7 +175,9 @@
 		return nil
 	}
 	idle := leader.running == 0 && leader.pollAt.IsZero() && now.Sub(gr.drainingSince) > drainPollInterval
-	if idle || leader.ep.Member.State != catalog.Open || now.Sub(gr.drainingSince) > drainTimeout {
+	// A report may be older than the opening of the group.
+	closed := leader.ep.Member.State != catalog.Open && co.requestsAt(gr) == 0
+	if idle || closed || now.Sub(gr.drainingSince) > drainTimeout {
 		co.startDissolving(gr, "retired")
 		return co.dissolve(gr)
 	}
--- a/internal/core/steward/suspend_test.go
+++ b/internal/core/steward/suspend_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"corianderhub.dev/corianderhub/internal/core/catalog"
+	"corianderhub.dev/corianderhub/platform/emulator"
 )
 
 // setRequests sets the number of requests in progress at each of the groups.
@@ -257,3 +258,20 @@
 		})
 	}
 }
+
+// A group is reassigned just after it has opened, and a report from before says that it has not. Guards
+// against dissolving it at once, with the requests that it has got meanwhile.
+func TestOldReportDoesNotEndDrain(t *testing.T) {
+	si := newSimulation(t, 3, 3, 9)
+	si.runInitialLoads(5 * time.Second)
+	gr := si.core.Groups()[0]
+	si.setRequests([]catalog.Group{gr}, 4)
+	si.fleet.Update(gr.Leader().ID, func(vm *emulator.VM) { vm.Running = 4 })
+	old, _ := si.fleet.Report(gr.Leader().ID, si.now)
+	member := *old.Member
+	member.State = catalog.Ready
+	old.Member = &member
+	si.core.groups[groupKey{gr.Name, gr.Epoch}].reassigned = true
+	si.core.HandleReport(gr.Leader().ID, old, si.now, si.now)
+	si.runUncut(drainTimeout-time.Second, []catalog.Group{gr})
+}
