--- a/internal/core/steward/lifecycle.go
+++ b/internal/core/steward/lifecycle.go
@@ -180,7 +180,8 @@
 	// A report shows the state of some time before.
 	current := leader.lastAnsweredPoll.Sub(gr.drainingSince) >= drainNoticeTime+co.services[gr.service].ReportLag
 	idle := current && leader.running == 0 && leader.pollAt.IsZero()
-	if idle || leader.ep.Member.State != catalog.Open || now.Sub(gr.drainingSince) > co.drainTimeout(gr) {
+	closed := leader.ep.Member.State != catalog.Open && co.requestsAt(gr) == 0
+	if idle || closed || now.Sub(gr.drainingSince) > co.drainTimeout(gr) {
 		co.startDissolving(gr, "retired")
 		return co.dissolve(gr)
 	}
