Keep a completion at a silent engine until another one goes on

Callers of the own interface: an engine sent its first chunks or nothing yet, was silent for longer than timing.stall and would have gone on; the caller got an error. Cause: endpoint.attempt canceled the attempt at the stall timeout, and only then did caller.runAttempts look for another group, the budget, or whether the request may be sent again.

Two ways were weighed. (a) A second attempt runs beside the silent one, and the first that sends text is kept. (b) The silent one is given up once a group, the budget and a response header are held. (a): with (b) an engine that accepts and then breaks off, or sends only a role chunk, still loses the response, and header and first chunk come through the same goroutine, so (b) would need the same changes. The price of (a) is load for two at the other group while both run.

Now attempts run as goroutines that send chunks to the one that owns the completion and the caller's connection. All attempts that run at one time were started from the same text; the first chunk with text or a finish reason cancels the others, and what crosses their cancellation is ignored, so text of two is never joined. Silence (silenceWatch) is a signal only. A request that may not be sent again, or finds no group, budget or attempt, stays until the engine goes on, the connection breaks or the deadline passes. One attempt is left for the case that all running ones fail. The first second attempt after progress is free of the budget, as resuming was; each further one draws on it. Refused and closed connections are retried as before. The time in which the caller does not read is no longer counted as silence of the engine. Each decision (started beside, waiting and why, went on first) is one log line and one explain record. An error after an attempt that may have run says may-have-run.

A connection that is dead without a sign now ends by TCP keep-alive or at the request's deadline instead of at timing.stall if the request may not be sent again; its verdict is may-have-run (TestSilentEngineUntilDeadline).

TestCompletionOutlivesItsPermit checks that a group's loss of its permit and of its place in the view does not end a completion in progress; it passed before too, as the request was sent again to the same group.

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -66,8 +66,8 @@
 	Journal  *Journal
 	// DataCenter is the name of the data centre that this daemon runs in.
 	DataCenter string
-	// StallTimeout is the longest time that an engine may send nothing before
-	// the attempt fails.
+	// StallTimeout is the time without a response or a chunk of it after which
+	// another attempt is started beside a silent one.
 	StallTimeout time.Duration
 	// EntriesLifetime is how long callers may cache a response of /v1/entries.
 	EntriesLifetime time.Duration
--- a/internal/caller/quarantine.go
+++ b/internal/caller/quarantine.go
@@ -96,11 +96,11 @@
 	return errors.Is(err, syscall.ECONNREFUSED)
 }
 
-// recordCompletion clears the request and its messages of the crashes before it was sent.
-func (se *Server) recordCompletion(co *completion) {
+// recordCompletion clears the request and its messages of the crashes before sentAt, when it was sent.
+func (se *Server) recordCompletion(co *completion, sentAt time.Time) {
 	now := se.Clock.Now()
 	for _, fp := range se.Quarantine.Complete(co.identity) {
-		an := quarantine.Completion{Subject: fp, At: now, Took: now.Sub(co.sentAt)}
+		an := quarantine.Completion{Subject: fp, At: now, Took: now.Sub(sentAt)}
 		se.Quarantine.RecordCompletion(an, now)
 		se.OnCompletion(an)
 	}
--- a/internal/daemon/settings.go
+++ b/internal/daemon/settings.go
@@ -68,8 +68,8 @@
 	ProbeBytes int             `toml:"probe-bytes"`
 	// Entries is how long callers may cache the list of daemon addresses.
 	Entries intent.Duration `toml:"entries"`
-	// Stall is the longest time that an engine may send nothing before the
-	// attempt fails.
+	// Stall is how long an engine may send nothing before another attempt is
+	// started beside it.
 	Stall intent.Duration `toml:"stall"`
 	// Drain bounds the wait for requests in flight at a graceful stop.
 	Drain intent.Duration `toml:"drain"`
--- a/internal/endpoint/attempt.go
+++ b/internal/endpoint/attempt.go
@@ -11,48 +11,27 @@
 	"corianderhub.dev/corianderhub/pkg/verdict"
 )
 
-// errStalled is the cancellation cause of an attempt whose connection makes no progress.
-var errStalled = errors.New("connection stalled: no progress within the timeout")
+// errTimedOut is the cancellation cause of an attempt that has reached its timeout.
+var errTimedOut = errors.New("no complete response within the timeout")
 
-// attempt tracks one HTTP request: whether any of it may have reached the endpoint, and
-// whether it still makes progress.
+// attempt tracks one HTTP request: whether any of it may have reached the endpoint.
 type attempt struct {
 	ctx    context.Context
-	cancel context.CancelCauseFunc
+	cancel context.CancelFunc
 	// connected is set once there is a connection to write to. Before that the
 	// endpoint cannot have received the request.
 	connected atomic.Bool
-	timer     *time.Timer
 }
 
-// newAttempt returns an attempt that is canceled when resetTimer is not called for the
-// duration stall; 0 disables the timer. The kernel reports a dead connection only after
-// minutes, so a lack of progress is the only timely sign of one.
-func newAttempt(ctx context.Context, stall time.Duration) *attempt {
+func newAttempt(ctx context.Context) *attempt {
 	at := &attempt{}
-	ctx, at.cancel = context.WithCancelCause(ctx)
+	ctx, at.cancel = context.WithCancel(ctx)
 	at.ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { at.connected.Store(true) },
 	})
-	if stall > 0 {
-		at.timer = time.AfterFunc(stall, func() { at.cancel(errStalled) })
-	}
 	return at
 }
 
-func (at *attempt) resetTimer(stall time.Duration) {
-	if at.timer != nil {
-		at.timer.Reset(stall)
-	}
-}
-
-func (at *attempt) end() {
-	if at.timer != nil {
-		at.timer.Stop()
-	}
-	at.cancel(nil)
-}
-
 // newError returns an error that wraps err, or the cause of the cancellation if there is one.
 // Its verdict is NotRun if no connection was established and MayHaveRun otherwise.
 func (at *attempt) newError(code verdict.Code, message string, err error) *verdict.Error {
--- a/internal/endpoint/complete.go
+++ b/internal/endpoint/complete.go
@@ -10,7 +10,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"time"
 
 	"corianderhub.dev/corianderhub/pkg/verdict"
 )
@@ -25,8 +24,6 @@
 	Path string
 	// Body is the JSON request, with streaming enabled.
 	Body []byte
-	// StallTimeout is the longest time that the engine may send nothing.
-	StallTimeout time.Duration
 	// BeforeSend is called right before the request is sent. If it returns an error, the
 	// request is not sent.
 	BeforeSend func() *verdict.Error
@@ -40,6 +37,8 @@
 	FinishReason string
 	// Usage is the engine's token usage as raw JSON, if the chunk contains it.
 	Usage json.RawMessage
+	// KeepAlive is set for a comment of the engine, which contains nothing else.
+	KeepAlive bool
 }
 
 // streamTerminator is the last event of every complete stream. A stream without it is
@@ -67,10 +66,11 @@
 }
 
 // Complete sends the request and calls emit for each chunk in order. It returns nil only after
-// the stream's terminator. An error from emit ends the attempt and is returned unchanged.
+// the stream's terminator. An error from emit ends the attempt and is returned unchanged. Only ctx
+// limits how long the engine may send nothing.
 func (es EngineClient) Complete(ctx context.Context, co CompletionRequest, emit func(Chunk) error) error {
-	at := newAttempt(ctx, co.StallTimeout)
-	defer at.end()
+	at := newAttempt(ctx)
+	defer at.cancel()
 	req, err := http.NewRequestWithContext(at.ctx, http.MethodPost, "http://"+co.Address+co.Path, bytes.NewReader(co.Body))
 	if err != nil {
 		return at.newError(verdict.CodeBadRequest, "the request could not be made", err)
@@ -92,7 +92,7 @@
 	if ve := checkResponse(rsp, co.RequestID); ve != nil {
 		return ve
 	}
-	return at.readStream(rsp.Body, co.StallTimeout, emit)
+	return at.readStream(rsp.Body, emit)
 }
 
 // checkResponse returns an error unless the response is a success response to this request.
@@ -115,11 +115,16 @@
 	return nil
 }
 
-func (at *attempt) readStream(body io.Reader, stall time.Duration, emit func(Chunk) error) error {
+func (at *attempt) readStream(body io.Reader, emit func(Chunk) error) error {
 	sc := bufio.NewScanner(body)
 	sc.Buffer(make([]byte, 0, 4096), maxLineBytes)
 	for sc.Scan() {
-		at.resetTimer(stall)
+		if strings.HasPrefix(sc.Text(), ":") {
+			if err := emit(Chunk{KeepAlive: true}); err != nil {
+				return err
+			}
+			continue
+		}
 		data, ok := strings.CutPrefix(sc.Text(), "data:")
 		if !ok {
 			continue
--- a/internal/endpoint/service.go
+++ b/internal/endpoint/service.go
@@ -23,7 +23,8 @@
 	Body   []byte
 	// AtMostOnce means that the call must not run twice. It is sent on a new connection.
 	AtMostOnce bool
-	Timeout    time.Duration
+	// Timeout limits the duration of the call.
+	Timeout time.Duration
 }
 
 // Response is the complete response of a service.
@@ -54,8 +55,10 @@
 
 // Do makes the call and reads the complete response.
 func (ss ServiceClient) Do(ctx context.Context, ca Call) (Response, error) {
-	at := newAttempt(ctx, ca.Timeout)
-	defer at.end()
+	ctx, cancel := context.WithTimeoutCause(ctx, ca.Timeout, errTimedOut)
+	defer cancel()
+	at := newAttempt(ctx)
+	defer at.cancel()
 	req, err := http.NewRequestWithContext(at.ctx, ca.Method, "http://"+ca.Address+ca.Path, bytes.NewReader(ca.Body))
 	if err != nil {
 		return Response{}, at.newError(verdict.CodeBadRequest, "the call could not be made", err)
