Keep a call at a silent service until another address answers

Callers of plain services: a repeatable call whose service was silent for the endpoint's timeout was canceled there and sent to another address; if that one refused, failed or was silent too, the caller got an error although the first would have answered a moment later. If all addresses had been tried, the error was "not-run", though the call may have run. Cause: each attempt had a timeout of its own, and call looked for another address only after it.

Now the timeout starts an attempt at another address beside the silent one, if the call may be repeated, the budget allows it and an address is left, and the first complete response is returned. Otherwise the call ends at the timeout as before: the operator declares it as the limit of one call, so it is a deadline and protects from a dead connection. In all, a call takes at most three times the timeout, as before. The error says may-have-run if any attempt may have run. A call that must run at most once has one attempt and ends at the timeout, as before (TestHoldAtMostOnce/silent-connection).

Weighed against it: keeping every call until the caller's deadline. That would undo the declared timeout.

service_test.go: endpoint.Call has no timeout any more, so the tests do not set one; the checks are unchanged.

--- a/internal/caller/service.go
+++ b/internal/caller/service.go
@@ -12,19 +12,13 @@
 	"corianderhub.dev/corianderhub/internal/core/claim"
 	"corianderhub.dev/corianderhub/internal/core/intent"
 	"corianderhub.dev/corianderhub/internal/endpoint"
-	"corianderhub.dev/corianderhub/pkg/admin"
 	"corianderhub.dev/corianderhub/pkg/hub"
 	"corianderhub.dev/corianderhub/pkg/verdict"
 )
 
-const (
-	defaultCallTimeout = 30 * time.Second
-	// maxCallAttempts is the maximum number of attempts for one call.
-	maxCallAttempts = 3
-	// failureBackoff is how long an address is tried only after all others once
-	// a call to it has failed.
-	failureBackoff = 2 * time.Second
-)
+// failureBackoff is how long an address is tried only after all others once a
+// call to it has failed.
+const failureBackoff = 2 * time.Second
 
 // serveCall routes a call to a plain service.
 func (se *Server) serveCall(ctx context.Context, ex *exchange) error {
@@ -87,44 +81,6 @@
 	return false
 }
 
-// call makes attempts until one succeeds or no further attempt is allowed.
-func (se *Server) call(ctx context.Context, ex *exchange, en intent.Endpoint, on atMostOnce) (endpoint.Response, error) {
-	se.budget.Earn()
-	timeout := time.Duration(en.Timeout)
-	if timeout == 0 {
-		timeout = defaultCallTimeout
-	}
-	var tried []string
-	for {
-		addr := se.picker.pick(en, tried, se.Clock.Now())
-		if addr == "" {
-			return endpoint.Response{}, &verdict.Error{Code: verdict.CodeNoGroup, Verdict: verdict.NotRun,
-				RetryAfter: time.Second, Message: "no address of the endpoint is in use"}
-		}
-		tried = append(tried, addr)
-		an, err := se.Services.Do(ctx, endpoint.Call{
-			RequestID:  ex.id,
-			Address:    addr,
-			Method:     ex.req.Method,
-			Path:       ex.req.URL.RequestURI(),
-			Header:     forwardedHeader(ex),
-			Body:       ex.body,
-			AtMostOnce: on.required,
-			Timeout:    timeout,
-		})
-		if err == nil {
-			ex.record.addAttempt(admin.Attempt{At: se.Clock.Now(), Target: addr, Reason: "answered"})
-			return an, nil
-		}
-		ex.record.addAttempt(admin.Attempt{At: se.Clock.Now(), Target: addr, Reason: err.Error()})
-		se.picker.markFailed(addr, se.Clock.Now())
-		retryAllowed := on.mayRetry(err, idempotent(ex.req.Method)) && ctx.Err() == nil && len(tried) < maxCallAttempts
-		if !retryAllowed || !se.budget.Spend() {
-			return endpoint.Response{}, err
-		}
-	}
-}
-
 // hopHeaders are the headers that apply to one connection and are not
 // forwarded.
 var hopHeaders = []string{"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
--- a/internal/daemon/harness_test.go
+++ b/internal/daemon/harness_test.go
@@ -71,6 +71,8 @@
 	engine func(*standin.Engine)
 	// wrapEngine, if set, wraps the handler of each engine.
 	wrapEngine func(http.Handler) http.Handler
+	// wrapService, if set, wraps the handler of the service.
+	wrapService func(http.Handler) http.Handler
 	// stall is the daemons' stall timeout, or 0 for that of most tests.
 	stall time.Duration
 }
@@ -92,8 +94,12 @@
 	for i := range size.vms {
 		sk.addEngine(fmt.Sprintf("vm-%d", i), size.engine)
 	}
+	service := sk.service.Handler()
+	if size.wrapService != nil {
+		service = size.wrapService(service)
+	}
 	for range 2 {
-		sk.services = append(sk.services, sk.serve(sk.service.Handler()))
+		sk.services = append(sk.services, sk.serve(service))
 	}
 	for i := range size.daemons {
 		sk.addDaemon(fmt.Sprintf("d%d", i))
--- a/internal/endpoint/attempt.go
+++ b/internal/endpoint/attempt.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"net/http/httptrace"
 	"sync/atomic"
@@ -11,9 +10,6 @@
 	"corianderhub.dev/corianderhub/pkg/verdict"
 )
 
-// errTimedOut is the cancellation cause of an attempt that has reached its timeout.
-var errTimedOut = errors.New("no complete response within the timeout")
-
 // attempt tracks one HTTP request: whether any of it may have reached the endpoint.
 type attempt struct {
 	ctx    context.Context
--- a/internal/endpoint/service.go
+++ b/internal/endpoint/service.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"slices"
 	"strconv"
-	"time"
 
 	"corianderhub.dev/corianderhub/pkg/verdict"
 )
@@ -23,8 +22,6 @@
 	Body   []byte
 	// AtMostOnce means that the call must not run twice. It is sent on a new connection.
 	AtMostOnce bool
-	// Timeout limits the duration of the call.
-	Timeout time.Duration
 }
 
 // Response is the complete response of a service.
@@ -53,10 +50,8 @@
 	return tr
 }
 
-// Do makes the call and reads the complete response.
+// Do makes the call and reads the complete response. Only ctx limits its duration.
 func (ss ServiceClient) Do(ctx context.Context, ca Call) (Response, error) {
-	ctx, cancel := context.WithTimeoutCause(ctx, ca.Timeout, errTimedOut)
-	defer cancel()
 	at := newAttempt(ctx)
 	defer at.cancel()
 	req, err := http.NewRequestWithContext(at.ctx, ca.Method, "http://"+ca.Address+ca.Path, bytes.NewReader(ca.Body))
--- a/internal/endpoint/service_test.go
+++ b/internal/endpoint/service_test.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"sync/atomic"
 	"testing"
-	"time"
 
 	"corianderhub.dev/corianderhub/internal/loopback"
 	"corianderhub.dev/corianderhub/pkg/verdict"
@@ -76,11 +75,11 @@
 		t.Run(tc.name, func(t *testing.T) {
 			addr, read := closingServer(t)
 			ss := ServiceClient{Transport: NewTransport(4), NoReuseTransport: NewNoReuseTransport()}
-			warm := Call{Address: addr, Method: http.MethodGet, Path: "/", Timeout: time.Minute}
+			warm := Call{Address: addr, Method: http.MethodGet, Path: "/"}
 			if _, err := ss.Do(context.Background(), warm); err != nil {
 				t.Fatal(err)
 			}
-			ca := Call{Address: addr, Method: http.MethodPost, Path: "/count", Body: tc.body, AtMostOnce: true, Timeout: time.Minute,
+			ca := Call{Address: addr, Method: http.MethodPost, Path: "/count", Body: tc.body, AtMostOnce: true,
 				Header: http.Header{"Idempotency-Key": {"k"}}}
 			_, err := ss.Do(context.Background(), ca)
 			if verdict.Of(err) != verdict.MayHaveRun {
@@ -139,7 +138,7 @@
 	for _, tc := range tests {
 		t.Run(tc.name, func(t *testing.T) {
 			ss := ServiceClient{Transport: NewTransport(4)}
-			_, err := ss.Do(context.Background(), Call{RequestID: "mine", Address: respond(t, tc.raw), Method: http.MethodPost, Path: "/", Timeout: time.Minute})
+			_, err := ss.Do(context.Background(), Call{RequestID: "mine", Address: respond(t, tc.raw), Method: http.MethodPost, Path: "/"})
 			if tc.code == "" {
 				if err != nil {
 					t.Fatalf("error = %v, want none", err)
@@ -162,7 +161,7 @@
 	}
 	defer ad.Close()
 	ss := ServiceClient{Transport: NewTransport(4)}
-	_, err = ss.Do(context.Background(), Call{Address: ad.String(), Method: http.MethodPost, Path: "/", Timeout: time.Minute})
+	_, err = ss.Do(context.Background(), Call{Address: ad.String(), Method: http.MethodPost, Path: "/"})
 	if got := verdict.Of(err); got != verdict.NotRun {
 		t.Errorf("verdict = %s, want %s", got, verdict.NotRun)
 	}
