--- a/internal/endpoint/service.go
+++ b/internal/endpoint/service.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"slices"
 	"strconv"
-	"time"
 
 	"corianderhub.dev/corianderhub/pkg/verdict"
 )
@@ -23,7 +22,6 @@
 	Body   []byte
 	// AtMostOnce means that the call must not run twice. It is sent on a new connection.
 	AtMostOnce bool
-	Timeout    time.Duration
 }
 
 // Response is the complete response of a service.
@@ -52,10 +50,10 @@
 	return tr
 }
 
-// Do makes the call and reads the complete response.
+// Do makes the call and reads the complete response. Only ctx limits its duration.
 func (ss ServiceClient) Do(ctx context.Context, ca Call) (Response, error) {
-	at := newAttempt(ctx, ca.Timeout)
-	defer at.end()
+	at := newAttempt(ctx)
+	defer at.cancel()
 	req, err := http.NewRequestWithContext(at.ctx, ca.Method, "http://"+ca.Address+ca.Path, bytes.NewReader(ca.Body))
 	if err != nil {
 		return Response{}, at.newError(verdict.CodeBadRequest, "the call could not be made", err)
