End a standby's attempt that nobody continues

Callers saw nothing; the daemon counted a request at a group for good, so that group looked fuller than it was to all daemons, and a suspended one never ran empty. Cause: a standby may overtake while the first attempt writes to a caller that has stopped reading, ends its stream, or has a final response. The request then ends without failOver, and nobody closed the standby's attempt.

The test failed before: 'waited 30s for the end of all attempts'. Now close ends the attempt that failOver has not returned, and the test passes in 1 s.

--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -226,6 +226,7 @@
 		return at, nil, err
 	}
 	st, next := at.st, sb.next
+	sb.next = nil
 	st.log.Info("front: stream continued at another group.", "from", at.choice.Group.Name, "group", next.choice.Group.Name, "events", st.numEvents)
 	at.close()
 	st.choice, st.state = next.choice, verdict.Ran
@@ -250,8 +251,8 @@
 	return sb
 }
 
-// close ends the attempt and its standby, unless that continues the stream. Further calls have no
-// effect.
+// close ends the attempt and its standby, unless failOver has returned the attempt of that. Further
+// calls have no effect.
 func (at *attempt) close() {
 	at.mu.Lock()
 	at.closed = true
@@ -260,6 +261,10 @@
 	at.mu.Unlock()
 	if sb != nil {
 		<-sb.done
+		if sb.next != nil {
+			sb.next.close()
+			sb.next = nil
+		}
 	}
 	if at.ex != nil {
 		at.ex.Close()
--- a/internal/front/standby.go
+++ b/internal/front/standby.go
@@ -20,7 +20,8 @@
 	// sent is set while the request is sent to a group. It is protected by from.mu.
 	sent bool
 	// done is closed at the end, after which the following fields are set: next is the attempt that
-	// continues the stream, nil if there is none, and event and err are its first result.
+	// continues the stream, nil if there is none or failOver has returned it, and event and err are its
+	// first result.
 	done  chan struct{}
 	next  *attempt
 	event []byte
--- /dev/null
+++ b/internal/front/standby_test.go
@@ -0,0 +1,76 @@
+package front
+
+import (
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"corianderhub.dev/corianderhub/platform"
+	"corianderhub.dev/corianderhub/platform/emulator"
+)
+
+// blockingWriter is the response to a caller that stops reading before the event number at.
+type blockingWriter struct {
+	*httptest.ResponseRecorder
+	at, num          int
+	blocked, unblock chan struct{}
+	// err is the result of the blocked write.
+	err error
+}
+
+func newBlockingWriter(at int) *blockingWriter {
+	return &blockingWriter{ResponseRecorder: httptest.NewRecorder(), at: at, blocked: make(chan struct{}), unblock: make(chan struct{})}
+}
+
+// Write implements http.ResponseWriter.
+func (bw *blockingWriter) Write(buf []byte) (int, error) {
+	bw.num++
+	if bw.num == bw.at {
+		close(bw.blocked)
+		<-bw.unblock
+		if bw.err != nil {
+			return 0, bw.err
+		}
+	}
+	return bw.ResponseRecorder.Write(buf)
+}
+
+// SetWriteDeadline implements what http.ResponseController calls.
+func (bw *blockingWriter) SetWriteDeadline(time.Time) error { return nil }
+
+// newDraft returns a request for a resumable stream.
+func newDraft(id string) *http.Request {
+	req := httptest.NewRequest(http.MethodPost, "/draft/x", strings.NewReader("question "+id))
+	req.Host = "some.example"
+	req.Header.Set(platform.HeaderRequestID, id)
+	req.Header.Set(platform.HeaderAuthorization, "Token key-1")
+	req.Header.Set(platform.HeaderModel, "large")
+	setTokenCounts(req)
+	return req
+}
+
+// Guards against counting a request at a group for good after it has ended: its caller stops reading
+// and leaves while a standby is ready to continue the stream.
+func TestStandbyEndsWithCallerThatStopsReading(t *testing.T) {
+	ri := newRig(t)
+	first := ri.addGroup(nil)
+	bw, ended := newBlockingWriter(2), make(chan struct{})
+	bw.err = errors.New("connection lost")
+	go func() {
+		defer close(ended)
+		ri.front.ServeHTTP(bw, newDraft("id"))
+	}()
+	ri.await("the blocked write", bw.blocked)
+	other := ri.addGroup(always(emulator.Pauses))
+	other.Resume = make(chan struct{})
+	ri.table.MarkBroken("group-"+first.ID, time.Now())
+	si := &silence{rig: ri}
+	si.eventually("the standby", func() bool { return len(other.Runs()) == 1 })
+	time.Sleep(silentFor)
+	close(bw.unblock)
+	ri.await("the end of the request", ended)
+	si.eventually("the end of all attempts", func() bool { return ri.table.Requests(false) == 0 })
+}
