Let no standby continue a stream while an event is being written

Callers of streams whose events have no ID could get an event twice, and a final response of the first group could end in a closed connection. Cause: between reading an event and recording that the caller has it, a stall report let the standby continue from the event before. A final response was returned without asking whether the standby had continued the stream; it was then not recorded, and writeResponse got none.

The test failed before: 'the caller got "data: 0 data: 0 data: 1 data: 2", want "data: 0 data: 1 data: 2"'. Now the standby waits until the event is written, and a final response is claimed like an event. The second case was found by reading and has no test: the span is some microseconds.

--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -45,8 +45,11 @@
 	// standby is the last standby; nil if there was none. overtaken is set once it continues the stream.
 	standby   *standby
 	overtaken bool
+	// writing is set while the caller's goroutine writes what the attempt has read. No standby
+	// continues the stream then: events without ID can't be told apart.
+	writing bool
 	// recoveredAt is since when the group emits events again although there is a standby; zero if it
-	// does not. changed is signaled when it, closed or the context of the standby has changed.
+	// does not. changed is signaled when it, writing, closed or the context of the standby has changed.
 	recoveredAt time.Time
 	changed     *sync.Cond
 	// retries are the sends of the standbys that have ended.
@@ -186,6 +189,7 @@
 	if at.overtaken {
 		return false
 	}
+	at.writing = true
 	if at.standby != nil && at.recoveredAt.IsZero() {
 		at.recoveredAt = at.st.sv.Clock.Now()
 	}
@@ -197,8 +201,9 @@
 func (at *attempt) forwarded() {
 	at.mu.Lock()
 	defer at.mu.Unlock()
-	at.emitted = true
+	at.emitted, at.writing = true, false
 	at.base.progress = at.st.progress
+	at.changed.Broadcast()
 	if sb := at.standby; sb != nil && (!sb.sent || !at.st.hasID || at.st.lastAt.Sub(at.recoveredAt) >= recoveryTime) {
 		at.cancelStandby()
 	}
@@ -218,7 +223,7 @@
 	if context.Cause(at.ctx) != errOvertaken {
 		at.recordFailure(err)
 	}
-	if at.st.isFinal(err) {
+	if at.st.isFinal(err) && at.claim() {
 		return at, nil, err
 	}
 	sb := at.awaitStandby()
--- a/internal/front/standby.go
+++ b/internal/front/standby.go
@@ -125,12 +125,13 @@
 }
 
 // overtake makes the standby's attempt continue the stream. While the stalled group emits events again,
-// it waits until that attempt fails or the group stalls again. It returns false if it is canceled.
+// it waits until that attempt fails or the group stalls again, and the caller has the last event. It
+// returns false if it is canceled.
 func (sb *standby) overtake() bool {
 	at := sb.from
 	at.mu.Lock()
 	defer at.mu.Unlock()
-	for !at.recoveredAt.IsZero() && !at.closed && sb.ctx.Err() == nil {
+	for (at.writing || !at.recoveredAt.IsZero()) && !at.closed && sb.ctx.Err() == nil {
 		at.changed.Wait()
 	}
 	if sb.ctx.Err() != nil {
--- a/internal/front/standby_test.go
+++ b/internal/front/standby_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"errors"
+	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
 
+	"corianderhub.dev/corianderhub/internal/core/catalog"
 	"corianderhub.dev/corianderhub/platform"
 	"corianderhub.dev/corianderhub/platform/emulator"
 )
@@ -74,3 +77,50 @@
 	ri.await("the end of the request", ended)
 	si.eventually("the end of all attempts", func() bool { return ri.table.Requests(false) == 0 })
 }
+
+// addGroupWithoutIDs adds a group whose events have no ID. The first event waits for begin.
+func (ri *rig) addGroupWithoutIDs(begin <-chan struct{}) {
+	name := fmt.Sprint("plain-leader-", len(ri.view.Groups))
+	hs := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		_, _ = io.Copy(io.Discard, req.Body) // An error ends the request.
+		w.Header().Set(platform.HeaderRequestID, req.Header.Get(platform.HeaderRequestID))
+		w.WriteHeader(http.StatusOK)
+		_ = http.NewResponseController(w).Flush() // An error ends the request.
+		select {
+		case <-begin:
+		case <-req.Context().Done():
+			return
+		}
+		for num := range 3 {
+			fmt.Fprintf(w, "data: %d\n\n", num)
+		}
+	}))
+	ri.t.Cleanup(hs.Close)
+	ri.view.Groups = append(ri.view.Groups, catalog.Group{Name: name, Service: "engine", Model: "large",
+		Members: []catalog.Member{{ID: name, Address: hs.Listener.Addr().String()}}})
+	ri.update()
+}
+
+// Guards against repeating an event (ORDER) that is being written to the caller while a standby
+// becomes ready. Events without ID can't be told apart.
+func TestStandbyDoesNotRepeatEventBeingWritten(t *testing.T) {
+	ri := newRig(t)
+	begin := make(chan struct{})
+	close(begin)
+	ri.addGroupWithoutIDs(begin)
+	bw, ended := newBlockingWriter(1), make(chan struct{})
+	go func() {
+		defer close(ended)
+		ri.front.ServeHTTP(bw, newDraft("id"))
+	}()
+	ri.await("the blocked write", bw.blocked)
+	first := ri.view.Groups[0].Name
+	ri.addGroupWithoutIDs(begin)
+	ri.table.MarkBroken(first, time.Now())
+	time.Sleep(silentFor)
+	close(bw.unblock)
+	ri.await("the end of the request", ended)
+	if got, want := bw.Body.String(), "data: 0\n\ndata: 1\n\ndata: 2\n\n"; got != want {
+		t.Errorf("the caller got %q, want %q", got, want)
+	}
+}
