Let a standby continue in the second silence of a group

A caller whose group fell silent twice waited in the second silence for the next report of a stall, 700 ms later or never. Cause: the time at which the group went on after the first silence was kept, and the new standby waited for it.

The test failed before: 'status 200, error unexpected EOF, body "id: 1 ... id: 2 ...", want 200 and the complete stream'. Now a new standby begins without that time.

--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -90,6 +90,7 @@
 			at.base.log.Info("front: group stalled, request stays.", at.stallAttrs(cause, at.base.sv.Clock.Now())...)
 		}
 	default:
+		at.recoveredAt = time.Time{}
 		at.standby = newStandby(at, cause)
 		go at.standby.run()
 	}
--- a/internal/front/standby_test.go
+++ b/internal/front/standby_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -124,3 +125,51 @@
 		t.Errorf("the caller got %q, want %q", got, want)
 	}
 }
+
+// addSteppedGroup adds a group that emits an event for each value that is sent on the channel.
+func (ri *rig) addSteppedGroup() (name string, step chan<- struct{}) {
+	steps := make(chan struct{})
+	name = fmt.Sprint("stepped-leader-", len(ri.view.Groups))
+	hs := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		_, _ = io.Copy(io.Discard, req.Body) // An error ends the request.
+		id := req.Header.Get(platform.HeaderRequestID)
+		w.Header().Set(platform.HeaderRequestID, id)
+		last, _ := strconv.Atoi(req.Header.Get(platform.HeaderLastEventID))
+		for num := last + 1; num <= numEvents; num++ {
+			select {
+			case <-steps:
+			case <-req.Context().Done():
+				return
+			}
+			_, _ = io.WriteString(w, emulator.Event(id, num))
+			_ = http.NewResponseController(w).Flush() // An error ends the request.
+		}
+	}))
+	ri.t.Cleanup(hs.Close)
+	ri.view.Groups = append(ri.view.Groups, catalog.Group{Name: name, Service: "engine", Model: "large",
+		Members: []catalog.Member{{ID: name, Address: hs.Listener.Addr().String()}}})
+	ri.update()
+	return name, steps
+}
+
+// A group is silent twice. Guards against a standby that waits in the second silence because the group
+// went on after the first one.
+func TestStandbyDuringSecondSilence(t *testing.T) {
+	si := &silence{rig: newRig(t), results: make(chan result, 1)}
+	name, step := si.addSteppedGroup()
+	go func() { si.results <- si.send("/draft/x", "id", setTokenCounts) }()
+	received := func(num int) {
+		t.Helper()
+		step <- struct{}{}
+		si.eventually("an event", func() bool { return si.receivedBytes.Load() == int64(num*len(emulator.Event("id", 1))) })
+	}
+	received(1)
+	refuses := si.addGroup(always(emulator.Refuses))
+	si.table.MarkBroken(name, time.Now())
+	si.eventually("the first standby", func() bool { return len(refuses.Arrivals()) == 1 })
+	received(2)
+	time.Sleep(silentFor)
+	si.addGroup(nil)
+	si.table.MarkBroken(name, time.Now())
+	si.checkComplete()
+}
