--- a/internal/front/standby.go
+++ b/internal/front/standby.go
@@ -20,7 +20,8 @@
 	// sent is set while the request is sent to a group. It is protected by from.mu.
 	sent bool
 	// done is closed at the end, after which the following fields are set: next is the attempt that
-	// continues the stream, nil if there is none, and event and err are its first result.
+	// continues the stream, nil if there is none or failOver has returned it, and event and err are its
+	// first result.
 	done  chan struct{}
 	next  *attempt
 	event []byte
@@ -124,12 +125,13 @@
 }
 
 // overtake makes the standby's attempt continue the stream. While the stalled group emits events again,
-// it waits until that attempt fails or the group stalls again. It returns false if it is canceled.
+// it waits until that attempt fails or the group stalls again, and the caller has the last event. It
+// returns false if it is canceled.
 func (sb *standby) overtake() bool {
 	at := sb.from
 	at.mu.Lock()
 	defer at.mu.Unlock()
-	for !at.recoveredAt.IsZero() && !at.closed && sb.ctx.Err() == nil {
+	for (at.writing || !at.recoveredAt.IsZero()) && !at.closed && sb.ctx.Err() == nil {
 		at.changed.Wait()
 	}
 	if sb.ctx.Err() != nil {
