--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -94,11 +94,17 @@
 
 // newStackIn is newStack with the data centres of daemons, by number.
 func newStackIn(t *testing.T, daemons int, dataCenters map[int]string) *stack {
+	t.Helper()
+	return newStackOf(t, daemons, dataCenters, &emulator.Deployment{ModelServers: 7, PlainServers: 2, PlainDataCenters: []string{emulator.DataCenter, otherDataCenter}, EventInterval: 20 * time.Millisecond})
+}
+
+// newStackOf is newStackIn with the deployment.
+func newStackOf(t *testing.T, daemons int, dataCenters map[int]string, de *emulator.Deployment) *stack {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	sk := &stack{t: t, ctx: ctx, dataCenters: dataCenters, subnet: <-subnets, log: &logBuffer{}, client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
-		de: &emulator.Deployment{ModelServers: 7, PlainServers: 2, PlainDataCenters: []string{emulator.DataCenter, otherDataCenter}, EventInterval: 20 * time.Millisecond}}
+		de: de}
 	if err := sk.de.Start(ctx); err != nil {
 		t.Fatal(err)
 	}
