End the count at a group that has closed its connection at once

Callers saw nothing by themselves; the daemon counted a request at a lost group for as long as a standby had the request elsewhere, and the steward held a suspended group for it. Cause: the failed attempt's connection and count ended with the request, not with the attempt.

The test failed before: '0 requests at groups, want 1, that of the standby' (the count fell only at the deadline, with the standby's own). Now failOver ends both before it waits for the standby.

--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -227,6 +227,7 @@
 	if at.st.isFinal(err) && at.claim() {
 		return at, nil, err
 	}
+	at.release()
 	sb := at.awaitStandby()
 	if sb == nil || sb.next == nil {
 		return at, nil, err
@@ -272,6 +273,14 @@
 			sb.next = nil
 		}
 	}
+	at.release()
+	at.cancel(nil)
+	at.st.addRetries(at.retries)
+	at.retries = retries{}
+}
+
+// release closes the connection and ends the count at the group.
+func (at *attempt) release() {
 	if at.ex != nil {
 		at.ex.Close()
 		at.ex = nil
@@ -279,9 +288,6 @@
 	if at.ticket != nil {
 		at.ticket.End()
 	}
-	at.cancel(nil)
-	at.st.addRetries(at.retries)
-	at.retries = retries{}
 }
 
 // responseError is a response that is not a stream: a refusal or an error.
--- a/internal/front/standby_test.go
+++ b/internal/front/standby_test.go
@@ -173,3 +173,19 @@
 	si.table.MarkBroken(name, time.Now())
 	si.checkComplete()
 }
+
+// Guards against counting a request at a group that has closed its connection while a standby's group
+// has the request: a suspended group would be held for it.
+func TestFailedAttemptLeavesGroupBeforeStandbyEnds(t *testing.T) {
+	si := beginSilence(t, "/draft/x", 0)
+	other := si.addGroup(always(emulator.Hangs))
+	si.table.MarkBroken("group-"+si.first.ID, time.Now())
+	si.eventually("the standby", func() bool { return len(other.Arrivals()) == 1 })
+	si.first.Stop()
+	si.eventually("the end of the first attempt", func() bool { return si.table.RequestsAt("group-"+si.first.ID, time.Now()) == 0 })
+	if num := si.table.Requests(false); num != 1 {
+		t.Errorf("%d requests at groups, want 1, that of the standby", num)
+	}
+	si.hs.CloseClientConnections()
+	<-si.results
+}
