Use a group again that is back in the view

A daemon whose requests at a suspended group had moved or ended sent no request there any more after the group was resumed, unless the steward still announced it as healthy: a report of progress or a new steward prevents that. Cause: the group counted as stalled until one of its requests emits an event, and none was left.

The test failed before: 'the group got no request, want one'. The steward puts a group back only once all members have answered, so the daemon now forgets the stall then.

--- a/internal/core/dispatch/table.go
+++ b/internal/core/dispatch/table.go
@@ -158,8 +158,9 @@
 		ta.initMeasurements()
 	}
 	ta.setModels(vi, cfg)
-	for _, gr := range ta.groups {
-		gr.inView = false
+	before := make(map[string]bool, len(ta.groups))
+	for name, gr := range ta.groups {
+		before[name], gr.inView = gr.inView, false
 	}
 	for _, cg := range vi.Groups {
 		en := cfg.Services[cg.Service].Engine
@@ -172,6 +173,10 @@
 			gr = &Group{Group: cg, lastActivity: now, streams: make(map[*Ticket]struct{})}
 			ta.groups[cg.Name] = gr
 		}
+		if !before[cg.Name] {
+			// All members have responded before the group is in the view again.
+			gr.stalled, gr.unreachable = false, false
+		}
 		gr.draining, gr.reportedSlowness, gr.engine, gr.model, gr.inView = cg.Draining, cg.Slowness, en, mo, true
 	}
 	for name, gr := range ta.groups {
