--- a/internal/front/standby_test.go
+++ b/internal/front/standby_test.go
@@ -189,3 +189,27 @@
 	si.hs.CloseClientConnections()
 	<-si.results
 }
+
+// Guards against endpoints that work for a caller that has left while a standby waits in overtake.
+func TestParkedStandbyEndsWithCaller(t *testing.T) {
+	si := &silence{rig: newRig(t), results: make(chan result, 1)}
+	name, step := si.addSteppedGroup()
+	go func() { si.results <- si.send("/draft/x", "id", setTokenCounts) }()
+	size := int64(len(emulator.Event("id", 1)))
+	step <- struct{}{}
+	si.eventually("an event", func() bool { return si.receivedBytes.Load() == size })
+	other, otherStep := si.addSteppedGroup()
+	si.table.MarkBroken(name, time.Now())
+	si.eventually("the standby", func() bool { return si.table.RequestsAt(other, time.Now()) == 1 })
+	step <- struct{}{}
+	si.eventually("an event", func() bool { return si.receivedBytes.Load() == 2*size })
+	otherStep <- struct{}{}
+	time.Sleep(50 * time.Millisecond)
+	begin := time.Now()
+	si.hs.CloseClientConnections()
+	<-si.results
+	si.eventually("the end of both attempts", func() bool { return si.table.Requests(false) == 0 && si.front.inFlight.Load() == 0 })
+	if took := time.Since(begin); took > 500*time.Millisecond {
+		t.Errorf("both attempts ended after %v, want at most 500 ms", took)
+	}
+}
