Log disconnected requests in the soak

A violation names the request, but requests that a fault excuses were counted only, so it could not be told whether the daemon had received them.

--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -125,6 +125,10 @@
 	oc.End = time.Now()
 	oc.Disconnected, oc.TimedOut = err != nil, ctx.Err() != nil
 	cl.so.check.RecordOutcome(oc)
+	if oc.Disconnected {
+		cl.so.Log.Info("soak: request was disconnected.", "request", oc.ID, "daemon", oc.Daemon, "sent", oc.Sent, "timed-out", oc.TimedOut,
+			"status", oc.Status, "bytes", len(oc.Body), "took", oc.End.Sub(oc.Start).Round(time.Millisecond), "cause", err)
+	}
 	if err != nil && !oc.Sent {
 		cl.expiry = time.Time{}
 	}
