Do not hold a suspended group for a member that accepts no connections

Change: the steward connects to the members that leave polls unanswered as soon as a daemon has reported a stall, so that it knows by the time the loss is confirmed whether they accept connections. If not for 0.2 s, the group is dissolved as before; otherwise its members are held for 2 s at most.

--- a/internal/core/steward/lifecycle.go
+++ b/internal/core/steward/lifecycle.go
@@ -27,7 +27,12 @@
 		return co.dissolve(gr)
 	}
 	if lost := co.silentMember(gr, now); lost != nil || gr.suspension != nil {
-		return co.stepSilent(gr, lost, now)
+		return append(co.stepSilent(gr, lost, now), co.connects(gr, now)...)
+	}
+	if co.complete(gr) && now.Sub(gr.stallReportedAt) < stallReportTTL {
+		if calls := co.connects(gr, now); len(calls) > 0 {
+			return calls
+		}
 	}
 	if co.complete(gr) {
 		return co.stepComplete(gr, now)
--- a/internal/core/steward/steward.go
+++ b/internal/core/steward/steward.go
@@ -226,6 +226,8 @@
 	// suspension is the state of a group that is suspended, or is being dissolved because of a
 	// member's silence; nil for others.
 	suspension *suspension
+	// connectAt is when to connect to silent members next.
+	connectAt time.Time
 }
 
 // Core is the steward's state. It is not safe for concurrent use. Set the exported fields
--- a/internal/core/steward/suspend.go
+++ b/internal/core/steward/suspend.go
@@ -14,16 +14,13 @@
 
 const (
 	// maxHold bounds how long the members that respond are held in a suspended group whose requests
-	// have stalled, if the silent members accept connections. While no member responds, there is
-	// nothing to gain from dissolving the group.
+	// have stalled. They are not held for a silent member that accepts no connections: its machine is
+	// probably down. While no member responds, there is nothing to gain from dissolving the group.
 	maxHold = 2 * time.Second
-	// unreachableHold is the bound if a silent member accepts no connections: its machine is probably
-	// down.
-	unreachableHold = 500 * time.Millisecond
 	// connectInterval is the time between attempts to connect to the silent members, connectTime the
 	// time after which one that accepts no connection counts as unreachable.
 	connectInterval = 200 * time.Millisecond
-	connectTime     = 300 * time.Millisecond
+	connectTime     = 200 * time.Millisecond
 )
 
 // reviveTime is how long a group without requests is held after all of its members were silent and one
@@ -38,8 +35,6 @@
 	// limit bounds held, the time for which members that respond have been held, up to checkedAt.
 	limit, held time.Duration
 	checkedAt   time.Time
-	// connectAt is when to connect to the silent members next.
-	connectAt time.Time
 	// confirmedFrom is since when no member has been known to be silent; zero while one is.
 	confirmedFrom time.Time
 	// allSilent is set once no member has responded since the group was suspended, or since the orders
@@ -89,24 +84,25 @@
 		co.recordSilence("group-suspended", gr, su, "member "+su.lost+" is silent", now)
 	}
 	co.pollSuspended(gr, responds, now)
-	return co.connects(gr, su, now)
+	return nil
 }
 
-// connects returns the calls that show whether the silent members of a suspended group accept
-// connections.
-func (co *Core) connects(gr *group, su *suspension, now time.Time) []Call {
-	if now.Before(su.connectAt) {
+// connects returns the calls that show whether the silent members of a group accept connections.
+func (co *Core) connects(gr *group, now time.Time) []Call {
+	if now.Before(gr.connectAt) {
 		return nil
 	}
-	su.connectAt = now.Add(connectInterval)
 	var calls []Call
 	for _, id := range gr.members {
-		if vm := co.vms[id]; vm.down && !vm.accepts() {
-			if vm.connectingSince.Before(vm.unresponsiveSince) {
-				vm.connectingSince = now
-			}
-			calls = append(calls, Connect{ID: id, Address: vm.ep.Address})
+		vm := co.vms[id]
+		if vm == nil || vm.failures == 0 || vm.accepts() {
+			continue
+		}
+		if vm.connectingSince.Before(vm.unresponsiveSince) {
+			vm.connectingSince = now
 		}
+		gr.connectAt = now.Add(connectInterval)
+		calls = append(calls, Connect{ID: id, Address: vm.ep.Address})
 	}
 	return calls
 }
@@ -191,7 +187,7 @@
 		return "no requests left"
 	case su.held >= su.limit:
 		return "silent for too long"
-	case su.limit == maxHold && su.held >= unreachableHold && slices.ContainsFunc(gr.members, func(id string) bool { return co.vms[id].unreachable(now) }):
+	case su.limit == maxHold && slices.ContainsFunc(gr.members, func(id string) bool { return co.vms[id].unreachable(now) }):
 		return "silent and unreachable"
 	}
 	return ""
