Probe stalled groups that have no requests

Cause: a group that has stalled is used again when it emits an event, or when its members have answered. Daemons asked for that only while they had requests there. If these had ended, or moved, and the steward's announcement was lost or withheld (another daemon's progress report clears it), nothing was left that could clear the mark.

Evidence, before: TestStalledGroupWithoutRequestsIsProbed: groups to probe: [], want the stalled one.

Change: a stalled group in the view without requests is probed again, at the same interval as one with requests.

--- a/internal/core/dispatch/left_test.go
+++ b/internal/core/dispatch/left_test.go
@@ -23,3 +23,20 @@
 		t.Errorf("%d requests by an expired report, want 0", got)
 	}
 }
+
+// Guards against never using a sound group again: it has stalled, its requests have ended or moved, and
+// no later request could show that it goes on.
+func TestStalledGroupWithoutRequestsIsProbed(t *testing.T) {
+	ta := table(group("a", "here"))
+	_, ti := ta.Pick(testRequest(), ignore, begin)
+	ta.StalledGroups(begin.Add(time.Second))
+	ti.End()
+	later := begin.Add(time.Second + 2*recheckInterval)
+	if got := ta.StalledGroups(later); len(got) != 1 {
+		t.Fatalf("groups to probe: %v, want the stalled one", got)
+	}
+	ta.MarkHealthy("a")
+	if ch, _ := ta.Pick(testRequest(), ignore, later); ch.Group == nil {
+		t.Error("not used although all members have responded")
+	}
+}
--- a/internal/core/dispatch/stall.go
+++ b/internal/core/dispatch/stall.go
@@ -31,18 +31,20 @@
 )
 
 // StalledGroups returns the groups whose members are to be probed now, because this daemon's
-// requests there have stalled or the leader is unreachable. Requests at stalled groups that have left
-// the view are told of the stall, so that another group is tried.
+// requests there have stalled, the leader is unreachable, or the group has stalled before and has no
+// requests, which could show that it goes on. Requests at stalled groups that have left the view are
+// told of the stall, so that another group is tried.
 func (ta *Table) StalledGroups(now time.Time) []catalog.Group {
 	ta.mu.Lock()
 	defer ta.mu.Unlock()
 	var stalled []catalog.Group
 	for _, gr := range ta.groups {
 		silent := len(gr.streams) > 0 && now.Sub(gr.lastActivity) >= gr.stallTimeout()
+		unknown := gr.unreachable || gr.stalled && len(gr.streams) == 0
 		switch {
 		case !gr.inView && silent:
 			gr.reportStall(errNotInView)
-		case gr.inView && (silent || gr.unreachable) && now.Sub(gr.checkedAt) > recheckInterval:
+		case gr.inView && (silent || unknown) && now.Sub(gr.checkedAt) > recheckInterval:
 			gr.checkedAt, gr.stalled = now, true
 			stalled = append(stalled, gr.Group)
 		}
