--- a/internal/core/steward/lifecycle.go
+++ b/internal/core/steward/lifecycle.go
@@ -12,6 +12,9 @@
 		return co.stepSpare(gr, now)
 	}
 	if gr.dissolving {
+		if co.finishing(gr, now) {
+			return nil
+		}
 		return co.dissolve(gr)
 	}
 	if gr.model == "" {
@@ -23,6 +26,14 @@
 		co.startDissolving(gr, why)
 		return co.dissolve(gr)
 	}
+	if lost := co.silentMember(gr, now); lost != nil || gr.suspension != nil {
+		return append(co.stepSilent(gr, lost, now), co.connects(gr, now)...)
+	}
+	if co.complete(gr) && now.Sub(gr.stallReportedAt) < stallReportTTL {
+		if calls := co.connects(gr, now); len(calls) > 0 {
+			return calls
+		}
+	}
 	if co.complete(gr) {
 		return co.stepComplete(gr, now)
 	}
@@ -35,11 +46,11 @@
 // startDissolving marks a group for dissolution. Its members leave it before they are used
 // again.
 func (co *Core) startDissolving(gr *group, why string) {
-	gr.dissolving = true
+	gr.dissolving, gr.suspension = true, nil
 	co.recordEvent(Event{Kind: "group-broken", Group: gr.name, Model: gr.model, Members: gr.members, Reason: why})
 }
 
-// broken returns why the group can no longer serve, or "" if it can.
+// broken returns why the group can certainly no longer serve, or "" if it may.
 func (co *Core) broken(gr *group, now time.Time) string {
 	for rank, id := range gr.members {
 		vm := co.vms[id]
@@ -48,8 +59,6 @@
 			continue
 		case vm == nil:
 			return "member gone"
-		case vm.down && co.lossConfirmed(gr, vm, now):
-			return "member " + id + " lost"
 		case co.isMember(vm, gr):
 			if vm.ep.Member.State == catalog.Broken {
 				return "stalled"
@@ -161,6 +170,9 @@
 	return false
 }
 
+// drainNoticeTime is how long daemons may send requests to a group after it began to drain.
+const drainNoticeTime = 100 * time.Millisecond
+
 // drain waits until the group has finished its requests and then dissolves it. Meanwhile the
 // published view marks the group as draining, so that daemons send it no new requests.
 func (co *Core) drain(gr *group, leader *vm, now time.Time) []Call {
@@ -170,8 +182,11 @@
 		co.recordEvent(Event{Kind: "group-retires", Group: gr.name, Model: gr.model, Members: gr.members})
 		return nil
 	}
-	idle := leader.running == 0 && leader.pollAt.IsZero() && now.Sub(gr.drainingSince) > drainPollInterval
-	if idle || leader.ep.Member.State != catalog.Open || now.Sub(gr.drainingSince) > drainTimeout {
+	// A report shows the state of some time before.
+	current := leader.lastAnsweredPoll.Sub(gr.drainingSince) >= drainNoticeTime+co.services[gr.service].ReportLag
+	idle := current && leader.running == 0 && leader.pollAt.IsZero()
+	closed := leader.ep.Member.State != catalog.Open && co.requestsAt(gr) == 0
+	if idle || closed || now.Sub(gr.drainingSince) > co.drainTimeout(gr) {
 		co.startDissolving(gr, "retired")
 		return co.dissolve(gr)
 	}
--- a/internal/core/steward/steward.go
+++ b/internal/core/steward/steward.go
@@ -36,9 +36,10 @@
 	// registrationTimeout is how long a new steward waits for members that have not
 	// registered. After a store outage, lost entries are restored within 2 s.
 	registrationTimeout = 2300 * time.Millisecond
-	// drainTimeout bounds the wait for the requests of a group that is being drained. Streams
-	// last 2 s on average and about 5 s at most.
-	drainTimeout = 5 * time.Second
+	// minDrainTimeout and maxDrainTimeout bound the wait for the requests of a group that is being
+	// drained. In between, it is the longest timeout of the service's routes. A leaving member remains for 10 s.
+	minDrainTimeout = 5 * time.Second
+	maxDrainTimeout = 9500 * time.Millisecond
 	// drainPollInterval is the time between polls of the leader of a group that is being
 	// drained.
 	drainPollInterval = 300 * time.Millisecond
@@ -60,7 +61,7 @@
 	discoveryTimeout = 700 * time.Millisecond
 )
 
-// Call is a request to an endpoint: a Poll or a Command.
+// Call is a request to an endpoint: a Poll, a Command or a Connect.
 type Call interface{ isCall() }
 
 // Poll is a request for an endpoint's report.
@@ -86,8 +87,13 @@
 	initialLoads bool
 }
 
+// Connect opens a connection to an endpoint that answers no poll. A process that is only silent still
+// accepts connections, unlike a machine that is down or cut off. HandleConnected takes the result.
+type Connect struct{ ID, Address string }
+
 func (Poll) isCall()    {}
 func (Command) isCall() {}
+func (Connect) isCall() {}
 
 // Outcome is the result of a command.
 type Outcome int
@@ -120,6 +126,9 @@
 	down              bool
 	failures          int
 	unresponsiveSince time.Time
+	// refusedAt is the send time of the last poll whose connection was refused. connectingSince is when
+	// the first Connect of the present silence was sent, connectedAt when the last one succeeded.
+	refusedAt, connectingSince, connectedAt time.Time
 	// witnessedAt is the send time of a poll that another VM has answered since; zero if there is
 	// none. witnessedFailures counts the polls that have failed from then on.
 	witnessedAt       time.Time
@@ -214,6 +223,11 @@
 	reassigned bool
 	// dissolving is set once the group is to be dissolved, whatever its members report.
 	dissolving bool
+	// suspension is the state of a group that is suspended, or is being dissolved because of a
+	// member's silence; nil for others.
+	suspension *suspension
+	// connectAt is when to connect to silent members next.
+	connectAt time.Time
 }
 
 // Core is the steward's state. It is not safe for concurrent use. Set the exported fields
@@ -228,9 +242,14 @@
 	// SpreadDataCenters is set if the deployment must be able to lose a data centre. The groups of
 	// each model are then spread over the data centres.
 	SpreadDataCenters bool
-	services          map[string]*catalog.Engine
-	vms               map[string]*vm
-	groups            map[groupKey]*group
+	// RequestsAt returns the number of requests in progress at a group, as far as daemons have
+	// reported them; nil means that none are known.
+	RequestsAt func(group string) int
+	services   map[string]*catalog.Engine
+	// timeouts holds the longest timeout of the routes to each service.
+	timeouts map[string]time.Duration
+	vms      map[string]*vm
+	groups   map[groupKey]*group
 	// sortedIDs caches the VM IDs in order; idsChanged is set when it may be out of date.
 	sortedIDs  []string
 	idsChanged bool
@@ -275,6 +294,10 @@
 	Kind, Group, Model, VM, Reason string
 	Epoch                          int64
 	Members                        []string
+	// Silence is how long a member of the group has been silent, Held how long the members that
+	// respond have been held meanwhile, and Requests the number of requests in progress at the group.
+	Silence, Held time.Duration
+	Requests      int
 }
 
 // GroupHealthy is the kind of an event for a group that was reported as stalled and whose
@@ -295,16 +318,6 @@
 	return evs
 }
 
-// SetServices adds or updates the engines from the configuration in force. Services without an
-// engine are ignored.
-func (co *Core) SetServices(cfg *catalog.Config) {
-	for name, se := range cfg.Services {
-		if se.Engine != nil {
-			co.services[name] = se.Engine
-		}
-	}
-}
-
 // SetEvacuation sets the data centres that are evacuated. Their groups stay as they are, so that
 // they serve again as soon as the evacuation ends, but they count for nothing: no group is formed
 // there, and the other data centres are planned as if they were alone.
