Seed the tables of the tests of waits

Cause: while the requests of a stalled group move, Pick refuses a part of the requests at random, and the test's table drew without a seed.

--- a/internal/core/dispatch/wait_test.go
+++ b/internal/core/dispatch/wait_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 )
@@ -11,6 +12,8 @@
 	t.Helper()
 	ta := table(group("a", "here"))
 	ta.BoundedWait = true
+	// Refusals are drawn at random while the requests of a lost group move.
+	ta.Rand = rand.New(rand.NewPCG(1, 1))
 	now := begin.Add(-2 * time.Second)
 	for ; now.Before(begin); now = now.Add(10 * time.Millisecond) {
 		_, ti := ta.Pick(slotSimRequest(), ignore, now)
