Describe stalls by their callback; let no new test skip itself

Comments and test messages in dispatch and front named the callback of a stall by other words. No check is changed.

--- a/internal/core/dispatch/dispatch_test.go
+++ b/internal/core/dispatch/dispatch_test.go
@@ -128,7 +128,7 @@
 }
 
 // The streams of a group stall. Checks that new requests are sent to other groups at once, and that
-// the group's requests are told if it has lost a member, so that another group is tried.
+// the stall callbacks of its requests are called if it has lost a member.
 func TestStall(t *testing.T) {
 	ta := table(group("a", "here"), group("b", "here"))
 	ctx, cancel := context.WithCancelCause(context.Background())
@@ -148,7 +148,7 @@
 	}
 	ta.MarkBroken(ch.Group.Name, later)
 	if !errors.Is(context.Cause(ctx), ErrStalled) {
-		t.Errorf("request at the broken group told %v, want ErrStalled", context.Cause(ctx))
+		t.Errorf("stall callback of a request at the broken group called with %v, want ErrStalled", context.Cause(ctx))
 	}
 }
 
@@ -223,7 +223,7 @@
 }
 
 // A group leaves the view while its streams emit events: they must finish. If they stall, they must
-// be told without probing the members.
+// have their stall callbacks called, without probes of the members.
 func TestGroupLeavesView(t *testing.T) {
 	ta := table(group("a", "here"))
 	ctx, cancel := context.WithCancelCause(context.Background())
@@ -232,11 +232,11 @@
 	ta.Update(&catalog.View{}, &catalog.Config{}, begin)
 	ta.StalledGroups(begin.Add(100 * time.Millisecond))
 	if ctx.Err() != nil {
-		t.Fatal("an active stream was told of a stall")
+		t.Fatal("the stall callback of an active stream was called")
 	}
 	ta.StalledGroups(begin.Add(time.Second))
 	if ctx.Err() == nil {
-		t.Error("a stalled stream at a group outside the view was not told")
+		t.Error("the stall callback of a stalled stream at a group outside the view was not called")
 	}
 }
 
@@ -251,11 +251,11 @@
 	ta.MarkUnreachable(ch.Group)
 	ta.StalledGroups(begin.Add(100 * time.Millisecond))
 	if ctx.Err() != nil {
-		t.Fatal("an active stream was told of a stall")
+		t.Fatal("the stall callback of an active stream was called")
 	}
 	ta.StalledGroups(begin.Add(time.Second))
 	if ctx.Err() == nil {
-		t.Error("a stalled stream at a group outside the view was not told")
+		t.Error("the stall callback of a stalled stream at a group outside the view was not called")
 	}
 }
 
--- a/internal/core/dispatch/stall.go
+++ b/internal/core/dispatch/stall.go
@@ -32,8 +32,8 @@
 
 // StalledGroups returns the groups whose members are to be probed now, because this daemon's
 // requests there have stalled, the leader is unreachable, or the group has stalled before and has no
-// requests, which could show that it goes on. Requests at stalled groups that have left the view are
-// told of the stall, so that another group is tried.
+// requests, which could show that it goes on. For requests at stalled groups that have left the view,
+// onStall is called.
 func (ta *Table) StalledGroups(now time.Time) []catalog.Group {
 	ta.mu.Lock()
 	defer ta.mu.Unlock()
@@ -81,16 +81,17 @@
 	return max(minStall, scale(pr.FirstEvent, stallPasses))
 }
 
-// reportStall tells this daemon's requests at the group that it has stalled.
+// reportStall calls onStall of this daemon's requests at the group.
 func (gr *Group) reportStall(cause error) {
 	for ti := range gr.streams {
 		ti.onStall(cause)
 	}
 }
 
-// ReportSilent tells the requests that were sent before the path to their group's leader was lost
-// and that have emitted nothing for the group's stall timeout, so that another group is tried. lostSince returns since when the path to an address is lost, if it is. The group itself is
-// not stalled: requests sent since then take another path.
+// ReportSilent calls onStall of the requests that were sent before the path to their group's leader was
+// lost and that have emitted nothing for the group's stall timeout. lostSince returns since when the path
+// to an address is lost, if it is. The group itself is not stalled: requests sent since then take another
+// path.
 func (ta *Table) ReportSilent(lostSince func(addr string) (time.Time, bool), now time.Time) {
 	ta.mu.Lock()
 	defer ta.mu.Unlock()
@@ -111,8 +112,8 @@
 	}
 }
 
-// MarkBroken tells the requests at a group that a member seems lost, so that another group is tried,
-// and excludes the group from new requests.
+// MarkBroken calls onStall of the requests at a group that seems to have lost a member, and excludes the
+// group from new requests.
 func (ta *Table) MarkBroken(name string, now time.Time) {
 	ta.mu.Lock()
 	defer ta.mu.Unlock()
--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -46,7 +46,7 @@
 	standby   *standby
 	overtaken bool
 	// writing is set while the caller's goroutine writes what the attempt has read. No standby
-	// continues the stream then: events without ID can't be told apart.
+	// continues the stream then: duplicates of events without ID can't be detected.
 	writing bool
 	// recoveredAt is since when the group emits events again although there is a standby; zero if it
 	// does not. changed is signaled when it, writing, closed or the context of the standby has changed.
@@ -198,7 +198,7 @@
 }
 
 // forwarded records that the caller has received an event. It cancels a standby that has not sent the
-// request, is not needed any more, or could not tell which events the caller has received.
+// request, is not needed any more, or can't detect duplicate events because they have no ID.
 func (at *attempt) forwarded() {
 	at.mu.Lock()
 	defer at.mu.Unlock()
--- a/internal/front/standby_test.go
+++ b/internal/front/standby_test.go
@@ -113,7 +113,7 @@
 }
 
 // Guards against repeating an event (ORDER) that is being written to the caller while a standby
-// becomes ready. Events without ID can't be told apart.
+// becomes ready. Duplicates of events without ID can't be detected.
 func TestStandbyDoesNotRepeatEventBeingWritten(t *testing.T) {
 	ri := newRig(t)
 	begin := make(chan struct{})
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -20,6 +20,9 @@
 // Guards against overlapping faults that make a caller observe a violated guarantee.
 // Daemons are killed, paused, stopped, disconnected and reconfigured for some seconds.
 func TestSoak(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts daemons as processes")
+	}
 	binary := buildDaemon(t)
 	type run struct {
 		seed              uint64
@@ -60,9 +63,6 @@
 // buildDaemon builds the daemon's program and returns its path.
 func buildDaemon(t *testing.T) string {
 	t.Helper()
-	if testing.Short() {
-		t.Skip("starts daemons as processes")
-	}
 	binary := filepath.Join(t.TempDir(), "corianderhub")
 	if out, err := exec.Command("go", "build", "-o", binary, "corianderhub.dev/corianderhub/cmd/corianderhub").CombinedOutput(); err != nil {
 		t.Fatalf("build of the daemon: %v: %s", err, out)
