Cancel a standby only for events that were read after it started

Callers: a group stalled while one of its events was being written, to a slow caller for instance. The standby sent the request to another group and was canceled when that event had been written. The attempt was used up, so that a stream whose group did not go on had nowhere else to go.

Cause: forwarded took any event for a sign that the group goes on, also one that was read before the stall; without a time of recovery it counted as recovered for long.

TestStandbyOutlivesEventReadBeforeStall, which holds the write, failed before: "0 requests at the standby's group, want 1".

--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -197,19 +197,25 @@
 	return true
 }
 
-// forwarded records that the caller has received an event. It cancels a standby that has not sent the
-// request, is not needed any more, or can't detect duplicate events because they have no ID.
+// forwarded records that the caller has received an event. It cancels a standby that is not needed any
+// more, or that can't detect duplicate events because they have no ID.
 func (at *attempt) forwarded() {
 	at.mu.Lock()
 	defer at.mu.Unlock()
 	at.emitted, at.writing = true, false
 	at.base.progress = at.st.progress
 	at.changed.Broadcast()
-	if sb := at.standby; sb != nil && (!sb.sent || !at.st.hasID || at.st.lastAt.Sub(at.recoveredAt) >= recoveryTime) {
+	if at.standby != nil && (!at.st.hasID || at.recovered()) {
 		at.cancelStandby()
 	}
 }
 
+// recovered reports whether the group goes on, so that its standby is not needed any more. An event that
+// was read before the standby started shows nothing. The caller holds mu.
+func (at *attempt) recovered() bool {
+	return !at.recoveredAt.IsZero() && (!at.standby.sent || at.st.lastAt.Sub(at.recoveredAt) >= recoveryTime)
+}
+
 // cancelStandby cancels the standby unless it continues the stream. The caller holds mu.
 func (at *attempt) cancelStandby() {
 	if at.standby != nil && !at.overtaken {
--- a/internal/front/standby_test.go
+++ b/internal/front/standby_test.go
@@ -200,6 +200,32 @@
 	<-si.results
 }
 
+// A group stalls while one of its events is being written to a slow caller. Guards against canceling the
+// standby when that event is written: the event was read before the stall, and the attempt would be
+// used up in vain.
+func TestStandbyOutlivesEventReadBeforeStall(t *testing.T) {
+	ri := newRig(t)
+	first := ri.addGroup(always(emulator.Pauses))
+	first.Resume = make(chan struct{})
+	bw, ended := newBlockingWriter(2), make(chan struct{})
+	go func() {
+		defer close(ended)
+		ri.serve(bw, newDraft("id"))
+	}()
+	ri.await("the blocked write", bw.blocked)
+	other := ri.addGroup(always(emulator.Hangs))
+	ri.table.MarkBroken("group-"+first.ID, time.Now())
+	si := &silence{rig: ri}
+	si.eventually("the standby", func() bool { return len(other.Arrivals()) == 1 })
+	close(bw.unblock)
+	time.Sleep(silentFor)
+	if num := ri.table.RequestsAt("group-"+other.ID, time.Now()); num != 1 {
+		t.Errorf("%d requests at the standby's group, want 1", num)
+	}
+	close(first.Resume)
+	ri.await("the end of the request", ended)
+}
+
 // Guards against endpoints that work for a caller that has left while a standby waits in overtake.
 func TestParkedStandbyEndsWithCaller(t *testing.T) {
 	si := &silence{rig: newRig(t), results: make(chan result, 1)}
