--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-go build -tags review -o target/review/leaving ./review/1/standin
+go build -tags review -o target/review/standin ./review/standin
