Log how a caller's connection ended

A caller's connection that ended while its request was at an endpoint was logged as caller-gone, whoever had closed it: the client, a deadline of the connection, the guard or the daemon itself.

The connection now records the first read that failed, and the line of the request names it (closed-by-client, reset-by-client, deadline-PHASE, given-up-REASON, closed-by-daemon, failed). Reads that http.Server itself aborts don't count.

--- a/internal/front/plain.go
+++ b/internal/front/plain.go
@@ -216,7 +216,10 @@
 	if err := writeBody(ca.w, an.body); err != nil {
 		ca.log.Debug("front: caller disconnected before the response was sent.", "cause", err.Error())
 	}
-	ca.log.Info("front: answered.", "outcome", "passed", "status", an.status, "sends", ca.sends,
-		"ms", ca.sv.Clock.Now().Sub(ca.arrived).Milliseconds())
+	attrs := []any{"outcome", "passed", "status", an.status, "sends", ca.sends, "ms", ca.sv.Clock.Now().Sub(ca.arrived).Milliseconds()}
+	if ended := ca.hold.Ended(); ended != "" {
+		attrs = append(attrs, "connection", ended)
+	}
+	ca.log.Info("front: answered.", attrs...)
 	ca.count("passed-" + strconv.Itoa(an.status/100) + "xx")
 }
--- a/internal/front/refusal.go
+++ b/internal/front/refusal.go
@@ -51,6 +51,9 @@
 	if re.retryAfter > 0 {
 		attrs = append(attrs, "retry-after-ms", re.delay(ca.id).Milliseconds())
 	}
+	if ended := ca.hold.Ended(); ended != "" {
+		attrs = append(attrs, "connection", ended)
+	}
 	if re.cause != nil {
 		attrs = append(attrs, "cause", re.cause.Error())
 	}
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -289,7 +289,8 @@
 	if st.req.Context().Err() == nil && !errors.Is(st.cause, errCallerGone) {
 		return
 	}
-	st.log.Info("front: answered.", "outcome", "caller-gone", "sends", st.sends, "events", st.numEvents)
+	st.log.Info("front: answered.", "outcome", "caller-gone", "connection", st.hold.Ended(), "sends", st.sends, "events", st.numEvents,
+		"ms", st.sv.Clock.Now().Sub(st.arrived).Milliseconds())
 	st.count("caller-gone")
 	panic(http.ErrAbortHandler)
 }
--- a/internal/inbound/conn.go
+++ b/internal/inbound/conn.go
@@ -3,12 +3,14 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"os"
 	"sync"
+	"syscall"
 	"time"
 
 	"corianderhub.dev/corianderhub/internal/core/quota"
@@ -66,6 +68,10 @@
 	// reading is set while ReadBody reads. dropped is set once the connection was given up.
 	reading, dropped bool
 	why              quota.Reason
+	// aborted is set while http.Server makes reads fail, to stop reading ahead.
+	aborted bool
+	// ended says how the connection ended, from the first read that failed; empty while it is open.
+	ended string
 }
 
 // Read implements net.Conn.
@@ -83,9 +89,35 @@
 	if err != nil && os.IsTimeout(err) && co.headerTimedOut() {
 		co.refuse(http.StatusRequestTimeout)
 	}
+	if err != nil {
+		co.recordEnd(err)
+	}
 	return num, err
 }
 
+// recordEnd records how the connection ended. While a handler runs, http.Server reads ahead and ends the
+// request's context if that fails.
+func (co *Conn) recordEnd(err error) {
+	co.mu.Lock()
+	defer co.mu.Unlock()
+	if co.ended != "" || co.aborted && os.IsTimeout(err) {
+		return
+	}
+	co.ended = "closed-by-daemon"
+	switch {
+	case co.dropped:
+		co.ended = "given-up-" + string(co.why)
+	case os.IsTimeout(err):
+		co.ended = "deadline-" + co.phase.String()
+	case errors.Is(err, io.EOF):
+		co.ended = "closed-by-client"
+	case errors.Is(err, syscall.ECONNRESET):
+		co.ended = "reset-by-client"
+	case !errors.Is(err, net.ErrClosed):
+		co.ended = "failed"
+	}
+}
+
 // beforeRead sets the deadline of the phase.
 func (co *Conn) beforeRead() error {
 	co.mu.Lock()
@@ -219,6 +251,7 @@
 	if co.dropped {
 		return nil
 	}
+	co.aborted = !at.IsZero() && at.Before(time.Now())
 	return co.Conn.SetReadDeadline(at)
 }
 
--- a/internal/inbound/inbound_test.go
+++ b/internal/inbound/inbound_test.go
@@ -345,3 +345,50 @@
 		}
 	}
 }
+
+// A connection that ends while its request is handled must not look as if the client had closed it.
+func TestEndOfConnectionNamesItsCause(t *testing.T) {
+	tests := []struct {
+		name, want string
+		end        func(client net.Conn, w http.ResponseWriter)
+	}{
+		{"client closes", "closed-by-client", func(client net.Conn, _ http.ResponseWriter) { client.Close() }},
+		{"deadline", "deadline-serving", func(_ net.Conn, w http.ResponseWriter) {
+			_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(20 * time.Millisecond))
+		}},
+		{"open", "", func(net.Conn, http.ResponseWriter) {}},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			gu := &Guard{Clock: clock.System{}, Log: slog.New(slog.DiscardHandler)}
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			clients, got := make(chan net.Conn, 1), make(chan string, 1)
+			li := gu.Listen(ln, "callers", PrimaryShare)
+			sv := li.Server(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+				tc.end(<-clients, w)
+				select {
+				case <-req.Context().Done():
+				case <-time.After(200 * time.Millisecond):
+				}
+				got <- HoldOf(req.Context()).Ended()
+			}), http.HandlerFunc(RefuseOverloaded))
+			go func() { _ = sv.Serve(li) }()
+			defer sv.Close()
+			nc, err := net.Dial("tcp", ln.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer nc.Close()
+			if _, err := nc.Write([]byte("GET / HTTP/1.1\r\nHost: a\r\n\r\n")); err != nil {
+				t.Fatal(err)
+			}
+			clients <- nc
+			if ended := <-got; ended != tc.want {
+				t.Errorf("the connection ended as %q, want %q", ended, tc.want)
+			}
+		})
+	}
+}
--- a/internal/inbound/request.go
+++ b/internal/inbound/request.go
@@ -108,6 +108,17 @@
 	return ho.co.dropped, ho.co.why == quota.Stopping
 }
 
+// Ended says how the client's connection ended: by which side, or by which deadline. It is empty while the
+// connection is open.
+func (ho *Hold) Ended() string {
+	if ho == nil {
+		return ""
+	}
+	ho.co.mu.Lock()
+	defer ho.co.mu.Unlock()
+	return ho.co.ended
+}
+
 // setReading records whether the body is being read.
 func (ho *Hold) setReading(reading bool) {
 	if ho == nil {
