Leave room above the epochs that entries show

Seen by callers: groups that never form: VMs refuse to join an epoch below one that they have seen. Cause: the steward counts on from the highest epoch seen. One entry with the largest number makes the sum overflow, and the next epochs fall back. Evidence, before: TestEpochsWithLargestInEntry: "issued after 3145728", "issued 3145730 after". Fix: epochs above 2^62 are no epochs of a steward.

--- a/internal/core/catalog/endpoint.go
+++ b/internal/core/catalog/endpoint.go
@@ -22,6 +22,14 @@
 	Broken GroupState = "broken"
 )
 
+const (
+	// MaxEpoch is the highest epoch that an endpoint can report. The numbers above it are left so
+	// that no sum of epochs overflows.
+	MaxEpoch = 1 << 62
+	// MaxGroupSize is the largest number of endpoints in a group.
+	MaxGroupSize = 1 << 12
+)
+
 // Membership is an endpoint's own report of the group it belongs to.
 type Membership struct {
 	Group string
--- a/internal/core/steward/observe.go
+++ b/internal/core/steward/observe.go
@@ -37,7 +37,7 @@
 // observeGroup enters the group of a VM's membership in the table of groups.
 func (co *Core) observeGroup(vm *vm, now time.Time) {
 	ke := vm.claimed()
-	co.maxEpoch = max(co.maxEpoch, ke.epoch)
+	co.observeEpoch(vm, ke.epoch)
 	gr := co.groups[ke]
 	if gr == nil {
 		gr = &group{name: ke.name, epoch: ke.epoch, service: vm.ep.Service, discoveredAt: now, stallReported: co.incompleteGroups[ke]}
--- a/internal/core/steward/steward.go
+++ b/internal/core/steward/steward.go
@@ -255,7 +255,7 @@
 	idsChanged bool
 	// epochCounter counts the epochs issued in this term.
 	epochCounter int64
-	// maxEpoch is the highest epoch issued or reported by an endpoint.
+	// maxEpoch is the highest epoch issued or observed at an endpoint.
 	maxEpoch int64
 	// loads limits the rate of loads from the weight store.
 	loads loadLimiter
@@ -367,18 +367,6 @@
 	return co.sortedIDs
 }
 
-// nextEpoch issues the next epoch. Epochs grow with terms and within a term. After a restore of
-// the store a term may be lower than one that endpoints have seen, so the epochs that they report
-// count too.
-func (co *Core) nextEpoch() int64 {
-	co.epochCounter++
-	co.maxEpoch = max(co.maxEpoch+1, co.Term<<epochBits+co.epochCounter)
-	return co.maxEpoch
-}
-
-// epochBits is the number of low bits of an epoch that count the groups of one term.
-const epochBits = 20
-
 func byID(one, other *vm) int { return cmp.Compare(one.ep.ID, other.ep.ID) }
 
 // discoveryDone reports whether enough is known to form groups: every VM has reported or is
