Keep a group's member when another entry claims its rank

Seen by callers: sound groups are dissolved and their streams cut. Cause: of two VMs that claim the same rank of a group, the one with the later ID took the place, also if it had never reported and no server answers under its ID. Evidence, before: TestCopiedEntries: "z-copy-: group group-17-1 no longer serves", and the four others. Fix: a VM that has itself reported the rank gives way only to one that has reported it too.

--- a/internal/core/steward/observe.go
+++ b/internal/core/steward/observe.go
@@ -63,7 +63,7 @@
 		rank = min(rank, max(claims, co.services[gr.service].LargestSize()))
 		gr.grow(rank + 1)
 	}
-	if rank >= 0 && rank < len(gr.members) {
+	if rank >= 0 && rank < len(gr.members) && co.yields(gr.members[rank], vm) {
 		gr.members[rank] = id
 	}
 }
@@ -75,6 +75,13 @@
 	}
 }
 
+// yields reports whether the VM seen at a rank gives way to another one that says that it has the
+// rank. A VM that has itself reported the rank does not give way to one known from its entry only.
+func (co *Core) yields(held string, other *vm) bool {
+	vm := co.vms[held]
+	return vm == nil || !vm.reported || other.reported
+}
+
 // spare reports whether the group is a single VM that only holds a model in memory.
 func (gr *group) spare() bool {
 	return len(gr.name) > len(sparePrefix) && gr.name[:len(sparePrefix)] == sparePrefix
--- a/internal/core/steward/odd_test.go
+++ b/internal/core/steward/odd_test.go
@@ -40,3 +40,31 @@
 		t.Errorf("serving %d large and %d small groups, want at least the %d and %d before", la, sm, large, small)
 	}
 }
+
+// Guards against sound groups that are dissolved: a copy of each member's entry under another ID claims
+// the same rank, and no server answers to that ID.
+func TestCopiedEntries(t *testing.T) {
+	for _, prefix := range []string{"copy-", "z-copy-"} {
+		si := newSimulation(t, 1, 2, 9)
+		si.runInitialLoads(8 * time.Second)
+		before := si.core.Groups()
+		for _, id := range si.fleet.IDs() {
+			ep := si.entries[id]
+			ep.ID = prefix + id
+			si.entries[ep.ID] = ep
+			si.core.Register(ep, si.now)
+		}
+		si.run(3 * time.Second)
+		si.takeOver()
+		si.run(3 * time.Second)
+		left := make(map[string]bool)
+		for _, gr := range si.core.Groups() {
+			left[gr.Name] = true
+		}
+		for _, gr := range before {
+			if !left[gr.Name] {
+				t.Errorf("%s: group %s no longer serves", prefix, gr.Name)
+			}
+		}
+	}
+}
