Inbound: a deadline of an earlier phase does not end a request in progress

Callers got no answer, and further requests on the same connection none either, when the header of a request was complete just as its deadline passed: the daemon logged caller-gone for a caller that was there.

Cause: net/http begins the read that watches the connection before the handler. Conn.Read sets the deadline of the idle or header phase for it. If that deadline passed before the handler began, and the error was handled after, it was returned to net/http, which cancels the context of the connection and so of all its later requests.

The read is repeated if a request is in progress by then; a deadline that the server itself has set in the past still ends it.

--- a/internal/inbound/conn.go
+++ b/internal/inbound/conn.go
@@ -65,39 +65,61 @@
 	bodyBytes int64
 	// reading is set while ReadBody reads. dropped is set once the connection was given up.
 	reading, dropped bool
-	why              quota.Reason
+	// aborted is set while the server has ended the reads by a deadline in the past.
+	aborted bool
+	why     quota.Reason
 }
 
 // Read implements net.Conn.
 func (co *Conn) Read(buf []byte) (int, error) {
-	if err := co.beforeRead(); err != nil {
-		return 0, err
-	}
-	num, err := co.Conn.Read(buf)
-	if num > 0 {
-		if status := co.received(buf[:num], len(buf) == 1); status != 0 {
-			co.refuse(status)
-			return 0, os.ErrDeadlineExceeded
+	for {
+		waiting, err := co.beforeRead()
+		if err != nil {
+			return 0, err
 		}
+		num, err := co.Conn.Read(buf)
+		if num > 0 {
+			if status := co.received(buf[:num], len(buf) == 1); status != 0 {
+				co.refuse(status)
+				return 0, os.ErrDeadlineExceeded
+			}
+		}
+		if err == nil || !os.IsTimeout(err) {
+			return num, err
+		}
+		if waiting && num == 0 && co.inProgress() {
+			continue
+		}
+		if co.headerTimedOut() {
+			co.refuse(http.StatusRequestTimeout)
+		}
+		return num, err
 	}
-	if err != nil && os.IsTimeout(err) && co.headerTimedOut() {
-		co.refuse(http.StatusRequestTimeout)
-	}
-	return num, err
 }
 
-// beforeRead sets the deadline of the phase.
-func (co *Conn) beforeRead() error {
+// beforeRead sets the deadline of the phase. It returns whether the phase has one.
+func (co *Conn) beforeRead() (waiting bool, err error) {
 	co.mu.Lock()
 	defer co.mu.Unlock()
-	if co.phase != quota.Idle && co.phase != quota.Header {
-		return nil
+	if !co.waiting() {
+		return false, nil
 	}
 	if co.deadline.IsZero() {
 		co.limits = co.li.limits()
 		co.deadline = time.Now().Add(co.limits.IdleTimeout)
 	}
-	return co.Conn.SetReadDeadline(co.deadline)
+	return true, co.Conn.SetReadDeadline(co.deadline)
+}
+
+// waiting reports whether the connection waits for a request's header. The caller holds mu.
+func (co *Conn) waiting() bool { return co.phase == quota.Idle || co.phase == quota.Header }
+
+// inProgress reports whether a request is in progress, so that the deadline that a read has met is that of
+// an earlier phase: the server watches the connection by a read that begins before the handler does.
+func (co *Conn) inProgress() bool {
+	co.mu.Lock()
+	defer co.mu.Unlock()
+	return !co.waiting() && !co.dropped && !co.aborted
 }
 
 // headerTimedOut reports whether a header is incomplete at its deadline.
@@ -219,6 +241,7 @@
 	if co.dropped {
 		return nil
 	}
+	co.aborted = !at.IsZero() && at.Before(time.Now())
 	return co.Conn.SetReadDeadline(at)
 }
 
