Soak: changes of limits and routes, each followed by a silence

Clients keep connections idle for up to four fifths of the timeout in force and send streams that are not resumable too. The checker leaves out requests that have crossed the close of their connection and were not passed on, and those that have lasted for their route's timeout; it counts the others as before.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -31,6 +31,7 @@
 	Restores      bool          `long:"restores" description:"also restore the store from copies"`
 	Crashes       bool          `long:"crashes" description:"also send requests that crash servers, and responses without framing"`
 	Silences      bool          `long:"silences" description:"also make sound servers silent for a time, and change the models' shares"`
+	Changes       bool          `long:"changes" description:"also change limits and routes, each time before servers fall silent, and restart daemons in series"`
 	PlannedOnly   bool          `long:"planned-only" description:"draw only planned faults and silences, which excuse no disconnected request"`
 	FaultInterval time.Duration `long:"every" default:"700ms" description:"mean time between two faults"`
 	Subnet        int           `long:"subnet" default:"120" description:"daemons get the addresses 127.0.SUBNET.1 and up"`
@@ -62,7 +63,7 @@
 			return failed, err
 		}
 		so := &soak.Soak{Log: slog.Default(), Binary: op.Binary, Dir: dir, Seed: seed, Daemons: op.Daemons, ModelServers: op.ModelServers,
-			PlainServers: op.PlainServers, Clients: op.Clients, Duration: op.FaultDuration, FaultInterval: op.FaultInterval, Restores: op.Restores, Crashes: op.Crashes, Silences: op.Silences, PlannedOnly: op.PlannedOnly, Subnet: op.Subnet}
+			PlainServers: op.PlainServers, Clients: op.Clients, Duration: op.FaultDuration, FaultInterval: op.FaultInterval, Restores: op.Restores, Crashes: op.Crashes, Silences: op.Silences, Changes: op.Changes, PlannedOnly: op.PlannedOnly, Subnet: op.Subnet}
 		violations, err := so.Run(ctx)
 		if err != nil {
 			return failed, err
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -17,6 +17,8 @@
 	Draft Kind = "draft"
 	// Slot is a repeatable request to a plain server.
 	Slot Kind = "slot"
+	// Tale is a stream from a model server that is neither resumable nor repeatable.
+	Tale Kind = "tale"
 	// Confirm is a request to a plain server that is not repeatable.
 	Confirm Kind = "confirm"
 )
@@ -31,7 +33,9 @@
 	Start, End time.Time
 	// Sent is set once the request has been written, so that the daemon may have
 	// read it.
-	Sent   bool
+	Sent bool
+	// SentAt is when the request had been written.
+	SentAt time.Time
 	Status int
 	Body   string
 	// Disconnected is set if the connection broke before the end of the response.
@@ -54,12 +58,17 @@
 type Checker struct {
 	// Want returns the complete body of the response to a request. It must be set.
 	Want func(kind Kind, id string) string
+	// PassedOn reports whether a request has reached a server. If it is set, connections may be closed while
+	// a request that is not passed on crosses the close.
+	PassedOn func(id string) bool
 
 	mu              sync.Mutex
 	outcomes        map[string]Outcome
 	counts          map[string]int
 	unplannedFaults []span
 	stops           map[int][]span
+	// timeouts are the timeouts of the routes, by kind, in the order of their configurations.
+	timeouts map[Kind][]routeTimeout
 	// newestVersion is the newest configuration version served, by process.
 	newestVersion map[string]int
 	violations    []string
@@ -162,7 +171,7 @@
 	case oc.Status == 200 && oc.Disconnected && !strings.HasPrefix(want, oc.Body):
 		ch.reportViolation("%s (%s): partial response is mismatched: %q", oc.ID, oc.Kind, oc.Body)
 	}
-	if !oc.Disconnected || oc.TimedOut || !oc.Sent || !ch.faultFree(oc.Start, oc.End) {
+	if !oc.Disconnected || oc.TimedOut || !oc.Sent || !ch.faultFree(oc.Start, oc.End) || ch.crossesClose(oc) || ch.timeoutReached(oc) {
 		return
 	}
 	for _, sp := range ch.stops[oc.Daemon] {
@@ -175,6 +184,46 @@
 		oc.End.Format(time.StampMilli), oc.End.Sub(oc.Start).Round(time.Millisecond), oc.Status, len(oc.Body), len(want))
 }
 
+// lossSlack is how long after a request its connection may be closed because the two have crossed.
+const lossSlack = 100 * time.Millisecond
+
+// crossesClose reports whether a request has crossed the close of its connection.
+func (ch *Checker) crossesClose(oc Outcome) bool {
+	return ch.PassedOn != nil && !ch.PassedOn(oc.ID) && oc.End.Sub(oc.SentAt) <= lossSlack
+}
+
+// routeTimeout is the timeout of a route in the configurations from a time on.
+type routeTimeout struct {
+	from    time.Time
+	timeout time.Duration
+}
+
+// configApplyTime is how long an older configuration may be in force.
+const configApplyTime = 3 * time.Second
+
+// SetTimeout records that the next configuration gives the route of a kind another timeout.
+func (ch *Checker) SetTimeout(kind Kind, timeout time.Duration) {
+	ch.mu.Lock()
+	defer ch.mu.Unlock()
+	if ch.timeouts == nil {
+		ch.timeouts = make(map[Kind][]routeTimeout)
+	}
+	ch.timeouts[kind] = append(ch.timeouts[kind], routeTimeout{time.Now(), timeout})
+}
+
+// timeoutReached reports whether a request has lasted for the timeout of its route in a configuration
+// that may have been in force.
+func (ch *Checker) timeoutReached(oc Outcome) bool {
+	all := ch.timeouts[oc.Kind]
+	for i, rt := range all {
+		replaced := i+1 < len(all) && all[i+1].from.Add(configApplyTime).Before(oc.Start)
+		if !replaced && rt.from.Before(oc.End) && oc.End.Sub(oc.Start) >= rt.timeout {
+			return true
+		}
+	}
+	return false
+}
+
 // CheckLimit checks the number of requests that a server received in its busiest
 // limitWindow after it announced a limit of one request per second. A count above
 // maxLimitedRequests is excused if an unplanned fault, such as a killed or paused
@@ -215,7 +264,7 @@
 	ch.mu.Lock()
 	defer ch.mu.Unlock()
 	for id, oc := range ch.outcomes {
-		if oc.Kind != Confirm {
+		if oc.Kind != Confirm && oc.Kind != Tale {
 			continue
 		}
 		if runs[id] > 1 {
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -81,6 +81,42 @@
 			oc.TimedOut = true
 			ch.RecordOutcome(oc)
 		}, ""},
+		{"closed when it crossed the close of an idle connection", func(ch *Checker) {
+			ch.PassedOn = func(string) bool { return false }
+			oc := answer(Slot, 0, "", true)
+			oc.SentAt = oc.End.Add(-lossSlack)
+			ch.RecordOutcome(oc)
+		}, ""},
+		{"closed after it was passed on", func(ch *Checker) {
+			ch.PassedOn = func(string) bool { return true }
+			oc := answer(Slot, 0, "", true)
+			oc.SentAt = oc.End
+			ch.RecordOutcome(oc)
+		}, "although no unplanned fault acted"},
+		{"closed long after it was sent", func(ch *Checker) {
+			ch.PassedOn = func(string) bool { return false }
+			oc := answer(Slot, 0, "", true)
+			oc.SentAt = oc.End.Add(-2 * lossSlack)
+			ch.RecordOutcome(oc)
+		}, "although no unplanned fault acted"},
+		{"cut at the timeout of its route", func(ch *Checker) {
+			ch.SetTimeout(Draft, time.Second)
+			ch.SetTimeout(Draft, time.Minute)
+			ch.RecordOutcome(answer(Draft, 200, "whole", true))
+		}, ""},
+		{"cut before the timeout of its route", func(ch *Checker) {
+			ch.SetTimeout(Draft, 2*time.Second)
+			ch.SetTimeout(Slot, time.Second)
+			ch.RecordOutcome(answer(Draft, 200, "whole", true))
+		}, "although no unplanned fault acted"},
+		{"cut at a timeout that was replaced long before", func(ch *Checker) {
+			ch.timeouts = map[Kind][]routeTimeout{Draft: {{begin.Add(-time.Hour), time.Second}, {begin.Add(-time.Minute), time.Minute}}}
+			ch.RecordOutcome(answer(Draft, 200, "whole", true))
+		}, "although no unplanned fault acted"},
+		{"a second run of a stream that is not resumable", func(ch *Checker) {
+			ch.RecordOutcome(answer(Tale, 502, "", false))
+			ch.Finish(map[string]int{"id": 2})
+		}, "ran 2 times"},
 		{"refused beside no fault", func(ch *Checker) { ch.RecordOutcome(answer(Slot, 503, "", false)) }, ""},
 		{"configuration lost", func(ch *Checker) {
 			ch.RecordVersion("one", 2, true)
--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -39,12 +39,14 @@
 	// are valid until expiry.
 	daemons []int
 	expiry  time.Time
+	// lastUse is when the connection to each daemon was last used, by index.
+	lastUse map[int]time.Time
 	// sent is the number of requests sent. It makes their IDs unique.
 	sent int
 }
 
 func newClient(so *Soak, num int, seed uint64) *client {
-	return &client{so: so, num: num, rnd: rand.New(rand.NewPCG(seed, uint64(num))),
+	return &client{so: so, num: num, lastUse: make(map[int]time.Time), rnd: rand.New(rand.NewPCG(seed, uint64(num))),
 		http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, DisableCompression: true}}}
 }
 
@@ -59,7 +61,26 @@
 			// Requests in flight continue after ctx ends, so that their outcome counts.
 			cl.send(context.WithoutCancel(ctx))
 		}
-		cl.so.pause(ctx, time.Duration(cl.rnd.ExpFloat64()*float64(thinkTime)))
+		cl.think(ctx)
+	}
+}
+
+// idlePart is the part of the idle timeout after which connections are not used again.
+const idlePart = 0.8
+
+// think waits before the next request: from time to time for almost as long as connections may be idle.
+func (cl *client) think(ctx context.Context) {
+	dur := time.Duration(cl.rnd.ExpFloat64() * float64(thinkTime))
+	if cl.so.Changes && cl.rnd.IntN(8) == 0 {
+		dur = time.Duration(idlePart * cl.rnd.Float64() * float64(min(maxThinkTime, cl.so.idleTimeout())))
+	}
+	cl.so.pause(ctx, dur)
+}
+
+// closeIdle closes the connections if the one to a daemon has been idle for too long to be used again.
+func (cl *client) closeIdle(daemon int) {
+	if cl.so.Changes && time.Since(cl.lastUse[daemon]) > time.Duration(idlePart*float64(cl.so.idleTimeout())) {
+		cl.http.CloseIdleConnections()
 	}
 }
 
@@ -96,11 +117,16 @@
 // send sends one request and records its outcome.
 func (cl *client) send(ctx context.Context) {
 	cl.sent++
-	kind := pick(cl.rnd, []Kind{Draft, Draft, Slot, Confirm})
+	kinds := []Kind{Draft, Draft, Slot, Confirm}
+	if cl.so.Changes {
+		kinds = append(kinds, Tale)
+	}
+	kind := pick(cl.rnd, kinds)
 	oc := Outcome{ID: fmt.Sprintf("%s-%d-%d", kind, cl.num, cl.sent), Kind: kind, Daemon: pick(cl.rnd, cl.daemons), Start: time.Now()}
+	cl.closeIdle(oc.Daemon)
 	ctx, cancel := context.WithTimeout(ctx, clientTimeout)
 	defer cancel()
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteRequest: func(info httptrace.WroteRequestInfo) { oc.Sent = info.Err == nil }})
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteRequest: func(info httptrace.WroteRequestInfo) { oc.Sent, oc.SentAt = info.Err == nil, time.Now() }})
 	// A body of a type that net/http cannot rewind keeps it from retrying the request.
 	body := io.MultiReader(strings.NewReader("question"))
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+cl.so.daemons[oc.Daemon].ip+":18080/"+string(kind)+"/x", body)
@@ -112,7 +138,7 @@
 	req.Header.Set(platform.HeaderRequestID, oc.ID)
 	req.Header.Set(platform.HeaderAuthorization, "Token "+emulator.APIKey)
 	req.Header.Set(platform.HeaderDeadline, fmt.Sprint(clientTimeout.Milliseconds()))
-	if kind == Draft {
+	if kind == Draft || kind == Tale {
 		req.Header.Set(platform.HeaderModel, pick(cl.rnd, []string{emulator.ModelLarge, emulator.ModelSmall}))
 		req.Header.Set(platform.HeaderTokens, fmt.Sprint("100,", draftEvents*7))
 	}
@@ -123,10 +149,11 @@
 		oc.Status, oc.Body, err = rsp.StatusCode, string(raw), readErr
 	}
 	oc.End = time.Now()
+	cl.lastUse[oc.Daemon] = oc.End
 	oc.Disconnected, oc.TimedOut = err != nil, ctx.Err() != nil
 	cl.so.check.RecordOutcome(oc)
 	if oc.Disconnected {
-		cl.so.Log.Info("soak: request was disconnected.", "request", oc.ID, "daemon", oc.Daemon, "sent", oc.Sent, "timed-out", oc.TimedOut,
+		cl.so.Log.Info("soak: request was disconnected.", "request", oc.ID, "daemon", oc.Daemon, "sent", oc.Sent, "timed-out", oc.TimedOut, "passed-on", cl.so.deployment.Received(oc.ID),
 			"status", oc.Status, "bytes", len(oc.Body), "took", oc.End.Sub(oc.Start).Round(time.Millisecond), "cause", err)
 	}
 	if err != nil && !oc.Sent {
@@ -136,7 +163,7 @@
 
 // want returns the complete body of the response to a request.
 func want(kind Kind, id string) string {
-	if kind != Draft {
+	if kind != Draft && kind != Tale {
 		return emulator.Body(id)
 	}
 	var all strings.Builder
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -91,8 +91,12 @@
 
 // stopDaemon stops a daemon gracefully and starts it again.
 func stopDaemon(so *Soak, rnd *rand.Rand, dur time.Duration) {
-	ps := pick(rnd, so.daemons)
-	so.restart(ps, dur/4, func(ps *process) {
+	so.stopAndStart(pick(rnd, so.daemons), dur/4)
+}
+
+// stopAndStart stops a daemon gracefully and starts it again after a time.
+func (so *Soak) stopAndStart(ps *process, after time.Duration) {
+	so.restart(ps, after, func(ps *process) {
 		end := so.check.BeginStop(ps.num)
 		defer end()
 		sentAt := time.Now()
--- a/internal/soak/silence.go
+++ b/internal/soak/silence.go
@@ -48,7 +48,11 @@
 // silence makes servers silent for a random time and waits until they may fall silent again. It leaves
 // out those that are or were silent because of another fault.
 func (so *Soak) silence(rnd *rand.Rand, ids ...string) {
-	dur := minSilence + time.Duration(rnd.Int64N(int64(maxSilence-minSilence)))
+	so.silenceFor(minSilence+time.Duration(rnd.Int64N(int64(maxSilence-minSilence))), ids...)
+}
+
+// silenceFor is silence for a given time.
+func (so *Soak) silenceFor(dur time.Duration, ids ...string) {
 	ids = slices.DeleteFunc(ids, func(id string) bool { return !so.reserve(silenceOf, id) })
 	if len(ids) == 0 {
 		return
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -42,6 +42,9 @@
 	// Silences adds sound servers that fall silent and go on to the faults, and other shares of the
 	// models.
 	Silences bool
+	// Changes adds changes of the limits and routes, each followed by a silence, and restarts in series, to
+	// the faults. Clients then keep idle connections, and send streams that are not resumable.
+	Changes bool
 	// PlannedOnly draws only faults that excuse nothing.
 	PlannedOnly bool
 	// Subnet gives the daemons the addresses 127.0.Subnet.1 and up.
@@ -65,6 +68,8 @@
 	// versionsMu guards versions, the routes that configure has added, one per version.
 	versionsMu sync.Mutex
 	versions   []emulator.Route
+	// limits guards and holds the idle timeouts of the configurations.
+	limits idleTimeouts
 }
 
 const (
@@ -85,6 +90,9 @@
 	defer cancel()
 	so.ctx = ctx
 	so.check = &Checker{Want: want}
+	if so.Changes {
+		so.check.PassedOn = func(id string) bool { return so.deployment.Received(id) }
+	}
 	so.serverTCPProxies, so.reserved = make(map[string]*Proxy), make(map[target]bool)
 	defer so.stopAll()
 	if err := so.start(); err != nil {
@@ -115,6 +123,9 @@
 	if so.Silences {
 		so.deployment.Domains = silentDomains
 	}
+	if so.Changes {
+		so.prepareChanges()
+	}
 	if err := so.deployment.Start(so.ctx); err != nil {
 		return err
 	}
@@ -151,7 +162,11 @@
 
 // serverIDs returns the IDs of all servers.
 func (so *Soak) serverIDs() []string {
-	return append(so.deployment.IDs("engine"), so.deployment.IDs("desk")...)
+	ids := append(so.deployment.IDs("engine"), so.deployment.IDs("desk")...)
+	if so.Changes {
+		ids = append(append(ids, so.deployment.IDs(emulator.Twin("engine"))...), so.deployment.IDs(emulator.Twin("desk"))...)
+	}
+	return ids
 }
 
 // serverProxy returns the TCP proxy in front of a server.
@@ -207,6 +222,9 @@
 	if so.Silences {
 		drawn = append(drawn, silences...)
 	}
+	if so.Changes {
+		drawn = append(drawn, changes...)
+	}
 	if so.PlannedOnly {
 		drawn = slices.DeleteFunc(drawn, func(fa fault) bool { return !fa.planned })
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -60,6 +60,21 @@
 	}
 }
 
+// Guards against requests that are passed on to sound servers and end without an answer, because the
+// limits and routes change and the servers are silent for a second soon after.
+func TestSoakOfChanges(t *testing.T) {
+	binary := buildDaemon(t)
+	so := &Soak{Log: slog.New(slog.DiscardHandler), Binary: binary, Dir: t.TempDir(), Seed: 2, Changes: true, PlannedOnly: true, Daemons: 4, ModelServers: 9, PlainServers: 3,
+		Clients: 32, Duration: 12 * time.Second, FaultInterval: 500 * time.Millisecond, Subnet: 117}
+	violations, err := so.Run(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, vi := range violations {
+		t.Errorf("seed %d: %s", so.Seed, vi)
+	}
+}
+
 // buildDaemon builds the daemon's program and returns its path.
 func buildDaemon(t *testing.T) string {
 	t.Helper()
