Ignore views with a group that has no members

A view, or a change of one, that another daemon sends was used as it came. Each use of a group reads its first member, so one group without members ended the process, in every daemon that got the view.

applyView, through which both ways lead, ignores such a view and keeps the one in force.

TestGroupWithoutMembersIsIgnored failed before: panic: index out of range [0] with length 0, in catalog.(*Group).Leader.

--- a/internal/core/catalog/view.go
+++ b/internal/core/catalog/view.go
@@ -68,6 +68,11 @@
 // Instance returns the instance that joined the group.
 func (me *Member) Instance() Instance { return Instance{me.ID, me.Incarnation} }
 
+// Valid reports whether every group has a leader.
+func (vi *View) Valid() bool {
+	return !slices.ContainsFunc(vi.Groups, func(gr Group) bool { return len(gr.Members) == 0 })
+}
+
 // Newer reports whether vi replaces other. Two views of stewards are ordered by
 // term, then by sequence. If one of the two was built from the store, they are
 // ordered by position, and vi also replaces a view of the same position.
--- a/internal/entry/view.go
+++ b/internal/entry/view.go
@@ -13,6 +13,10 @@
 	if vi == nil || ct.stewardView != nil && !vi.Newer(ct.stewardView) {
 		return
 	}
+	if !vi.Valid() {
+		ct.da.Log.Warn("control: invalid view ignored, a group has no members.", "term", vi.Term, "view", vi.Sequence)
+		return
+	}
 	ct.stewardView = vi
 	ct.updateView()
 }
