Refuse claims of shards that don't exist

A claim that another daemon passes on names its shard by number. The number was used as an index as it came: one out of range, as a release with more shards would send, ended the process with all its requests. The daemons trust each other's certificates, so no caller can send one.

DoLocal, which serves the calls of other daemons, answers Unavailable; the asking daemon then stores the claim itself, as it does when the owner can't be reached.

--- a/internal/platform/claims/registry.go
+++ b/internal/platform/claims/registry.go
@@ -72,8 +72,12 @@
 }
 
 // DoLocal executes the operation on this daemon. If ctx ends first, it returns
-// claim.Unavailable, and the operation may still be stored.
+// claim.Unavailable, and the operation may still be stored. It also returns that if another
+// daemon has sent an operation for a shard that doesn't exist.
 func (bo *Registry) DoLocal(ctx context.Context, op claim.Op) claim.Result {
+	if op.Shard < 0 || op.Shard >= claim.Shards {
+		return claim.Result{Code: claim.Unavailable}
+	}
 	era := bo.Store.Era()
 	bo.memory.begin(bo.Clock.Now(), op)
 	res := claim.Result{Code: claim.Applied}
