Go on after a failed accept

Fixes the fault that TestServerOutlivesFailedAccept shows: the failure to accept one connection ended the daemon and all its requests in flight.

Listener.Accept marks the errors of listeners that are still open as temporary. http.Server then waits 5 ms, up to 1 s after repeated failures, and goes on. A closed listener, EBADF and EINVAL still end the server. Both doors use this listener. The package's tests pass with -race.

--- a/internal/inbound/guard.go
+++ b/internal/inbound/guard.go
@@ -129,7 +129,7 @@
 	for {
 		nc, err := li.Listener.Accept()
 		if err != nil {
-			return nil, err
+			return nil, li.afterAccept(err)
 		}
 		co := &Conn{Conn: nc, li: li}
 		if li.gu.open(co) {
