Show that the own interface passes on an odd status

Failing test, the same fault at the other door: a plain service's status below 100 reaches http.ResponseWriter, which panics; the caller gets no answer. For a call with an idempotency key the outcome is recorded before, so that each repetition panics as well.

TestResponses/status_that_is_none: no error, want broken-answer, may-have-run.

--- a/internal/endpoint/service_test.go
+++ b/internal/endpoint/service_test.go
@@ -130,6 +130,7 @@
 		{"chunk cut off", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n", verdict.CodeBrokenAnswer, verdict.MayHaveRun},
 		{"length unknown", "HTTP/1.0 200 OK\r\n\r\nok", verdict.CodeBrokenAnswer, verdict.MayHaveRun},
 		{"no answer", "", verdict.CodeEndpointFailed, verdict.MayHaveRun},
+		{"status that is none", "HTTP/1.1 042 x\r\nContent-Length: 2\r\n\r\nok", verdict.CodeBrokenAnswer, verdict.MayHaveRun},
 		{"no HTTP", "hello\r\n\r\n", verdict.CodeEndpointFailed, verdict.MayHaveRun},
 		{"refused", "HTTP/1.1 503 No\r\nX-Verdict: not-run\r\nContent-Length: 0\r\n\r\n", verdict.CodeEndpointFailed, verdict.NotRun},
 		{"refused without a word", "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", "", ""},
