--- a/internal/front/relay.go
+++ b/internal/front/relay.go
@@ -26,6 +26,8 @@
 	if err != io.EOF {
 		return at, err
 	}
+	// http.Server writes the end of the response. The deadline of the last event may have passed.
+	st.limitWrite()
 	return at, st.writeHeader(at.ex.Response.Header)
 }
 
@@ -45,12 +47,11 @@
 		st.maxPause = max(st.maxPause, now.Sub(st.lastAt))
 		eventPauses.Update(now.Sub(st.lastAt).Seconds())
 	}
-	rc := http.NewResponseController(st.w)
-	_ = rc.SetWriteDeadline(time.Now().Add(writeTimeout))
+	st.limitWrite()
 	if _, err := st.w.Write(event); err != nil {
 		return errCallerGone
 	}
-	if err := rc.Flush(); err != nil {
+	if err := http.NewResponseController(st.w).Flush(); err != nil {
 		return errCallerGone
 	}
 	st.numEvents++
@@ -61,6 +62,11 @@
 	return nil
 }
 
+// limitWrite bounds the next write to the caller.
+func (st *stream) limitWrite() {
+	_ = http.NewResponseController(st.w).SetWriteDeadline(time.Now().Add(writeTimeout))
+}
+
 var errCallerGone = errors.New("front: caller disconnected")
 
 // writeHeader sends the header of the first group's response, once.
