--- a/internal/http1/exchange.go
+++ b/internal/http1/exchange.go
@@ -39,7 +39,7 @@
 }
 
 // Error implements the error interface.
-func (er *Error) Error() string { return string(er.Verdict) + ": " + er.Err.Error() }
+func (er *Error) Error() string { return string(er.Verdict) + ": " + bounded(er.Err.Error()) }
 
 // Unwrap returns the underlying error.
 func (er *Error) Unwrap() error { return er.Err }
@@ -145,8 +145,11 @@
 // response to an earlier request where the response to the next one is expected. The context
 // bounds the wait for that.
 func (ex *Exchange) readHeader(rq *Request) error {
+	ex.cn.hr.Begin()
 	for range maxSkippedResponses + 1 {
+		ex.cn.hr.Expect()
 		rsp, err := http.ReadResponse(ex.cn.br, &http.Request{Method: rq.Method})
+		ex.cn.hr.Parsed()
 		if err != nil {
 			return err
 		}
--- a/internal/http1/pool.go
+++ b/internal/http1/pool.go
@@ -47,7 +47,8 @@
 // conn is one connection. At most one exchange uses it at a time.
 type conn struct {
 	nc     net.Conn
-	br     *bufio.Reader
+	hr     *HeadReader   // reads nc
+	br     *bufio.Reader // reads hr
 	addr   string
 	reused bool
 	// expiry is the time from which an idle connection is not reused.
@@ -76,7 +77,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{nc: nc, br: bufio.NewReaderSize(nc, readBufferSize), addr: addr}, nil
+	hr := NewHeadReader(nc)
+	return &conn{nc: nc, hr: hr, br: bufio.NewReaderSize(hr, readBufferSize), addr: addr}, nil
 }
 
 // dial opens a connection without keep-alive probes: one that waits for a response is watched by
--- a/internal/relay/relayed.go
+++ b/internal/relay/relayed.go
@@ -16,6 +16,7 @@
 	"github.com/rotisserie/eris"
 
 	"corianderhub.dev/corianderhub/internal/core/reach"
+	"corianderhub.dev/corianderhub/internal/http1"
 )
 
 const (
@@ -99,8 +100,12 @@
 	if _, err := nc.Write([]byte(call)); err != nil {
 		return nil, eris.Wrap(err, "ask daemon")
 	}
-	br := bufio.NewReader(nc)
+	hr := http1.NewHeadReader(nc)
+	br := bufio.NewReader(hr)
+	hr.Begin()
+	hr.Expect()
 	rsp, err := http.ReadResponse(br, nil)
+	hr.Parsed()
 	if err != nil {
 		return nil, eris.Wrap(err, "ask daemon")
 	}
