Bound what a log line contains of an invalid entry

Seen by operators: log lines as long as the entry itself. Cause: the error of a number that doesn't fit has the whole number, and the key is as long as its writer made it. Evidence, before: TestLogOfOddEntries: "3 lines, 1006639 bytes, want 3 lines of at most 1000 bytes". Fix: key and cause are cut to 300 bytes each; the same for the quarantine and the evacuation.

--- a/internal/entry/endpoints.go
+++ b/internal/entry/endpoints.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"strings"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -160,11 +161,22 @@
 	invalidEntryCount.Inc()
 	if !ct.loggedInvalid[it.Key] && len(ct.loggedInvalid) < maxLoggedInvalid {
 		ct.loggedInvalid[it.Key] = true
-		ct.da.Log.Warn("control: invalid entry ignored.", "key", it.Key, "revision", it.Revision, "cause", err.Error())
+		ct.da.Log.Warn("control: invalid entry ignored.", "key", brief(it.Key), "revision", it.Revision, "cause", brief(err.Error()))
 	}
 	return catalog.Endpoint{}, false
 }
 
+// maxLoggedText bounds what a log line contains of an entry.
+const maxLoggedText = 300
+
+// brief returns the beginning of a text from the store.
+func brief(text string) string {
+	if len(text) <= maxLoggedText {
+		return text
+	}
+	return strings.ToValidUTF8(text[:maxLoggedText], "") + "..."
+}
+
 var invalidEntryCount = metrics.NewCounter("corianderhub_entries_set_aside_total")
 
 // register adds or updates an endpoint. An entry older than the known one is ignored.
--- a/internal/entry/evacuate.go
+++ b/internal/entry/evacuate.go
@@ -52,7 +52,7 @@
 	}
 	if !ct.loggedInvalid[key] && len(ct.loggedInvalid) < maxLoggedInvalid {
 		ct.loggedInvalid[key] = true
-		ct.da.Log.Warn("control: evacuation names no known data centre.", "key", key, "data-center", dc)
+		ct.da.Log.Warn("control: evacuation names no known data centre.", "key", brief(key), "data-center", brief(dc))
 	}
 	return dc, ok
 }
--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -343,7 +343,7 @@
 		if err := json.Unmarshal(it.Value, &en); err != nil || quarantinePrefix+en.Subject.String() != it.Key {
 			if !ct.loggedInvalid[it.Key] && len(ct.loggedInvalid) < maxLoggedInvalid {
 				ct.loggedInvalid[it.Key] = true
-				ct.da.Log.Warn("control: invalid quarantine entry ignored.", "key", it.Key, "revision", it.Revision)
+				ct.da.Log.Warn("control: invalid quarantine entry ignored.", "key", brief(it.Key), "revision", it.Revision)
 			}
 			continue
 		}
