Keep a server whose entry another writer overwrites

Seen by callers: a sound server gets no requests, and the streams of its group are cut, as soon as another writer overwrites its entry. Cause: an invalid entry counted as the removal of the entry. In a full read the server counted as departed, and that was announced to all daemons. Evidence, before: TestOverwrittenEntry: "the overwritten entry counts as departed at once"; TestOverwrittenEntryInFirstRead: "announced as departed at once". Fix: an invalid entry is no sign that the server leaves. The last valid one counts for as long as an entry that expired in an outage may take to reappear (returnGrace), which is longer than servers take to write it again; a valid one ends that, and a removed one still counts at once.

--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -41,8 +41,8 @@
 	da     *Daemon
 	events chan func()
 	// endpoints are the endpoints registered at the store, by ID. missing are those whose
-	// entries were lost during an outage of the store, with the time when that was
-	// detected.
+	// entries were lost during an outage of the store or overwritten with an invalid one, with
+	// the time when that was detected.
 	endpoints map[string]catalog.Endpoint
 	missing   map[string]time.Time
 	// loggedInvalid are the keys of invalid entries that have been logged.
--- a/internal/entry/endpoints.go
+++ b/internal/entry/endpoints.go
@@ -25,23 +25,26 @@
 	ct.firstRead = len(ct.endpoints) == 0
 	for _, it := range items {
 		ep, ok := ct.decode(it)
-		if !ok || restored && ct.outdated(ep) {
+		if !ok {
+			seen[platform.EndpointID(it.Key)] = false
+			continue
+		}
+		if restored && ct.outdated(ep) {
 			continue
 		}
 		seen[ep.ID] = true
 		ct.register(ep)
 	}
 	if ct.firstRead {
-		ct.da.Log.Info("control: endpoints read.", "count", len(seen), "revision", at.Revision, "era", at.Era)
+		ct.da.Log.Info("control: endpoints read.", "count", len(ct.endpoints), "revision", at.Revision, "era", at.Era)
 		ct.firstRead = false
 	}
 	for id := range maps.Clone(ct.endpoints) {
+		valid, present := seen[id]
 		switch {
-		case seen[id]:
-		case maybeLapsed:
-			if _, ok := ct.missing[id]; !ok {
-				ct.missing[id] = now
-			}
+		case valid:
+		case present || maybeLapsed:
+			ct.miss(id, now)
 		default:
 			ct.unregister(id)
 		}
@@ -52,6 +55,14 @@
 	ct.endpointsChanged()
 }
 
+// miss records that an endpoint has no valid entry, unless that is recorded already. The last
+// valid one counts until the entry would have reappeared.
+func (ct *control) miss(id string, now time.Time) {
+	if _, ok := ct.missing[id]; !ok {
+		ct.missing[id] = now
+	}
+}
+
 // justRestored reports whether the store may still show entries of a copy that their servers
 // are about to write again.
 func (ct *control) justRestored(now time.Time) bool {
@@ -87,7 +98,8 @@
 // compareView finds endpoints in the steward's view whose entries were removed before this
 // daemon began to follow the store, so that it cannot see the removal itself. Without this,
 // daemons that rely on this one as a deputy use the view of a steward that is cut off from
-// the store; they sent requests to an endpoint 3.2 s after its entry had been removed.
+// the store; they sent requests to an endpoint 3.2 s after its entry had been removed. seen has
+// the IDs of the entries that were read, and whether they are valid.
 func (ct *control) compareView(seen map[string]bool, at catalog.Position, wasUnavailable bool) {
 	if ct.stewardView == nil || at.Before(ct.stewardView.Position()) {
 		// Endpoints in a newer view may have registered since.
@@ -96,13 +108,14 @@
 	now := ct.da.Clock.Now()
 	lapsed := wasUnavailable || ct.age(now) > outageAge || now.Sub(ct.startedAt) < outageAge
 	for _, li := range ct.stewardView.Instances() {
-		if _, known := ct.endpoints[li.ID]; known || seen[li.ID] {
+		valid, present := seen[li.ID]
+		if _, known := ct.endpoints[li.ID]; known || valid {
 			continue
 		}
-		if !lapsed {
+		if !lapsed && !present {
 			ct.newDeparture = ct.departed.add(li, now) || ct.newDeparture
-		} else if _, ok := ct.missing[li.ID]; !ok {
-			ct.missing[li.ID] = now
+		} else {
+			ct.miss(li.ID, now)
 		}
 	}
 }
@@ -129,20 +142,21 @@
 	}
 }
 
-// applyChanges applies changes of endpoint entries received from a watch.
+// applyChanges applies changes of endpoint entries received from a watch. An invalid entry is no
+// server's and no sign that one leaves: the server writes its own again with its next heartbeat.
 func (ct *control) applyChanges(items []platform.Item) {
 	for _, it := range items {
 		ct.advance(it.Position())
-		ep, ok := catalog.Endpoint{}, false
-		if !it.Deleted {
-			ep, ok = ct.decode(it)
-		}
-		if !ok {
-			// The entry was deleted or overwritten with an invalid one.
-			ct.unregister(platform.EndpointID(it.Key))
+		id := platform.EndpointID(it.Key)
+		if it.Deleted {
+			ct.unregister(id)
 			continue
 		}
-		ct.register(ep)
+		if ep, ok := ct.decode(it); ok {
+			ct.register(ep)
+		} else if _, known := ct.endpoints[id]; known {
+			ct.miss(id, ct.da.Clock.Now())
+		}
 	}
 	ct.endpointsChanged()
 }
@@ -252,7 +266,7 @@
 	}
 }
 
-// stepMissing drops endpoints whose entries did not reappear after an outage.
+// stepMissing drops endpoints whose entries did not reappear after an outage, or after an invalid one.
 func (ct *control) stepMissing(now time.Time) {
 	before := len(ct.missing)
 	for id, since := range ct.missing {
