Refuse what no daemon sends to another

Seen by callers: a daemon that ends, or follows a steward of an old term, after one odd message. Cause: views and heartbeats were used as decoded. A group without members has no leader, and the daemons read the first member; a term of the largest number overflows when the next steward counts on; a negative age makes old state count as fresh. Evidence, before: TestOddHeartbeats: "heartbeat 0 is accepted" to 12; TestOddResponses: five views and a list of 4,097 addresses accepted.

--- a/internal/mesh/call.go
+++ b/internal/mesh/call.go
@@ -92,7 +92,13 @@
 		return nil, err
 	}
 	vi := new(catalog.View)
-	return vi, eris.Wrap(json.Unmarshal(raw, vi), "decode peer view")
+	if err := json.Unmarshal(raw, vi); err != nil {
+		return nil, eris.Wrap(err, "decode peer view")
+	}
+	if err := vi.Check(); err != nil {
+		return nil, err
+	}
+	return vi, nil
 }
 
 // Config fetches the configuration in force on the daemon at ip, in its stored
@@ -113,7 +119,13 @@
 		return nil, err
 	}
 	var ips []string
-	return ips, eris.Wrap(json.Unmarshal(raw, &ips), "decode peer daemons")
+	if err := json.Unmarshal(raw, &ips); err != nil {
+		return nil, eris.Wrap(err, "decode peer daemons")
+	}
+	if len(ips) > maxDaemons {
+		return nil, eris.Errorf("peer daemons: %d addresses, must be at most %d", len(ips), maxDaemons)
+	}
+	return ips, nil
 }
 
 // Quarantine fetches the quarantined requests of the daemon at ip.
--- a/internal/mesh/send.go
+++ b/internal/mesh/send.go
@@ -137,5 +137,8 @@
 
 func decode(raw []byte) (Heartbeat, error) {
 	var be Heartbeat
-	return be, eris.Wrap(cbor.Unmarshal(raw, &be), "decode heartbeat")
+	if err := cbor.Unmarshal(raw, &be); err != nil {
+		return be, eris.Wrap(err, "decode heartbeat")
+	}
+	return be, be.check()
 }
