Treat a status below 100 as no response

Callers got a closed connection without an answer when an endpoint sent a status such as 042: http.ReadResponse accepts any three digits, and http.ResponseWriter panics on one below 100. At the own interface a recorded outcome of that kind made each repetition panic as well.

http1 and the own interface's endpoints now return an error (may have run), like for other bytes that are no response. An engine's status below 100 no longer counts as a refusal that has not run.

--- a/internal/endpoint/complete.go
+++ b/internal/endpoint/complete.go
@@ -104,7 +104,7 @@
 		return &verdict.Error{Code: verdict.CodeForeignAnswer, Verdict: verdict.MayHaveRun,
 			Message: "the engine answered request " + strconv.Quote(got)}
 	}
-	if rsp.StatusCode >= http.StatusInternalServerError {
+	if rsp.StatusCode < http.StatusContinue || rsp.StatusCode >= http.StatusInternalServerError {
 		return &verdict.Error{Code: verdict.CodeEndpointFailed, Verdict: verdict.MayHaveRun,
 			Message: "the engine failed with status " + strconv.Itoa(rsp.StatusCode)}
 	}
--- a/internal/http1/exchange.go
+++ b/internal/http1/exchange.go
@@ -29,6 +29,9 @@
 // ErrMismatchedResponse means that the responses on a connection belong to other requests.
 var ErrMismatchedResponse = errors.New("http1: response belongs to another request")
 
+// ErrInvalidStatus means that a response has a status code below 100, which HTTP does not have.
+var ErrInvalidStatus = errors.New("http1: invalid status code")
+
 // Error is a failed exchange. Verdict states whether the endpoint may have run the
 // request.
 type Error struct {
@@ -153,7 +156,10 @@
 		if err != nil {
 			return err
 		}
-		if rsp.StatusCode >= 100 && rsp.StatusCode < 200 {
+		if rsp.StatusCode < http.StatusContinue {
+			return ErrInvalidStatus
+		}
+		if rsp.StatusCode < http.StatusOK {
 			continue
 		}
 		if ex.matches(rsp, rq) {
