Set no read deadline for a request without a body

Callers with a deadline in the past, none that is a number, or one of some microseconds got a closed connection without an answer (outcome=caller-gone) instead of a refusal: readBody set the connection's read deadline also without a body. http.Server then reads ahead already; a deadline that is met ends the request's context.

The deadline is set only if there is a body to read. The caller's timeout is bounded to 0 .. 24 h, since the conversion of a number out of range depends on the processor; NaN counts as none.

--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -248,9 +249,17 @@
 // callerTimeout returns how long the caller says it will wait, and false if it doesn't say.
 func (ca *call) callerTimeout() (time.Duration, bool) {
 	ms, err := strconv.ParseFloat(ca.req.Header.Get(platform.HeaderDeadline), 64)
-	return time.Duration(ms * float64(time.Millisecond)), err == nil
+	if err != nil || math.IsNaN(ms) {
+		return 0, false
+	}
+	// The conversion of a number out of range depends on the processor.
+	ms = min(max(0, ms), float64(maxCallerTimeout.Milliseconds()))
+	return time.Duration(ms * float64(time.Millisecond)), true
 }
 
+// maxCallerTimeout bounds the timeout that a caller sets.
+const maxCallerTimeout = 24 * time.Hour
+
 // defaultTimeout applies if neither the route nor the caller sets a timeout.
 const defaultTimeout = 30 * time.Second
 
@@ -263,8 +272,11 @@
 		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "body-too-large"}
 	}
 	rc := http.NewResponseController(ca.w)
-	// The deadline keeps a body that never arrives from blocking the connection forever.
-	_ = rc.SetReadDeadline(time.Now().Add(bodyTimeoutFactor * ca.timeout()))
+	if ca.req.Body != nil && ca.req.Body != http.NoBody {
+		// The deadline keeps a body that never arrives from blocking the connection forever. Without a
+		// body http.Server reads ahead, and takes a deadline that is met for a caller that has left.
+		_ = rc.SetReadDeadline(time.Now().Add(bodyTimeoutFactor * ca.timeout()))
+	}
 	body, complete, err := inbound.ReadBody(ca.hold, http.MaxBytesReader(ca.w, ca.req.Body, limit), ca.req.ContentLength)
 	if complete && err == nil {
 		// Otherwise the deadline stays: before it sends a response, net/http reads what is left of
