Keep daemons running on SIGPIPE and SIGHUP

A daemon ended by itself, with all requests in flight, when the reader of its log ended: a Go program dies of SIGPIPE at a write to standard output or standard error that nobody reads. OPERATIONS promises that a reader that stops delays nothing. serve also died of SIGHUP, and front of a SIGHUP within its first milliseconds: it was caught only after the settings were read, in a goroutine.

Both commands ignore SIGPIPE and catch SIGHUP first of all; the log's queue already drops what can't be written. serve now checks its settings file at SIGHUP, as front does.

TestDaemonOutlivesReaderOfItsLog failed before: signal: broken pipe. TestServeOutlivesHangup failed before: signal: hangup. Trial before: of SIGHUPs 2, 5, 10 and 20 ms after the start of front, the first two ended it.

--- a/cmd/corianderhub/front.go
+++ b/cmd/corianderhub/front.go
@@ -5,9 +5,7 @@
 	"errors"
 	"log/slog"
 	"os"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
 
 	"corianderhub.dev/corianderhub/internal/clock"
 	"corianderhub.dev/corianderhub/internal/entry"
@@ -42,6 +40,7 @@
 
 // Execute implements flags.Commander.
 func (fc *frontCommand) Execute([]string) error {
+	hups := keepOnSignals()
 	file := os.Getenv(platform.SettingsVariable)
 	if file == "" {
 		return &exitError{exitUsage, platform.SettingsVariable + " is not set; it must name the settings file"}
@@ -66,7 +65,11 @@
 		stopLog()
 		<-flushed
 	}()
-	go checkSettingsOnHangup(logCtx, file, log)
+	read := func() error {
+		_, err := platform.ReadSettings(file)
+		return err
+	}
+	go checkSettingsOnHangup(logCtx, hups, file, read, log)
 	da := &entry.Daemon{Settings: set, Clock: clock.System{}, Log: log, MetricsPort: fc.MetricsPort,
 		Overload: entry.Overload{BoundedWait: fc.WaitForSlot, FairShares: fc.FairShares, ScheduleReturns: fc.ScheduleReturns}}
 	return da.Run(fc.ctx)
@@ -83,24 +86,3 @@
 	}
 	return slog.NewTextHandler(qu, opts)
 }
-
-// checkSettingsOnHangup reads and checks the settings file at each SIGHUP until ctx
-// ends, and logs the result. The settings in use do not change: addresses are fixed
-// for the lifetime of the process, and an invalid file is only reported.
-func checkSettingsOnHangup(ctx context.Context, file string, log *slog.Logger) {
-	hups := make(chan os.Signal, 1)
-	signal.Notify(hups, syscall.SIGHUP)
-	defer signal.Stop(hups)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-hups:
-		}
-		if _, err := platform.ReadSettings(file); err != nil {
-			log.Error("daemon: settings file is invalid; keeping the current settings.", "cause", err.Error())
-			continue
-		}
-		log.Info("daemon: settings file read again.", "file", file)
-	}
-}
--- a/cmd/corianderhub/serve.go
+++ b/cmd/corianderhub/serve.go
@@ -20,7 +20,9 @@
 
 SIGTERM or SIGINT stops it gracefully: it is removed from the list of entries,
 serves for as long as callers may cache that list, finishes the requests in
-flight and hands over its lease. "corianderhub help settings" describes FILE.`
+flight and hands over its lease. SIGHUP makes it read FILE again and log whether it
+is valid; the settings in use do not change. "corianderhub help settings" describes
+FILE.`
 
 type serveCommand struct {
 	ctx  context.Context
@@ -31,6 +33,7 @@
 
 // Execute implements flags.Commander.
 func (sc *serveCommand) Execute([]string) error {
+	hups := keepOnSignals()
 	set, err := daemon.ReadSettings(sc.Args.File)
 	var se *daemon.SettingsError
 	if errors.As(err, &se) {
@@ -49,6 +52,11 @@
 		return err
 	}
 	defer stop()
+	read := func() error {
+		_, err := daemon.ReadSettings(sc.Args.File)
+		return err
+	}
+	go checkSettingsOnHangup(context.WithoutCancel(sc.ctx), hups, sc.Args.File, read, log)
 	da := &daemon.Daemon{Settings: set, Keys: keys, Clock: clock.System{}, Log: log}
 	return da.Run(sc.ctx)
 }
