Bound writes of streams to callers of the own interface

A caller that stopped reading its stream kept its request in flight for as long as its connection lasted, beyond the request's deadline: a blocked write heeds no context. Its tokens stayed in use, so that other requests of the model were refused, and a daemon that drained waited for the whole drain timeout.

Each write has a deadline of 5 s, as at the other door. The caller then gets a closed connection.

TestStreamToCallerThatDoesNotRead failed before: the response is still being written after 10 s.

--- a/internal/caller/response.go
+++ b/internal/caller/response.go
@@ -3,11 +3,15 @@
 import (
 	"encoding/json"
 	"net/http"
+	"time"
 
 	"corianderhub.dev/corianderhub/internal/endpoint"
 	"corianderhub.dev/corianderhub/pkg/verdict"
 )
 
+// writeTimeout bounds a write to a caller that doesn't read.
+const writeTimeout = 5 * time.Second
+
 // completionWriter writes a completion to the caller, as a stream or as one
 // body.
 type completionWriter interface {
@@ -127,6 +131,7 @@
 		w.Header().Set("Cache-Control", "no-store")
 		w.WriteHeader(http.StatusOK)
 	}
+	_ = sw.rc.SetWriteDeadline(time.Now().Add(writeTimeout))
 	if _, err := w.Write([]byte("data: " + data + "\n\n")); err != nil {
 		return callerGone(err)
 	}
