--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -170,7 +170,7 @@
 	da.dialer = &relay.Dialer{Clock: da.Clock, Timeout: dialTimeout, Paths: &reach.Tracker{}, Relays: &reach.Relays{DataCenter: set.DataCenter},
 		Daemons: da.relayCandidates, Others: da.otherEndpoints, IP: set.IP, Port: set.InternalPorts[1], OpenDirect: da.dialDirect,
 		OnLost: da.pathLost}
-	da.pool = &http1.Pool{Clock: da.Clock, Dial: da.dialer.Dial}
+	da.pool = &http1.Pool{Clock: da.Clock, Dial: da.dialer.Dial, MaxBytes: set.MemoryBytes / http1.MemoryDivisor}
 	da.relay = &relay.Server{Direct: da.dialer.DirectForOthers, IsDaemon: func(ip string) bool { return da.mesh.Knows(ip) }}
 	da.backpressure = &backpressure.Tracker{}
 	da.table = &dispatch.Table{DataCenter: set.DataCenter, Backpressure: da.backpressure,
--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -143,6 +143,7 @@
 		return err
 	}
 	at.ex, at.events = ex, newEventReader(ex)
+	at.events.hold = ex.Hold
 	st.sv.ApplyResponseHeader(leader.Instance(), ex.Response, at.sent)
 	return nil
 }
--- a/internal/front/events_test.go
+++ b/internal/front/events_test.go
@@ -6,8 +6,11 @@
 	"strings"
 	"testing"
 	"testing/iotest"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
+
+	"corianderhub.dev/corianderhub/internal/http1"
 )
 
 // Guards against passing on a part of an event when the stream is truncated, and against
@@ -73,3 +76,27 @@
 		}
 	})
 }
+
+// Guards against processor time that grows with the square of an event's length if it arrives in small parts.
+func TestTrickledEvent(t *testing.T) {
+	stream := "data: " + strings.Repeat("x", maxEventBytes/2) + "\n\n"
+	begin := time.Now()
+	event, err := newEventReader(iotest.OneByteReader(strings.NewReader(stream))).next()
+	if took := time.Since(begin); err != nil || len(event) != len(stream) || took > 2*time.Second {
+		t.Errorf("got %d bytes after %v, error %v; want all within 2 s", len(event), took, err)
+	}
+}
+
+// Guards against events without end that together exceed the memory because nothing counts them.
+func TestEndlessEventIsCounted(t *testing.T) {
+	er := newEventReader(strings.NewReader(strings.Repeat("x", maxEventBytes)))
+	er.hold = func(bytes int64) error {
+		if bytes > 64<<10 {
+			return http1.ErrGivenUp
+		}
+		return nil
+	}
+	if _, err := er.next(); !errors.Is(err, http1.ErrGivenUp) {
+		t.Errorf("got error %v, want %v", err, http1.ErrGivenUp)
+	}
+}
--- a/internal/http1/endless_test.go
+++ b/internal/http1/endless_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"io"
 	"net"
 	"strings"
@@ -83,3 +84,31 @@
 		t.Errorf("got %d bytes, %v; want %d", len(body), err, len(want))
 	}
 }
+
+// Guards against responses without end that are each within the limit and together exceed the memory.
+func TestEndlessResponsesTogether(t *testing.T) {
+	var sent atomic.Int64
+	script := sendEndless("HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 9000000\r\n\r\n", "b", &sent)
+	sv := newServer(t, script, script, script, script)
+	po := newPool()
+	po.MaxBytes = 256 << 10
+	errs := make(chan error)
+	for range 4 {
+		go func() {
+			ex, err := po.Send(t.Context(), sv.ln.Addr().String(), request("1"))
+			if err == nil {
+				_, err = ex.ReadAll(8 << 20)
+				ex.Close()
+			}
+			errs <- err
+		}()
+	}
+	for range 4 {
+		if err := <-errs; !errors.Is(err, ErrGivenUp) {
+			t.Errorf("got error %v, want %v", err, ErrGivenUp)
+		}
+	}
+	if used := po.responses.Used(); used != 0 {
+		t.Errorf("got %d bytes counted after the exchanges, want 0", used)
+	}
+}
--- a/internal/http1/exchange.go
+++ b/internal/http1/exchange.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"corianderhub.dev/corianderhub/internal/core/quota"
 	"corianderhub.dev/corianderhub/pkg/verdict"
 )
 
@@ -92,6 +93,10 @@
 	maxIdle int
 	// complete is set once the body has been read to its end.
 	complete bool
+	// held is the memory that the reader of the response uses. givenUp is set if the response was given
+	// up for it, ended once it is not read any more. Pool.memory guards all three.
+	held           *quota.Response
+	givenUp, ended bool
 }
 
 // Send writes the request and reads the header of its response. Canceling ctx closes the
@@ -103,12 +108,14 @@
 		return nil, &Error{Verdict: verdict.NotRun, ConnectFailed: true, Err: err}
 	}
 	ex := &Exchange{po: po, cn: cn, written: make(chan error, 1), maxIdle: rq.MaxIdle}
+	ex.held = quota.NewResponse(ex.drop)
 	ex.stop = context.AfterFunc(ctx, func() { cn.nc.Close() })
 	if err := ex.write(rq); err != nil {
 		ex.abort()
 		return nil, &Error{Verdict: verdict.MayHaveRun, Err: err}
 	}
 	if err := ex.readHeader(rq); err != nil {
+		err = ex.cause(err)
 		ex.abort()
 		return nil, &Error{Verdict: verdict.MayHaveRun, Err: err}
 	}
@@ -145,7 +152,7 @@
 // response to an earlier request where the response to the next one is expected. The context
 // bounds the wait for that.
 func (ex *Exchange) readHeader(rq *Request) error {
-	ex.cn.hr.Begin()
+	ex.cn.hr.Begin(ex.Hold)
 	for range maxSkippedResponses + 1 {
 		ex.cn.hr.Expect()
 		rsp, err := http.ReadResponse(ex.cn.br, &http.Request{Method: rq.Method})
@@ -204,22 +211,13 @@
 	if err == io.EOF {
 		ex.complete = true
 	}
-	return num, err
-}
-
-// ReadAll reads the response body and returns an error if it exceeds limit bytes.
-func (ex *Exchange) ReadAll(limit int64) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(ex, limit+1))
-	if err == nil && int64(len(body)) > limit {
-		err = errors.New("http1: response body exceeds the size limit")
-	}
-	return body, err
+	return num, ex.cause(err)
 }
 
 // Close returns the connection to the pool if the exchange is complete and no bytes are
 // left on the connection. Otherwise it closes the connection.
 func (ex *Exchange) Close() {
-	if !ex.stop() {
+	if givenUp := ex.endHold(); !ex.stop() || givenUp {
 		ex.cn.nc.Close()
 		return
 	}
@@ -237,6 +235,7 @@
 }
 
 func (ex *Exchange) abort() {
+	ex.endHold()
 	ex.stop()
 	ex.cn.nc.Close()
 }
--- a/internal/http1/head.go
+++ b/internal/http1/head.go
@@ -11,6 +11,8 @@
 	MaxHeadBytes = 32 << 10
 	// MaxHeadLines bounds the lines of these. A parsed field needs a multiple of its bytes.
 	MaxHeadLines = 256
+	// headCopies is how often a head is held: as received and as parsed.
+	headCopies = 2
 	// maxErrorBytes bounds the text of an error, which may quote what the endpoint sent.
 	maxErrorBytes = 200
 )
@@ -30,13 +32,18 @@
 	bytes, lines int
 	// blank is set while the current line has no bytes. done is set after the head's empty line.
 	blank, done bool
+	// hold counts the memory of what is read; nil counts nothing.
+	hold func(bytes int64) error
 }
 
 // NewHeadReader returns a reader of from that bounds nothing until Expect is called.
 func NewHeadReader(from io.Reader) *HeadReader { return &HeadReader{from: from} }
 
-// Begin begins an exchange: its heads may need MaxHeadBytes and MaxHeadLines in all.
-func (hr *HeadReader) Begin() { hr.bytes, hr.lines = MaxHeadBytes, MaxHeadLines }
+// Begin begins an exchange: its heads may need MaxHeadBytes and MaxHeadLines in all. hold counts the memory
+// of what is read; nil counts nothing.
+func (hr *HeadReader) Begin(hold func(bytes int64) error) {
+	hr.bytes, hr.lines, hr.hold = MaxHeadBytes, MaxHeadLines, hold
+}
 
 // Expect bounds what is read until Parsed is called.
 func (hr *HeadReader) Expect() { hr.limited, hr.blank, hr.done = true, false, false }
@@ -55,6 +62,9 @@
 	num, err := hr.from.Read(buf[:min(len(buf), hr.bytes)])
 	hr.bytes -= num
 	hr.countLines(buf[:num])
+	if hr.hold != nil && err == nil {
+		err = hr.hold(headCopies * int64(num))
+	}
 	return num, err
 }
 
--- a/internal/http1/pool.go
+++ b/internal/http1/pool.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"corianderhub.dev/corianderhub/internal/clock"
+	"corianderhub.dev/corianderhub/internal/core/quota"
 )
 
 const (
@@ -38,7 +39,14 @@
 type Pool struct {
 	Clock clock.Clock
 	// Dial opens a connection to an address; nil means net.Dialer.
-	Dial  func(ctx context.Context, addr string) (net.Conn, error)
+	Dial func(ctx context.Context, addr string) (net.Conn, error)
+	// MaxBytes bounds the memory of all responses that are being read; 0 means that it is not bounded.
+	MaxBytes int64
+
+	// memory guards responses.
+	memory    sync.Mutex
+	responses quota.Responses
+
 	mu    sync.Mutex
 	idle  map[string][]*conn
 	dials atomic.Int64
--- a/internal/relay/relayed.go
+++ b/internal/relay/relayed.go
@@ -102,7 +102,7 @@
 	}
 	hr := http1.NewHeadReader(nc)
 	br := bufio.NewReader(hr)
-	hr.Begin()
+	hr.Begin(nil)
 	hr.Expect()
 	rsp, err := http.ReadResponse(br, nil)
 	hr.Parsed()
