Test unsent requests at the end of a stop

A request that is cut off while its connection to an endpoint is being opened gets 503 with Retry-After and Connection: close. Besides, an endpoint's errors other than 504 no longer count as a duration: they would make a route look fast.

Run: internal/front with -race passes.

--- a/internal/front/plain.go
+++ b/internal/front/plain.go
@@ -213,7 +213,9 @@
 // writeResponse forwards an endpoint's response unchanged.
 func (ca *call) writeResponse(an *response) {
 	ca.closeIfStopping()
-	ca.recordDuration()
+	if an.status < http.StatusMultipleChoices || an.status == http.StatusGatewayTimeout {
+		ca.recordDuration()
+	}
 	header := ca.w.Header()
 	connection := slices.Clone(header["Connection"])
 	copyHeaders(header, an.header)
--- a/internal/front/stop_test.go
+++ b/internal/front/stop_test.go
@@ -1,7 +1,9 @@
 package front
 
 import (
+	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -163,6 +165,31 @@
 	}
 }
 
+// Guards against 504 for a request that was cut off before it could be sent: its caller could not
+// repeat it.
+func TestStopRefusesUnsentRequests(t *testing.T) {
+	ri := newRig(t)
+	ri.addPlain(nil)
+	ri.addGroup(nil)
+	dialing := make(chan struct{}, 4)
+	ri.front.Pool.Dial = func(ctx context.Context, _ string) (net.Conn, error) {
+		dialing <- struct{}{}
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	paths := []string{"/confirm/x", "/slot/x", "/draft/x", "/once/x"}
+	results := ri.sendAll(paths...)
+	for range paths {
+		<-dialing
+	}
+	ri.stopIn(100*time.Millisecond, 200*time.Millisecond)
+	for _, path := range paths {
+		if re := <-results[path]; re.status != http.StatusServiceUnavailable || re.header.Get(platform.HeaderRetryAfter) == "" || !re.closes {
+			t.Errorf("%s: status %d, header %v, error %v; want 503 with Retry-After", path, re.status, re.header, re.err)
+		}
+	}
+}
+
 // lateClock moves forward once a request was sent.
 type lateClock struct {
 	clock.Clock
