Check the assignments that other daemons send

Seen by callers: none; suspected to end a daemon of serve, which reads the first member of a group. Cause: the steward checks the assignments that it reads from the store, but one from another daemon was used as decoded: without members, with a size of 0, below 0 or beyond its members, or with a token above its sequence. Fix: the same check for both.

--- a/internal/core/control/probing.go
+++ b/internal/core/control/probing.go
@@ -43,7 +43,7 @@
 // applyDomain applies the assignment of a fabric domain, of any data centre.
 func (co *Core) applyDomain(do gossip.Doc) {
 	var dom fleet.Domain
-	if json.Unmarshal(do.Value, &dom) != nil || !co.docs.Put(do) {
+	if json.Unmarshal(do.Value, &dom) != nil || dom.Check() != nil || !co.docs.Put(do) {
 		return
 	}
 	co.domains[do.Name] = dom
