--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -29,6 +29,7 @@
 	ticket *dispatch.Ticket
 	ex     *http1.Exchange
 	events *eventReader
+	repetition
 	// sent is when the request was sent, emitted whether the caller has an event of this attempt.
 	sent    time.Time
 	emitted bool
--- a/internal/front/relay.go
+++ b/internal/front/relay.go
@@ -17,7 +17,11 @@
 		if !at.emitted {
 			predictionErrors.Update((now.Sub(at.sent) - at.choice.FirstEvent).Abs().Seconds())
 		}
-		if err := st.writeEvent(at.ex.Response.Header, event, now); err != nil {
+		err := at.check(event)
+		if err == nil {
+			err = st.writeEvent(at.ex.Response.Header, event, now)
+		}
+		if err != nil {
 			at.recordFailure(err)
 			return at, err
 		}
