--- a/internal/endpoint/complete.go
+++ b/internal/endpoint/complete.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 
+	"corianderhub.dev/corianderhub/internal/http1"
 	"corianderhub.dev/corianderhub/pkg/verdict"
 )
 
@@ -47,6 +48,9 @@
 
 const maxLineBytes = 1 << 20
 
+// maxRefusalBytes bounds the text of a refusal that is passed on.
+const maxRefusalBytes = 4 << 10
+
 // chunkBody is the JSON form of a chunk, for chat and text completions.
 type chunkBody struct {
 	Choices []struct {
@@ -102,14 +106,14 @@
 	}
 	if got := rsp.Header.Get(HeaderRequestID); got != requestID {
 		return &verdict.Error{Code: verdict.CodeForeignAnswer, Verdict: verdict.MayHaveRun,
-			Message: "the engine answered request " + strconv.Quote(got)}
+			Message: "the engine answered request " + strconv.Quote(http1.Excerpt(got))}
 	}
 	if rsp.StatusCode >= http.StatusInternalServerError {
 		return &verdict.Error{Code: verdict.CodeEndpointFailed, Verdict: verdict.MayHaveRun,
 			Message: "the engine failed with status " + strconv.Itoa(rsp.StatusCode)}
 	}
 	if rsp.StatusCode != http.StatusOK {
-		raw, _ := io.ReadAll(io.LimitReader(rsp.Body, maxLineBytes))
+		raw, _ := io.ReadAll(io.LimitReader(rsp.Body, maxRefusalBytes))
 		return &verdict.Error{Code: verdict.CodeBadRequest, Verdict: verdict.NotRun, Message: "the engine refused: " + string(raw)}
 	}
 	return nil
--- a/internal/endpoint/member.go
+++ b/internal/endpoint/member.go
@@ -18,6 +18,7 @@
 
 	"corianderhub.dev/corianderhub/internal/core/fleet"
 	"corianderhub.dev/corianderhub/internal/core/intent"
+	"corianderhub.dev/corianderhub/internal/http1"
 )
 
 // Headers of the engine protocol.
@@ -150,6 +151,8 @@
 		IdleConnTimeout:       idleTimeout,
 		DisableCompression:    true,
 		ResponseHeaderTimeout: 0,
+		// A response without end must not fill the memory.
+		MaxResponseHeaderBytes: http1.MaxHeadBytes,
 	}
 }
 
--- a/internal/endpoint/service.go
+++ b/internal/endpoint/service.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strconv"
 
+	"corianderhub.dev/corianderhub/internal/http1"
 	"corianderhub.dev/corianderhub/pkg/verdict"
 )
 
@@ -81,7 +82,7 @@
 	}
 	if got := rsp.Header.Get(HeaderRequestID); got != "" && got != ca.RequestID {
 		return Response{}, &verdict.Error{Code: verdict.CodeForeignAnswer, Verdict: verdict.MayHaveRun,
-			Message: "the service answered request " + strconv.Quote(got)}
+			Message: "the service answered request " + strconv.Quote(http1.Excerpt(got))}
 	}
 	// If a body ends with the connection, a truncated one cannot be detected.
 	if rsp.ContentLength < 0 && !slices.Contains(rsp.TransferEncoding, "chunked") {
--- a/internal/entry/steward.go
+++ b/internal/entry/steward.go
@@ -304,5 +304,5 @@
 	case status == http.StatusOK || status == http.StatusAccepted:
 		return steward.Accepted, status, nil
 	}
-	return steward.Refused, status, eris.New(string(answer))
+	return steward.Refused, status, eris.New(http1.Excerpt(string(answer)))
 }
--- a/internal/http1/exchange.go
+++ b/internal/http1/exchange.go
@@ -40,7 +40,7 @@
 }
 
 // Error implements the error interface.
-func (er *Error) Error() string { return string(er.Verdict) + ": " + bounded(er.Err.Error()) }
+func (er *Error) Error() string { return string(er.Verdict) + ": " + Excerpt(er.Err.Error()) }
 
 // Unwrap returns the underlying error.
 func (er *Error) Unwrap() error { return er.Err }
--- a/internal/http1/head.go
+++ b/internal/http1/head.go
@@ -83,8 +83,8 @@
 	}
 }
 
-// bounded returns the beginning of an error's text.
-func bounded(text string) string {
+// Excerpt returns the beginning of a text that an endpoint has sent, for errors and logs.
+func Excerpt(text string) string {
 	if len(text) <= maxErrorBytes {
 		return text
 	}
--- a/internal/mesh/call.go
+++ b/internal/mesh/call.go
@@ -17,6 +17,7 @@
 	"corianderhub.dev/corianderhub/internal/core/backpressure"
 	"corianderhub.dev/corianderhub/internal/core/catalog"
 	"corianderhub.dev/corianderhub/internal/core/quarantine"
+	"corianderhub.dev/corianderhub/internal/http1"
 )
 
 // Paths of the HTTP calls between daemons.
@@ -54,7 +55,7 @@
 func NewClient(port int) *Client {
 	dialer := &net.Dialer{Timeout: callTimeout}
 	return &Client{Port: port, client: http.Client{Timeout: callTimeout, Transport: &http.Transport{
-		DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: 10 * time.Second}}}
+		DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: 10 * time.Second, MaxResponseHeaderBytes: http1.MaxHeadBytes}}}
 }
 
 // get returns the body and the headers of a 200 response, and an error for any other
--- a/internal/platform/vms.go
+++ b/internal/platform/vms.go
@@ -6,14 +6,19 @@
 	"io"
 	"net/http"
 	"net/url"
+	"time"
 
 	"github.com/rotisserie/eris"
+
+	"corianderhub.dev/corianderhub/internal/http1"
 )
 
 // maxListBytes limits the size of the list of VMs, which has about 200 bytes for each
 // of 12,000 VMs.
 const maxListBytes = 8 << 20
 
+var vmsHTTP = http.Client{Transport: &http.Transport{IdleConnTimeout: 30 * time.Second, MaxResponseHeaderBytes: http1.MaxHeadBytes}}
+
 // VMs implements VMList. It returns ErrUnavailable if the platform does not answer
 // with status 200.
 func (cl *Client) VMs(ctx context.Context, dataCenter string) ([]VM, error) {
@@ -25,7 +30,7 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "platform vms")
 	}
-	rsp, err := http.DefaultClient.Do(req)
+	rsp, err := vmsHTTP.Do(req)
 	if err != nil {
 		return nil, eris.Wrap(ErrUnavailable, err.Error())
 	}
--- a/pkg/hub/hub.go
+++ b/pkg/hub/hub.go
@@ -114,12 +114,16 @@
 	minRetryPause    = 100 * time.Millisecond
 	maxRetryPause    = 5 * time.Second
 	maxResponseBytes = 64 << 20
+	// maxHeadBytes bounds the status line and fields of a response.
+	maxHeadBytes = 64 << 10
 )
 
 var defaultHTTP = &http.Client{Transport: &http.Transport{
 	DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 	MaxIdleConnsPerHost: 16,
 	IdleConnTimeout:     time.Minute,
+
+	MaxResponseHeaderBytes: maxHeadBytes,
 }}
 
 func (cl *Client) httpClient() *http.Client {
