Steward: a new configuration does not shorten the drain of requests accepted before

Callers got a part of a stream and a closed connection when a route was moved to another service, or its timeout became shorter, while a group of its service drained.

Cause: the drain ends after the longest timeout of the routes to the service in the newest configuration, 5 s at least. Requests at the group were accepted with an earlier one, and daemons keep its timeout for them.

--- a/internal/core/steward/steward.go
+++ b/internal/core/steward/steward.go
@@ -246,7 +246,7 @@
 	// reported them; nil means that none are known.
 	RequestsAt func(group string) int
 	services   map[string]*catalog.Engine
-	// timeouts holds the longest timeout of the routes to each service.
+	// timeouts holds the longest timeout that routes to each service have had.
 	timeouts map[string]time.Duration
 	vms      map[string]*vm
 	groups   map[groupKey]*group
--- a/internal/core/steward/suspend_test.go
+++ b/internal/core/steward/suspend_test.go
@@ -275,3 +275,29 @@
 	si.core.HandleReport(gr.Leader().ID, old, si.now, si.now)
 	si.runUncut(minDrainTimeout-time.Second, []catalog.Group{gr})
 }
+
+// A route is moved to another service, or gets a shorter timeout, while a group of its service drains.
+// Guards against cutting requests that were accepted before, within the timeout that they were accepted
+// with.
+func TestNewConfigurationDoesNotShortenDrain(t *testing.T) {
+	const accepted = 8 * time.Second
+	for name, ro := range map[string]catalog.Route{
+		"moved":   {Timeout: accepted, Backends: []catalog.Backend{{Service: "other", Weight: 1}}},
+		"shorter": {Timeout: time.Second, Backends: []catalog.Backend{{Service: "engine", Weight: 1}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			si := newSimulation(t, 3, 3, 9)
+			si.cfg.Routes = []catalog.Route{{Timeout: accepted, Backends: []catalog.Backend{{Service: "engine", Weight: 1}}}}
+			si.core.SetServices(si.cfg)
+			si.runInitialLoads(5 * time.Second)
+			gr := si.core.Groups()[0]
+			si.setRequests([]catalog.Group{gr}, 4)
+			si.fleet.Update(gr.Leader().ID, func(vm *emulator.VM) { vm.Running = 4 })
+			si.core.groups[groupKey{gr.Name, gr.Epoch}].reassigned = true
+			si.run(time.Second)
+			si.cfg.Routes = []catalog.Route{ro}
+			si.core.SetServices(si.cfg)
+			si.runUncut(accepted-time.Second-100*time.Millisecond, []catalog.Group{gr})
+		})
+	}
+}
