--- a/internal/soak/backpressure.go
+++ b/internal/soak/backpressure.go
@@ -84,6 +84,9 @@
 // does not announce that and is removed only right before the server is killed, so its
 // end counts as an unplanned fault.
 func announceLeaving(so *Soak, rnd *rand.Rand, _ time.Duration) {
+	if so.PlannedOnly {
+		return // The server's end would excuse all requests of some seconds.
+	}
 	id := so.reserveOne(rnd, backpressureOf, so.deployment.IDs("engine"))
 	if id == "" {
 		return
