Wait for reports where entries contest a group

Seen by callers: after a change of the steward a sound group is dissolved and its streams are cut. Cause: a new steward takes a group's service and model from the first entry that claims the group, and a rank from the last, before any VM has reported. One odd entry with the group's name and epoch gave it another size, or the state broken. Evidence, before: TestOddEntryInvariants: "group group-17-2 no longer serves after 46 odd entries". Fix: the model that a VM itself reports replaces one that only an entry names, and the ranks are observed anew. While two VMs that may still report claim the same rank, the group is left as it is.

--- a/internal/core/steward/lifecycle.go
+++ b/internal/core/steward/lifecycle.go
@@ -17,9 +17,9 @@
 		}
 		return co.dissolve(gr)
 	}
-	if gr.model == "" {
+	if gr.model == "" || gr.contested {
 		// The members are still loading: none has reported a model yet, so the size of the
-		// group is not known.
+		// group is not known. Or it is not known which VM is the member.
 		return nil
 	}
 	if why := co.broken(gr, now); why != "" {
--- a/internal/core/steward/observe.go
+++ b/internal/core/steward/observe.go
@@ -8,10 +8,9 @@
 // observe updates the table of groups from the members' reports and entries.
 func (co *Core) observe(now time.Time) {
 	for _, gr := range co.groups {
+		gr.contested = false
 		if gr.planned.IsZero() {
-			for rank := range gr.members {
-				gr.members[rank] = ""
-			}
+			clear(gr.members)
 		}
 	}
 	// For a VM that has not reported to this steward yet, the membership comes from its entry, so
@@ -43,11 +42,23 @@
 		gr = &group{name: ke.name, epoch: ke.epoch, service: vm.ep.Service, discoveredAt: now, stallReported: co.incompleteGroups[ke]}
 		co.groups[ke] = gr
 	}
-	if gr.planned.IsZero() && gr.model == "" && vm.ep.Loaded != "" {
-		gr.model = vm.ep.Loaded
+	if gr.planned.IsZero() {
+		gr.observeModel(vm)
 	}
 }
 
+// observeModel takes the group's model from a VM. What a VM has itself reported counts more than what
+// an entry says.
+func (gr *group) observeModel(vm *vm) {
+	if vm.ep.Loaded == "" || gr.model != "" && (gr.modelReported || !vm.reported) {
+		return
+	}
+	if gr.model != "" && gr.model != vm.ep.Loaded || gr.service != vm.ep.Service {
+		gr.members = nil // They had another size.
+	}
+	gr.service, gr.model, gr.modelReported = vm.ep.Service, vm.ep.Loaded, vm.reported
+}
+
 // observeMember enters a VM in its group at the rank that it says it has. claims is the number of
 // VMs that say that they belong to the group.
 func (co *Core) observeMember(id string, vm *vm, claims int) {
@@ -63,11 +74,22 @@
 		rank = min(rank, max(claims, co.services[gr.service].LargestSize()))
 		gr.grow(rank + 1)
 	}
-	if rank >= 0 && rank < len(gr.members) && co.yields(gr.members[rank], vm) {
+	if rank < 0 || rank >= len(gr.members) {
+		return
+	}
+	gr.contested = gr.contested || co.contested(gr.members[rank], vm)
+	if co.yields(gr.members[rank], vm) {
 		gr.members[rank] = id
 	}
 }
 
+// contested reports whether it is open which of two VMs has the same rank of a group, because both
+// are known from their entries only and may still report.
+func (co *Core) contested(held string, other *vm) bool {
+	vm := co.vms[held]
+	return vm != nil && !vm.reported && !other.reported && !vm.down && !other.down
+}
+
 // grow extends the group's members to a number of ranks.
 func (gr *group) grow(size int) {
 	if missing := size - len(gr.members); missing > 0 {
--- a/internal/core/steward/steward.go
+++ b/internal/core/steward/steward.go
@@ -197,6 +197,9 @@
 	epoch   int64
 	service string
 	model   string
+	// modelReported is set if a member has itself reported the model, contested while two VMs
+	// that have not reported claim the same rank.
+	modelReported, contested bool
 	// members are the VM IDs by rank; an ID is empty until that member has been seen. The
 	// member of rank 0 is the leader, which receives the group's requests.
 	members []string
