Test daemons against odd entries of each kind

Twenty kinds of odd entries at once, three times, each under an ID of its own and under that of a living server. Every request is answered, the steward stays, a server that is added becomes known, one that leaves is no longer used.

--- a/internal/entry/odd_entries_test.go
+++ b/internal/entry/odd_entries_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"log/slog"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -104,3 +105,68 @@
 		t.Errorf("%d lines, %d bytes, want 3 lines of at most 1000 bytes", lines, len(log.String()))
 	}
 }
+
+// oddEntries returns one entry of each kind that no server writes, or that names a server that doesn't
+// answer.
+func oddEntries() []string {
+	with := func(fields string) string {
+		return `{"service":"engine","address":"127.0.0.1:9","zone":"hall-a","slots":1,"state":"ready","sequence":1,"domain":"d",` + fields + `}`
+	}
+	member := func(fields string) string { return with(`"group":{"name":"odd","state":"open",` + fields + `}`) }
+	return []string{strings.Repeat("[", 9000) + strings.Repeat("]", 9000), strings.Repeat(`{"group":`, 100_000), with(`"born":1e999`),
+		with(`"address":"127.0.0.1:0"`), with(`"address":"127.0.0.1:99999"`), with(`"address":"224.0.0.1:80"`), with(`"slots":9223372036854775807`),
+		with(`"sequence":-9223372036854775808`), with(`"born":9223372036854775807`), with(`"pace":1e308,"cold_left_ms":1e308`), with(`"pace":-1e308`),
+		member(`"epoch":1,"rank":30000000`), member(`"epoch":1,"rank":2000000000`), member(`"epoch":1,"rank":-1`), member(`"epoch":1,"rank":4095`),
+		member(`"epoch":9223372036854775807,"rank":0`), member(`"epoch":2305843009213693952,"rank":0`), member(`"epoch":4611686018427387904,"rank":1`),
+		with(`"staged":["` + strings.Repeat(`m","`, 50_000) + `"]`), with(`"models":[{"name":"` + strings.Repeat("m", 100_000) + `"}]`)}
+}
+
+// Guards against daemons that end, change the steward or stop following the list of servers because of
+// odd entries of any kind, all at once and also under the ID of a living server, written again and again: a
+// server that is added is used, one that leaves is not.
+func TestOddEntriesOfEachKind(t *testing.T) {
+	sk := newStack(t, 2)
+	taken := strings.Count(sk.log.String(), "steward: lease taken")
+	living := platform.EndpointPrefix + sk.de.IDs("engine")[0]
+	own, _ := sk.de.Store.Value(living)
+	for range 3 {
+		for i, value := range oddEntries() {
+			sk.de.Store.Put(fmt.Sprint(platform.EndpointPrefix, "odd-", i), []byte(value))
+			sk.de.Store.Put(living, []byte(value))
+			sk.de.Store.Put(living, own)
+		}
+		for _, ru := range sk.daemons {
+			if got := sk.send(ru, "/draft/", "odd"+ru.ip); got != completeStream("odd"+ru.ip) {
+				t.Errorf("%s: got %q", ru.ip, got)
+			}
+		}
+		time.Sleep(heartbeatPause)
+	}
+	added, err := sk.de.AddModelServer()
+	if err != nil {
+		t.Fatal(err)
+	}
+	left := sk.de.IDs("desk")[0]
+	sk.de.Deregister(left)
+	for _, ru := range sk.daemons {
+		sk.until("the added server is known and the one that left is not used", func() bool {
+			is := make(chan bool, 1)
+			ru.da.control.post(func() {
+				_, known := ru.da.control.endpoints[added]
+				_, still := ru.da.control.endpoints[left]
+				is <- !still && (known || !ru.da.control.follows())
+			})
+			return <-is && !slices.ContainsFunc(ru.da.view.Load().Plain, func(pe catalog.PlainEndpoint) bool { return pe.ID == left })
+		})
+		if got := sk.send(ru, "/draft/", "after"+ru.ip); got != completeStream("after"+ru.ip) {
+			t.Errorf("%s: got %q", ru.ip, got)
+		}
+	}
+	if now := strings.Count(sk.log.String(), "steward: lease taken"); now != taken {
+		t.Errorf("the steward changed %d times", now-taken)
+	}
+	sk.checkInvariants()
+}
+
+// heartbeatPause is the time between two heartbeats of a server.
+const heartbeatPause = 1200 * time.Millisecond
