Bound writes of whole bodies to callers of the own interface

A caller that stopped reading a response that is not a stream kept its request in flight for as long as its connection lasted, and a daemon that drained waited for the whole drain timeout: bounded streams only.

Bodies are written in parts of 64 KiB, each with a deadline of 5 s, as at the other door.

TestBodyToCallerThatDoesNotRead failed before for response, recorded outcome and completion: the response is still being written after 10s.

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -5,6 +5,7 @@
 package caller
 
 import (
+	"bytes"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
@@ -277,9 +278,9 @@
 func writeJSON(w http.ResponseWriter, status int, val any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
-	// A write fails only if the caller has disconnected; there is no one to
-	// report it to.
-	_ = json.NewEncoder(w).Encode(val)
+	var buf bytes.Buffer
+	_ = json.NewEncoder(&buf).Encode(val)
+	writeBody(w, buf.Bytes())
 }
 
 // entries responds with the serving daemons, those of this data centre first. A
--- a/internal/caller/response.go
+++ b/internal/caller/response.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"slices"
 	"time"
 
 	"corianderhub.dev/corianderhub/internal/endpoint"
@@ -12,6 +13,21 @@
 // writeTimeout bounds a write to a caller that doesn't read.
 const writeTimeout = 5 * time.Second
 
+// writeChunkBytes is how many bytes of a body a caller has to read within writeTimeout.
+const writeChunkBytes = 64 << 10
+
+// writeBody writes a body. It fails only if the caller has disconnected or stops reading; there is no one
+// to report it to.
+func writeBody(w http.ResponseWriter, body []byte) {
+	rc := http.NewResponseController(w)
+	for chunk := range slices.Chunk(body, writeChunkBytes) {
+		_ = rc.SetWriteDeadline(time.Now().Add(writeTimeout))
+		if _, err := w.Write(chunk); err != nil {
+			return
+		}
+	}
+}
+
 // completionWriter writes a completion to the caller, as a stream or as one
 // body.
 type completionWriter interface {
--- a/internal/caller/service.go
+++ b/internal/caller/service.go
@@ -108,9 +108,8 @@
 		}
 	}
 	w.WriteHeader(an.Status)
-	// A write fails only if the caller has disconnected. The outcome has
-	// already been recorded if required.
-	_, _ = w.Write(an.Body)
+	// The outcome has already been recorded if required.
+	writeBody(w, an.Body)
 }
 
 func writeRecordedOutcome(w http.ResponseWriter, oc *claim.Outcome) {
@@ -119,7 +118,7 @@
 		w.Header().Set("Content-Type", oc.ContentType)
 	}
 	w.WriteHeader(oc.Status)
-	_, _ = w.Write(oc.Body)
+	writeBody(w, oc.Body)
 }
 
 // addressPicker distributes calls over the addresses of a service. Addresses
