Bound the numbers of tokens that callers declare

A caller could pass a full queue of the own interface, or have a request sent that no group can serve: a response limit or a number of prompt tokens near the largest integer overflowed the estimate.

Both are bounded.

--- a/internal/caller/complete.go
+++ b/internal/caller/complete.go
@@ -160,9 +160,13 @@
 	if limit == 0 {
 		limit = defaultMaxTokens
 	}
-	return co.routing.PromptTokens + int64(limit)
+	// The sum must not overflow: the caller sets the limit.
+	return min(co.routing.PromptTokens, maxCountedTokens) + min(int64(limit), maxCountedTokens)
 }
 
+// maxCountedTokens bounds the tokens that are counted for a prompt or a response.
+const maxCountedTokens = 1 << 40
+
 // admitAndRun waits until the model's queue admits the request and then runs
 // it.
 func (se *Server) admitAndRun(ctx context.Context, co *completion) error {
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -119,9 +119,13 @@
 	if err != nil || num < 0 {
 		return 0
 	}
-	return num
+	return min(num, maxPromptTokens)
 }
 
+// maxPromptTokens bounds the tokens that a prompt counts, so that the prediction of its time doesn't
+// overflow. No engine has memory for as many.
+const maxPromptTokens = 1 << 32
+
 // attempt sends the request to one group and forwards its events. It reports whether the request
 // is finished.
 func (st *stream) attempt(ctx context.Context) (dispatch.Choice, bool) {
