--- a/internal/core/catalog/check.go
+++ b/internal/core/catalog/check.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	// MaxNumber bounds terms, sequence numbers and revisions, so that counting on from one doesn't
-	// overflow.
+	// MaxNumber bounds terms, eras, versions, sequence numbers and revisions, so that counting on from
+	// one doesn't overflow.
 	MaxNumber = 1 << 62
 	// MaxViewEntries bounds the groups, and the endpoints without one, of a view.
 	MaxViewEntries = 1 << 16
