Heed the removal of an entry that was overwritten before

A daemon that begins to follow the store and finds the entry of a server in the steward's view overwritten keeps the server for 2.3 s since, longer than the 2 s after which no request may reach a server that is gone. If the entry was then removed, the removal had no effect: the server is not among those that the daemon has read, so unregister ignored it.

The removal of an entry that is missed now ends the wait at once, unless the steward's view is newer than the removal: the server may have registered since.

--- a/internal/entry/endpoints.go
+++ b/internal/entry/endpoints.go
@@ -149,7 +149,7 @@
 		ct.advance(it.Position())
 		id := platform.EndpointID(it.Key)
 		if it.Deleted {
-			ct.unregister(id)
+			ct.removed(id, it.Position())
 			continue
 		}
 		if ep, ok := ct.decode(it); ok {
@@ -251,6 +251,17 @@
 	ct.da.pool.CloseIdle(had.Address)
 }
 
+// removed handles the removal of an endpoint's entry. The endpoint may be known from the steward's
+// view only, in which it may have registered since.
+func (ct *control) removed(id string, at catalog.Position) {
+	_, missing := ct.missing[id]
+	if missing && (ct.stewardView == nil || !at.Before(ct.stewardView.Position())) {
+		ct.dropMissing(id, ct.da.Clock.Now())
+		return
+	}
+	ct.unregister(id)
+}
+
 // unregister removes an endpoint and records its departure.
 func (ct *control) unregister(id string) {
 	ep, ok := ct.endpoints[id]
--- a/internal/entry/odd_entries_test.go
+++ b/internal/entry/odd_entries_test.go
@@ -88,6 +88,26 @@
 	}
 }
 
+// Guards against a removal that doesn't count at once because the removed entry had been overwritten before
+// this daemon began to follow the store, and against one that is older than the steward's view.
+func TestRemovedAfterOverwritten(t *testing.T) {
+	for _, viewed := range []int64{2, 9} {
+		ct, cl := newTestControl(800)
+		cl.Advance(time.Minute)
+		ct.confirmed = cl.Now()
+		ct.da.table, ct.da.plain = &dispatch.Table{}, &dispatch.PlainTable{}
+		ct.stewardView = &catalog.View{Term: 7, Revision: 2, Plain: []catalog.PlainEndpoint{{ID: "desk-1", Service: "desk"}}}
+		ct.applySnapshot([]platform.Item{deskItem("{", 3)}, catalog.Position{Revision: 3}, false)
+		ct.stewardView.Revision = viewed
+		removed := deskItem("", 4)
+		removed.Deleted = true
+		ct.applyChanges([]platform.Item{removed})
+		if got, want := len(ct.departed) == 1, viewed < 4; got != want {
+			t.Errorf("view of revision %d, removed in 4: departed %t, want %t", viewed, got, want)
+		}
+	}
+}
+
 // Guards against a log that holds whole entries: a number of a million digits, a text of a million bytes
 // and a long key, all written repeatedly.
 func TestLogOfOddEntries(t *testing.T) {
