Leave time to answer within a short grace period

With a grace period of less than 1.1 s the time by which requests must be answered was before the signal, and with 0.8 s or less all connections were closed at the signal: requests in progress could end without an answer. The margins were fixed.

Each margin is at most a part of the time that there is. The times of longer grace periods stay.

TestTimesOfShortGrace failed before for 1 s and 500 ms: times out of order. go test -race ./internal/entry -run 'Stop|ShortGrace' passes.

--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -36,14 +36,15 @@
 	end time.Time
 }
 
-// newStopTimes returns the times of a stop that begins now.
+// newStopTimes returns the times of a stop that begins now. With a short grace period the margins are
+// parts of it, so that requests in progress are answered before all connections are closed.
 func newStopTimes(now time.Time, grace time.Duration) stopTimes {
-	limit := max(0, grace-stopMargin)
-	st := stopTimes{end: now.Add(limit)}
-	st.AnswerBy, st.AbortBy = st.end.Add(-answerMargin), st.end.Add(-abortMargin)
+	limit := grace - min(stopMargin, grace/4)
+	answer := limit - min(answerMargin, limit/4)
 	accept := min(acceptFor, limit/2)
-	st.acceptUntil = now.Add(accept)
-	st.readBy = now.Add(min(accept+unreadTimeout, limit-answerMargin))
+	st := stopTimes{end: now.Add(limit), acceptUntil: now.Add(accept)}
+	st.AnswerBy, st.AbortBy = now.Add(answer), st.end.Add(-min(abortMargin, limit/8))
+	st.readBy = now.Add(min(accept+unreadTimeout, answer))
 	return st
 }
 
--- a/internal/entry/stop_test.go
+++ b/internal/entry/stop_test.go
@@ -12,6 +12,19 @@
 	"corianderhub.dev/corianderhub/platform/emulator"
 )
 
+// Guards against a grace period so short that the margins leave no time: all connections would be closed
+// at the signal, before requests in progress are answered.
+func TestTimesOfShortGrace(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for _, grace := range []time.Duration{8 * time.Second, shortGrace, time.Second, 500 * time.Millisecond} {
+		st := newStopTimes(now, grace)
+		times := []time.Time{now, st.acceptUntil, st.readBy, st.AnswerBy, st.AbortBy, st.end, now.Add(grace)}
+		if !slices.IsSortedFunc(times, time.Time.Compare) || !st.AnswerBy.After(now) || !st.AnswerBy.Before(st.AbortBy) || !st.AbortBy.Before(st.end) {
+			t.Errorf("grace %v: times out of order: %v", grace, times)
+		}
+	}
+}
+
 // shortGrace leaves a stopping daemon 3.2 s for its requests.
 const shortGrace = 4 * time.Second
 
