--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -165,7 +165,8 @@
 		Daemons: da.relayCandidates, Others: da.otherEndpoints, IP: set.IP, Port: set.InternalPorts[1], OpenDirect: da.dialDirect,
 		OnLost: da.pathLost}
 	da.pool = &http1.Pool{Clock: da.Clock, Dial: da.dialer.Dial, MaxBytes: set.MemoryBytes / http1.MemoryDivisor}
-	da.relay = &relay.Server{Direct: da.dialer.DirectForOthers, IsDaemon: func(ip string) bool { return da.mesh.Knows(ip) }}
+	da.relay = &relay.Server{Direct: da.dialer.DirectForOthers, IsDaemon: func(ip string) bool { return da.mesh.Knows(ip) },
+		Stopping: da.stopping.Load}
 	da.backpressure = &backpressure.Tracker{}
 	da.table = &dispatch.Table{DataCenter: set.DataCenter, Backpressure: da.backpressure,
 		BoundedWait: da.Overload.BoundedWait, ScheduleReturns: da.Overload.ScheduleReturns, FairShares: da.Overload.FairShares}
--- a/internal/entry/listen.go
+++ b/internal/entry/listen.go
@@ -15,7 +15,6 @@
 // serveInternal opens all listeners except the one for callers.
 func (da *Daemon) serveInternal() error {
 	set := da.Settings
-	da.relay.Stopping = da.stopping.Load
 	directory := &front.Directory{Log: da.Log, Addresses: da.addresses,
 		TTLSeconds: min(addressTTLSeconds, set.Bounds.MaxTTL.Seconds())}
 	internalAddr := net.JoinHostPort(set.IP, strconv.Itoa(set.InternalPorts[1]))
--- a/internal/soak/changes.go
+++ b/internal/soak/changes.go
@@ -10,11 +10,11 @@
 )
 
 const (
-	// minHush and maxHush bound the silence after a change, which starts up to hushDelay after it, and
-	// hushShare is the share of a service's servers if not all of them are silent.
-	minHush, maxHush = time.Second, 1300 * time.Millisecond
-	hushDelay        = time.Second
-	hushShare        = 0.6
+	// minChangeSilence and maxChangeSilence bound the silence after a change, which starts up to maxSilenceDelay after it, and
+	// silentShare is the share of a service's servers if not all of them are silent.
+	minChangeSilence, maxChangeSilence = time.Second, 1300 * time.Millisecond
+	maxSilenceDelay                    = time.Second
+	silentShare                        = 0.6
 	// maxThinkTime bounds the time for which a client leaves its connection idle.
 	maxThinkTime = 3 * time.Second
 	// minRouteTimeout and maxRouteTimeout bound the timeouts of routes. A stream lasts for a second
@@ -31,15 +31,15 @@
 	{"route moved", true, 4, moveRoute},
 	{"route split", true, 2, splitRoute},
 	{"attempts", true, 2, changeAttempts},
-	{"shares of models, then silence", true, 2, changeSharesThenHush},
+	{"shares of models, then silence", true, 2, changeSharesThenSilence},
 	{"restarts in series", true, 1, restartInSeries},
 }
 
 // kindServices are the services of the initial routes, by kind.
-var kindServices = map[Kind]string{Draft: "engine", Tale: "engine", Slot: "desk", Confirm: "desk"}
+var kindServices = map[Kind]string{Draft: "engine", Once: "engine", Slot: "desk", Confirm: "desk"}
 
 // kinds are the kinds of requests in a fixed order.
-var kinds = []Kind{Draft, Tale, Slot, Confirm}
+var kinds = []Kind{Draft, Once, Slot, Confirm}
 
 // idleTimeouts are the idle timeouts of the configurations.
 type idleTimeouts struct {
@@ -50,7 +50,7 @@
 // prepareChanges sets the routes and services of the first configuration.
 func (so *Soak) prepareChanges() {
 	so.deployment.Twins = true
-	so.deployment.Routes = append(emulator.Routes(), emulator.Route{Name: string(Tale), Host: emulator.Host, Prefix: "/" + string(Tale) + "/", Kind: "streaming", Attempts: 2, Service: "engine"})
+	so.deployment.Routes = append(emulator.Routes(), emulator.Route{Name: string(Once), Host: emulator.Host, Prefix: "/" + string(Once) + "/", Kind: "streaming", Attempts: 2, Service: "engine"})
 	for i := range so.deployment.Routes {
 		ro := &so.deployment.Routes[i]
 		ro.Target, ro.Gap = int(plainObjective.Milliseconds()), 0
@@ -83,7 +83,7 @@
 	so.limits.mu.Unlock()
 	so.deployment.SetLimit("idle_timeout_ms", int(idle.Milliseconds()))
 	so.configure()
-	so.hush(rnd)
+	so.silenceAfterChange(rnd)
 }
 
 // changeRouteTimeout publishes a configuration with another timeout of a route.
@@ -92,7 +92,7 @@
 	so.check.SetTimeout(kind, timeout)
 	so.deployment.ChangeRoute(string(kind), func(ro *emulator.Route) { ro.Timeout = int(timeout.Milliseconds()) })
 	so.configure()
-	so.hush(rnd)
+	so.silenceAfterChange(rnd)
 }
 
 // moveRoute moves a route to the twin of its service, or back.
@@ -106,7 +106,7 @@
 		}
 	})
 	so.configure()
-	so.hush(rnd)
+	so.silenceAfterChange(rnd)
 }
 
 // splitRoute splits a route between its service and the twin of that by random weights.
@@ -117,33 +117,33 @@
 		ro.Backends = []emulator.Backend{{Service: kindServices[kind], Weight: float64(weight)}, {Service: emulator.Twin(kindServices[kind]), Weight: float64(10 - weight)}}
 	})
 	so.configure()
-	so.hush(rnd)
+	so.silenceAfterChange(rnd)
 }
 
 // changeAttempts publishes a configuration with another number of attempts of a route.
 func changeAttempts(so *Soak, rnd *rand.Rand, _ time.Duration) {
-	kind, attempts := pick(rnd, []Kind{Draft, Tale, Slot}), 1+rnd.IntN(3)
+	kind, attempts := pick(rnd, []Kind{Draft, Once, Slot}), 1+rnd.IntN(3)
 	so.deployment.ChangeRoute(string(kind), func(ro *emulator.Route) { ro.Attempts = attempts })
 	so.configure()
-	so.hush(rnd)
+	so.silenceAfterChange(rnd)
 }
 
-func changeSharesThenHush(so *Soak, rnd *rand.Rand, dur time.Duration) {
+func changeSharesThenSilence(so *Soak, rnd *rand.Rand, dur time.Duration) {
 	changeShares(so, rnd, dur)
-	so.hush(rnd)
+	so.silenceAfterChange(rnd)
 }
 
-// hush makes all or a share of the servers of a service silent up to hushDelay after a change, three
-// times in four. Only one hush takes place at a time, so that no group lacks a member for longer.
-func (so *Soak) hush(rnd *rand.Rand) {
+// silenceAfterChange makes all or a share of the servers of a service silent up to maxSilenceDelay after a change, three
+// times in four. Only one such silence takes place at a time, so that no group lacks a member for longer.
+func (so *Soak) silenceAfterChange(rnd *rand.Rand) {
 	service := pick(rnd, []string{"engine", "engine", emulator.Twin("engine"), "desk", emulator.Twin("desk")})
-	delay, dur := time.Duration(rnd.Int64N(int64(hushDelay))), minHush+time.Duration(rnd.Int64N(int64(maxHush-minHush)))
-	ids, share := so.deployment.IDs(service), pick(rnd, []float64{1, hushShare})
+	delay, dur := time.Duration(rnd.Int64N(int64(maxSilenceDelay))), minChangeSilence+time.Duration(rnd.Int64N(int64(maxChangeSilence-minChangeSilence)))
+	ids, share := so.deployment.IDs(service), pick(rnd, []float64{1, silentShare})
 	rnd.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
-	if rnd.IntN(4) == 0 || !so.reserve(silenceOf, "hush") {
+	if rnd.IntN(4) == 0 || !so.reserve(silenceOf, "after a change") {
 		return
 	}
-	defer so.release(silenceOf, "hush")
+	defer so.release(silenceOf, "after a change")
 	so.sleep(delay)
 	so.silenceFor(dur, slices.Clone(ids[:max(1, int(share*float64(len(ids))))])...)
 }
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -17,8 +17,8 @@
 	Draft Kind = "draft"
 	// Slot is a repeatable request to a plain server.
 	Slot Kind = "slot"
-	// Tale is a stream from a model server that is neither resumable nor repeatable.
-	Tale Kind = "tale"
+	// Once is a stream from a model server that is neither resumable nor repeatable.
+	Once Kind = "once"
 	// Confirm is a request to a plain server that is not repeatable.
 	Confirm Kind = "confirm"
 )
@@ -264,7 +264,7 @@
 	ch.mu.Lock()
 	defer ch.mu.Unlock()
 	for id, oc := range ch.outcomes {
-		if oc.Kind != Confirm && oc.Kind != Tale {
+		if oc.Kind != Confirm && oc.Kind != Once {
 			continue
 		}
 		if runs[id] > 1 {
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -114,7 +114,7 @@
 			ch.RecordOutcome(answer(Draft, 200, "whole", true))
 		}, "although no unplanned fault acted"},
 		{"a second run of a stream that is not resumable", func(ch *Checker) {
-			ch.RecordOutcome(answer(Tale, 502, "", false))
+			ch.RecordOutcome(answer(Once, 502, "", false))
 			ch.Finish(map[string]int{"id": 2})
 		}, "ran 2 times"},
 		{"refused beside no fault", func(ch *Checker) { ch.RecordOutcome(answer(Slot, 503, "", false)) }, ""},
--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -119,7 +119,7 @@
 	cl.sent++
 	kinds := []Kind{Draft, Draft, Slot, Confirm}
 	if cl.so.Changes {
-		kinds = append(kinds, Tale)
+		kinds = append(kinds, Once)
 	}
 	kind := pick(cl.rnd, kinds)
 	oc := Outcome{ID: fmt.Sprintf("%s-%d-%d", kind, cl.num, cl.sent), Kind: kind, Daemon: pick(cl.rnd, cl.daemons), Start: time.Now()}
@@ -138,7 +138,7 @@
 	req.Header.Set(platform.HeaderRequestID, oc.ID)
 	req.Header.Set(platform.HeaderAuthorization, "Token "+emulator.APIKey)
 	req.Header.Set(platform.HeaderDeadline, fmt.Sprint(clientTimeout.Milliseconds()))
-	if kind == Draft || kind == Tale {
+	if kind == Draft || kind == Once {
 		req.Header.Set(platform.HeaderModel, pick(cl.rnd, []string{emulator.ModelLarge, emulator.ModelSmall}))
 		req.Header.Set(platform.HeaderTokens, fmt.Sprint("100,", draftEvents*7))
 	}
@@ -163,7 +163,7 @@
 
 // want returns the complete body of the response to a request.
 func want(kind Kind, id string) string {
-	if kind != Draft && kind != Tale {
+	if kind != Draft && kind != Once {
 		return emulator.Body(id)
 	}
 	var all strings.Builder
