Test of an endless header: read the request before the response

If that arrives before the request is written, http.Transport takes it for an unsolicited response on an idle connection and fails with another error.

--- a/internal/endpoint/endless_test.go
+++ b/internal/endpoint/endless_test.go
@@ -1,6 +1,7 @@
 package endpoint
 
 import (
+	"bufio"
 	"io"
 	"net"
 	"net/http"
@@ -11,7 +12,6 @@
 )
 
 // Guards against memory for 10 MB of header for each request at a server that sends one without end.
-// sends one without end.
 func TestEndlessHeader(t *testing.T) {
 	const most = 64 << 20
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -27,6 +27,9 @@
 		}
 		defer nc.Close()
 		nc.(*net.TCPConn).SetWriteBuffer(16 << 10)
+		if _, err := http.ReadRequest(bufio.NewReader(nc)); err != nil {
+			return
+		}
 		total, chunk := 0, strings.Repeat("x", 8<<10)
 		for _, err = io.WriteString(nc, "HTTP/1.1 200 OK\r\nX-Long: "); err == nil && total < most; total += len(chunk) {
 			_, err = io.WriteString(nc, chunk)
