Report a reset that the write of a request has met

What callers saw: an endpoint responds to a long upload at once with a 200 that has no length, sends a part of its body and resets the connection while the upload is being written. The caller got that part as a complete response.

Cause: the kernel reports a reset once, to whichever call comes first. A request of more than 32 KB is written while its response is read. If the write meets the reset, the next read returns EOF, and the end of its connection is the end of a response without length. A daemon that relays a connection writes and reads at the same time as well, and marked such a response as complete.

Why the fix works: tcp.Conn keeps the error of the first write that failed. At the end of the connection its Read ends the write in progress and looks at that error. A reset that came before the peer's end is ECONNRESET and replaces EOF. Endpoints are dialed as tcp.Conn, for own exchanges and for other daemons.

--- a/internal/relay/direct.go
+++ b/internal/relay/direct.go
@@ -10,13 +10,16 @@
 	"syscall"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"corianderhub.dev/corianderhub/internal/tcp"
 )
 
 // witnesses is the number of other endpoints that a daemon tries to reach before it doubts its
 // own path. Those in one rack may be down together.
 const witnesses = 3
 
-// Direct opens a connection over this daemon's own path and records the outcome.
+// Direct opens a connection over this daemon's own path and records the outcome. Its Read doesn't miss a
+// reset that a write has met: the response would look complete, and a relayed one be marked as such.
 func (di *Dialer) Direct(ctx context.Context, addr string) (net.Conn, error) {
 	limit, cancel := context.WithTimeout(ctx, di.Timeout)
 	defer cancel()
@@ -32,7 +35,10 @@
 		di.Paths.DirectFailed(addr, errors.Is(err, syscall.ECONNREFUSED), di.Clock.Now())
 		metrics.GetOrCreateCounter(`corianderhub_connect_failures_total{cause="` + failureCause(err) + `"}`).Inc()
 	}
-	return nc, err
+	if err != nil {
+		return nil, err
+	}
+	return tcp.NewConn(nc), nil
 }
 
 // DirectForOthers opens a connection over this daemon's own path on behalf of another daemon. It
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -33,6 +33,8 @@
 type network struct {
 	refuses, drops atomic.Bool
 	dials          atomic.Int64
+	// open opens a connection; nil means dialTCP.
+	open func(ctx context.Context, addr string) (net.Conn, error)
 }
 
 func (ne *network) dial(ctx context.Context, addr string) (net.Conn, error) {
@@ -43,6 +45,8 @@
 	case ne.drops.Load():
 		<-ctx.Done()
 		return nil, ctx.Err()
+	case ne.open != nil:
+		return ne.open(ctx, addr)
 	}
 	return dialTCP(ctx, addr)
 }
