Refuse malformed heads in all clients on net/http

What callers saw: behind serve, a call or a completion whose response named a field with a blank was answered with it. A refusal with such a field was taken for the promise that the request had not run, so it could be sent again. The clients of the store, of the list of VMs, of other daemons, of reports and orders took such responses for successes. Clients of pkg/hub got responses with a status such as 000 as answers; pkg/admin did not say of one that the command may be in force.

Cause: http.Transport parses with http.ReadResponse, which accepts names with blanks and status codes below 100. Only the calls of serve checked the latter.

Why the fix works: httphead.Do checks the head of each response before any of it is used; the two clients of endpoints that use a RoundTripper check it first, before its promises. The soak, the demo and the stand-in of an engine use it as well. Interim responses are not checked here: net/http discards them, and a hook that sees them lifts the limit on their number.

Unusual valid responses are accepted.

--- a/cmd/platform-demo/main.go
+++ b/cmd/platform-demo/main.go
@@ -16,6 +16,7 @@
 	"github.com/jessevdk/go-flags"
 	"github.com/rotisserie/eris"
 
+	"corianderhub.dev/corianderhub/internal/httphead"
 	"corianderhub.dev/corianderhub/platform"
 	"corianderhub.dev/corianderhub/platform/emulator"
 )
@@ -131,7 +132,7 @@
 	if prepare != nil {
 		prepare(req)
 	}
-	rsp, err := http.DefaultClient.Do(req)
+	rsp, err := httphead.Do(http.DefaultClient, req)
 	if err != nil {
 		return 0, "", err
 	}
--- a/internal/endpoint/attempt.go
+++ b/internal/endpoint/attempt.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"corianderhub.dev/corianderhub/internal/httphead"
 	"corianderhub.dev/corianderhub/pkg/verdict"
 )
 
@@ -41,6 +42,14 @@
 	return ve
 }
 
+// checkHead returns an error if the head of a response is malformed. What it promises does not count then.
+func checkHead(rsp *http.Response) error {
+	if err := httphead.Check(rsp); err != nil {
+		return &verdict.Error{Code: verdict.CodeBrokenAnswer, Verdict: verdict.MayHaveRun, Message: "the answer is malformed", Cause: err}
+	}
+	return nil
+}
+
 // refusalError returns the error for a response that states that the endpoint did not run the
 // request, or nil for any other response.
 func refusalError(rsp *http.Response) *verdict.Error {
--- a/internal/endpoint/complete.go
+++ b/internal/endpoint/complete.go
@@ -101,6 +101,9 @@
 
 // checkResponse returns an error unless the response is a success response to this request.
 func checkResponse(rsp *http.Response, requestID string) error {
+	if err := checkHead(rsp); err != nil {
+		return err
+	}
 	if ve := refusalError(rsp); ve != nil {
 		return ve
 	}
@@ -108,7 +111,7 @@
 		return &verdict.Error{Code: verdict.CodeForeignAnswer, Verdict: verdict.MayHaveRun,
 			Message: "the engine answered request " + strconv.Quote(http1.Excerpt(got))}
 	}
-	if rsp.StatusCode < http.StatusContinue || rsp.StatusCode >= http.StatusInternalServerError {
+	if rsp.StatusCode >= http.StatusInternalServerError {
 		return &verdict.Error{Code: verdict.CodeEndpointFailed, Verdict: verdict.MayHaveRun,
 			Message: "the engine failed with status " + strconv.Itoa(rsp.StatusCode)}
 	}
--- a/internal/endpoint/member.go
+++ b/internal/endpoint/member.go
@@ -19,6 +19,7 @@
 	"corianderhub.dev/corianderhub/internal/core/fleet"
 	"corianderhub.dev/corianderhub/internal/core/intent"
 	"corianderhub.dev/corianderhub/internal/http1"
+	"corianderhub.dev/corianderhub/internal/httphead"
 )
 
 // Headers of the engine protocol.
@@ -84,7 +85,7 @@
 	if err != nil {
 		return nil, false, eris.Wrap(err, "create probe request")
 	}
-	rsp, err := ms.client().Do(req)
+	rsp, err := httphead.Do(ms.client(), req)
 	if err != nil {
 		return nil, errors.Is(err, syscall.ECONNREFUSED), eris.Wrap(err, "probe member")
 	}
@@ -114,7 +115,7 @@
 		return eris.Wrap(err, "create order request")
 	}
 	req.GetBody = nil
-	rsp, err := ms.client().Do(req)
+	rsp, err := httphead.Do(ms.client(), req)
 	if err != nil {
 		return eris.Wrap(err, "send order")
 	}
--- a/internal/endpoint/service.go
+++ b/internal/endpoint/service.go
@@ -77,6 +77,9 @@
 }
 
 func (at *attempt) readResponse(rsp *http.Response, ca Call) (Response, error) {
+	if err := checkHead(rsp); err != nil {
+		return Response{}, err
+	}
 	if ve := refusalError(rsp); ve != nil {
 		return Response{}, ve
 	}
@@ -84,9 +87,6 @@
 		return Response{}, &verdict.Error{Code: verdict.CodeForeignAnswer, Verdict: verdict.MayHaveRun,
 			Message: "the service answered request " + strconv.Quote(http1.Excerpt(got))}
 	}
-	if rsp.StatusCode < http.StatusContinue {
-		return Response{}, at.newError(verdict.CodeBrokenAnswer, "the answer has no valid status", nil)
-	}
 	// If a body ends with the connection, a truncated one cannot be detected.
 	if rsp.ContentLength < 0 && !slices.Contains(rsp.TransferEncoding, "chunked") {
 		return Response{}, at.newError(verdict.CodeBrokenAnswer, "the answer does not tell its length", nil)
--- a/internal/mesh/call.go
+++ b/internal/mesh/call.go
@@ -18,6 +18,7 @@
 	"corianderhub.dev/corianderhub/internal/core/catalog"
 	"corianderhub.dev/corianderhub/internal/core/quarantine"
 	"corianderhub.dev/corianderhub/internal/http1"
+	"corianderhub.dev/corianderhub/internal/httphead"
 )
 
 // Paths of the HTTP calls between daemons.
@@ -71,7 +72,7 @@
 	if err != nil {
 		return nil, nil, eris.Wrap(err, "peer call")
 	}
-	rsp, err := cl.client.Do(req)
+	rsp, err := httphead.Do(&cl.client, req)
 	if err != nil {
 		return nil, nil, eris.Wrap(err, "peer call")
 	}
--- a/internal/platform/vms.go
+++ b/internal/platform/vms.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 
 	"corianderhub.dev/corianderhub/internal/http1"
+	"corianderhub.dev/corianderhub/internal/httphead"
 )
 
 // maxListBytes limits the size of the list of VMs, which has about 200 bytes for each
@@ -30,7 +31,7 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "platform vms")
 	}
-	rsp, err := vmsHTTP.Do(req)
+	rsp, err := httphead.Do(&vmsHTTP, req)
 	if err != nil {
 		return nil, eris.Wrap(ErrUnavailable, err.Error())
 	}
--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"corianderhub.dev/corianderhub/internal/httphead"
 	"corianderhub.dev/corianderhub/platform"
 	"corianderhub.dev/corianderhub/platform/emulator"
 )
@@ -95,7 +96,7 @@
 		cl.so.check.ReportViolation("client: %v", err)
 		return
 	}
-	rsp, err := cl.http.Do(req)
+	rsp, err := httphead.Do(cl.http, req)
 	if err != nil {
 		return
 	}
@@ -142,7 +143,7 @@
 		req.Header.Set(platform.HeaderModel, pick(cl.rnd, []string{emulator.ModelLarge, emulator.ModelSmall}))
 		req.Header.Set(platform.HeaderTokens, fmt.Sprint("100,", draftEvents*7))
 	}
-	rsp, err := cl.http.Do(req)
+	rsp, err := httphead.Do(cl.http, req)
 	if err == nil {
 		raw, readErr := io.ReadAll(rsp.Body)
 		rsp.Body.Close()
--- a/internal/soak/crashes.go
+++ b/internal/soak/crashes.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"corianderhub.dev/corianderhub/internal/httphead"
 	"corianderhub.dev/corianderhub/platform"
 	"corianderhub.dev/corianderhub/platform/emulator"
 )
@@ -74,7 +75,7 @@
 	req.Header.Set(platform.HeaderModel, emulator.ModelLarge)
 	req.Header.Set(platform.HeaderTokens, fmt.Sprint("100,", draftEvents*7))
 	req.Header.Set(platform.HeaderPrefix, fmt.Sprintf("5c1e07a2:40,%s:40,%x:20", part, num))
-	rsp, err := http.DefaultClient.Do(req)
+	rsp, err := httphead.Do(http.DefaultClient, req)
 	if err != nil {
 		return // The daemon may be killed, or may break the stream off.
 	}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -17,6 +17,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"corianderhub.dev/corianderhub/internal/httphead"
 	"corianderhub.dev/corianderhub/platform"
 	"corianderhub.dev/corianderhub/platform/emulator"
 )
@@ -350,7 +351,7 @@
 	req.Header.Set(platform.HeaderAuthorization, "Token "+emulator.APIKey)
 	req.Header.Set(platform.HeaderModel, emulator.ModelLarge)
 	req.Header.Set(platform.HeaderTokens, "100,7")
-	rsp, err := http.DefaultClient.Do(req)
+	rsp, err := httphead.Do(http.DefaultClient, req)
 	if err != nil {
 		return 0
 	}
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -8,6 +8,7 @@
 
 	"corianderhub.dev/corianderhub/internal/core/fleet"
 	"corianderhub.dev/corianderhub/internal/endpoint"
+	"corianderhub.dev/corianderhub/internal/httphead"
 	"corianderhub.dev/corianderhub/pkg/verdict"
 )
 
@@ -248,14 +249,7 @@
 // reports the model as loaded, and as ready for a join order, unless a later order
 // has superseded the load.
 func (en *Engine) load(ob endpoint.OrderBody, seq int) {
-	for en.Platform != "" {
-		rsp, err := http.Get("http://" + en.Platform + "/weights/" + ob.Model + "/" + ob.Version)
-		if err == nil {
-			rsp.Body.Close()
-			if rsp.StatusCode == http.StatusOK {
-				break
-			}
-		}
+	for en.Platform != "" && !en.grantsWeights(ob.Model, ob.Version) {
 		time.Sleep(weightRetryInterval)
 	}
 	time.Sleep(en.LoadTime)
@@ -269,6 +263,20 @@
 	en.report.Model, en.report.Version, en.report.Ready = ob.Model, ob.Version, ob.Kind == endpoint.KindJoin
 }
 
+// grantsWeights requests weights from the platform.
+func (en *Engine) grantsWeights(model, version string) bool {
+	req, err := http.NewRequest(http.MethodGet, "http://"+en.Platform+"/weights/"+model+"/"+version, nil)
+	if err != nil {
+		return false
+	}
+	rsp, err := httphead.Do(http.DefaultClient, req)
+	if err != nil {
+		return false
+	}
+	rsp.Body.Close()
+	return rsp.StatusCode == http.StatusOK
+}
+
 // refuse answers with 503 and the verdict not-run.
 func (en *Engine) refuse(w http.ResponseWriter, reason string) {
 	w.Header().Set(endpoint.HeaderVerdict, string(verdict.NotRun))
--- a/pkg/admin/admin.go
+++ b/pkg/admin/admin.go
@@ -16,6 +16,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"corianderhub.dev/corianderhub/internal/httphead"
 	"corianderhub.dev/corianderhub/pkg/verdict"
 )
 
@@ -240,7 +241,7 @@
 		return eris.Wrap(err, "administration")
 	}
 	req.Header.Set("Authorization", "Bearer "+cl.Token)
-	rsp, err := http.DefaultClient.Do(req)
+	rsp, err := httphead.Do(http.DefaultClient, req)
 	var op *net.OpError
 	if errors.As(err, &op) && op.Op == "dial" {
 		return eris.Wrap(err, "administration")
--- a/pkg/hub/hub.go
+++ b/pkg/hub/hub.go
@@ -17,6 +17,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"corianderhub.dev/corianderhub/internal/httphead"
 	"corianderhub.dev/corianderhub/pkg/verdict"
 )
 
@@ -222,7 +223,7 @@
 	// resend a request with a body by itself, which this client would not notice.
 	req.GetBody = nil
 	cl.setHeaders(req, ca)
-	rsp, err := cl.httpClient().Do(req)
+	rsp, err := httphead.Do(cl.httpClient(), req)
 	if err != nil {
 		cl.markFailed(addr)
 		return sendError(err)
@@ -331,7 +332,7 @@
 	if err != nil {
 		return en, eris.Wrap(err, "entries")
 	}
-	rsp, err := cl.httpClient().Do(req)
+	rsp, err := httphead.Do(cl.httpClient(), req)
 	if err != nil {
 		return en, eris.Wrap(err, "entries")
 	}
