--- a/pkg/hub/hub.go
+++ b/pkg/hub/hub.go
@@ -99,7 +99,8 @@
 	Key string
 	// Attempts bounds how many times one call is sent; zero or less means 6.
 	Attempts int
-	// HTTP is the HTTP client; nil means one with a connection timeout of 1 s.
+	// HTTP is the HTTP client; nil means one with a connection timeout of 1 s. With another one, an answer
+	// without length or chunks may look complete after a reset while a long call is being written.
 	HTTP *http.Client
 
 	mu            sync.Mutex
