--- a/internal/tcp/conn.go
+++ b/internal/tcp/conn.go
@@ -55,7 +55,7 @@
 	return num, err
 }
 
-// endError returns io.EOF, or the error of a write that tells that the peer has not ended its side.
+// endError returns io.EOF, or the error of a write that can't follow the end of the peer's side.
 func (cn *Conn) endError() error {
 	// A write in progress may have met the reset already.
 	if err := cn.Conn.SetWriteDeadline(time.Unix(1, 0)); err != nil {
