servertest: unusual responses announce that their connection is closed

malformed_test.go:69: obs-text in a value, /draft/x: got status 502 with "no-group\n", error <nil>, want the response

What a caller saw there is right; the test was wrong. Its server closed each connection after its response, which announced nothing, so HTTP/1.1 made the connection a persistent one and the pool kept it. The request of the next path could be sent on it before the close had arrived. Such a request may have run; there is one endpoint, so it ends with a 502.

Evidence: with 20 ms between the response to /slot/x and the close, all ten cases failed with the line above; with 20 ms after each response, all ten failed at /slot/x with "answer-lost". Without a delay, 600 runs of the old test beside four busy processes passed: the race is rare here.

The responses now say Connection: close, as a server that closes has to. Nothing else of them has changed, and the test demands the same status and body on all four paths. With 20 ms after each response the tests of front passed 5 of 5 times, and those of all other packages that use this server 2 of 2 times. Without it, 750 runs beside four busy processes passed.

--- a/internal/servertest/heads.go
+++ b/internal/servertest/heads.go
@@ -70,8 +70,10 @@
 	return heads
 }
 
-// Unusual returns valid responses with the body, by what is unusual about them.
+// Unusual returns valid responses with the body, by what is unusual about them. They announce that a Server
+// closes the connection, so that no client sends another request on it.
 func Unusual(fields, body string) map[string]string {
+	fields += "Connection: close\r\n"
 	length := lengthAndBody(body)
 	return map[string]string{
 		"empty reason":         "HTTP/1.1 200 \r\n" + fields + length,
